--- /dev/null
+++ b/fleet/history.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// TermStart says at which log position a term began. The entries of the term
+// are those at First and later.
+type TermStart struct {
+	First LogPosition
+	Term  Term
+}
+
+// History lists the terms of a log in rising order. The log of a term ends
+// just before the first position of the next one (the fork point).
+type History []TermStart
+
+// ParseHistory parses the text form "term:first,term:first". Terms must rise
+// and first positions must not fall.
+func ParseHistory(text string) (History, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var history History
+	for _, part := range strings.Split(text, ",") {
+		start, err := parseTermStart(part)
+		if err != nil {
+			return nil, fmt.Errorf("history %q: %w", text, err)
+		}
+		if n := len(history); n > 0 && (start.Term <= history[n-1].Term || start.First < history[n-1].First) {
+			return nil, fmt.Errorf("history %q: term %d is out of order", text, start.Term)
+		}
+		history = append(history, start)
+	}
+	return history, nil
+}
+
+// Contains reports whether an entry at position p is part of this history. A
+// position of a term that the history does not list is not part of it. The
+// zero position is part of each history.
+func (h History) Contains(p Position) bool {
+	if p.IsZero() {
+		return true
+	}
+	fork, known := h.ForkPoint(p.Term)
+	return known && p.Log <= fork
+}
+
+// ForkPoint returns the last log position that the history keeps of a term.
+// For the newest term that is the largest position there is. It reports false
+// when the history does not list the term.
+func (h History) ForkPoint(term Term) (LogPosition, bool) {
+	for i, start := range h {
+		if start.Term != term {
+			continue
+		}
+		if i+1 < len(h) {
+			return h[i+1].First - 1, true
+		}
+		return ^LogPosition(0), true
+	}
+	return 0, false
+}
+
+// LastTerm returns the newest term, or zero for an empty history.
+func (h History) LastTerm() Term {
+	if len(h) == 0 {
+		return 0
+	}
+	return h[len(h)-1].Term
+}
+
+// String returns the text form "term:first,term:first".
+func (h History) String() string {
+	parts := make([]string, 0, len(h))
+	for _, start := range h {
+		parts = append(parts, strconv.FormatUint(uint64(start.Term), 10)+":"+strconv.FormatUint(uint64(start.First), 10))
+	}
+	return strings.Join(parts, ",")
+}
+
+func parseTermStart(text string) (TermStart, error) {
+	termText, firstText, found := strings.Cut(text, ":")
+	if !found {
+		return TermStart{}, fmt.Errorf("%q: want term:first", text)
+	}
+	term, err := strconv.ParseUint(termText, 10, 64)
+	if err != nil {
+		return TermStart{}, fmt.Errorf("%q: term: %w", text, err)
+	}
+	first, err := strconv.ParseUint(firstText, 10, 64)
+	if err != nil {
+		return TermStart{}, fmt.Errorf("%q: first position: %w", text, err)
+	}
+	if first == 0 {
+		return TermStart{}, fmt.Errorf("%q: first position must be at least 1", text)
+	}
+	return TermStart{First: LogPosition(first), Term: Term(term)}, nil
+}
