--- /dev/null
+++ b/measure/latency.go
@@ -0,0 +1,59 @@
+package measure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramDigits = 3
+	histogramMax    = time.Minute
+	histogramMin    = time.Microsecond
+)
+
+// Latency records durations between one microsecond and one minute. Longer
+// ones count as one minute. It is safe for concurrent use.
+type Latency struct {
+	histogram *hdrhistogram.Histogram
+	mu        sync.Mutex
+}
+
+// NewLatency returns an empty recorder.
+func NewLatency() *Latency {
+	return &Latency{histogram: hdrhistogram.New(histogramMin.Microseconds(), histogramMax.Microseconds(), histogramDigits)}
+}
+
+// Count returns the number of recorded durations.
+func (l *Latency) Count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.histogram.TotalCount()
+}
+
+// Quantile returns the duration at a quantile between 0 and 1.
+func (l *Latency) Quantile(q float64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.histogram.ValueAtQuantile(q*100)) * time.Microsecond
+}
+
+// Record adds a duration.
+func (l *Latency) Record(d time.Duration) {
+	d = min(max(d, histogramMin), histogramMax)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The value is inside the histogram's range, so the error cannot occur.
+	_ = l.histogram.RecordValue(d.Microseconds())
+}
+
+// Series returns the durations at rising quantiles as a plot line.
+func (l *Latency) Series(name string) Series {
+	series := Series{Name: name, XLabel: "quantile", YLabel: "latency in ms"}
+	for _, q := range []float64{0, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1} {
+		value := float64(l.Quantile(q)) / float64(time.Millisecond)
+		series.Points = append(series.Points, Point{X: q, Y: value})
+	}
+	return series
+}
