--- /dev/null
+++ b/standin/authentication.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"crypto/subtle"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+// scramMechanism is the name of the SCRAM variant.
+const scramMechanism = "SCRAM-SHA-256"
+
+// Parameters of the stored SCRAM credentials of a stand-in.
+const (
+	scramIterations = 4096
+	scramSalt       = "nutmegpier-stand"
+)
+
+// authenticate checks the client's password.
+func (c *session) authenticate(user string) error {
+	options := c.server.group.options
+	if options.Authentication != AuthenticationTrust && user != options.User {
+		return newSQLError(codeAuthentication, "password authentication failed")
+	}
+	switch options.Authentication {
+	case AuthenticationCleartext:
+		return c.checkCleartext(options.Password)
+	case AuthenticationSCRAM:
+		return c.checkSCRAM(user, options.Password)
+	}
+	return nil
+}
+
+func (c *session) checkCleartext(password string) error {
+	c.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return errClosed
+	}
+	if err := c.flush(); err != nil {
+		return err
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return errClosed
+	}
+	answer, ok := message.(*pgproto3.PasswordMessage)
+	if !ok {
+		return newSQLError(codeProtocol, "expected a password message")
+	}
+	if subtle.ConstantTimeCompare([]byte(answer.Password), []byte(password)) != 1 {
+		return newSQLError(codeAuthentication, "password authentication failed")
+	}
+	return nil
+}
+
+func (c *session) checkSCRAM(user, password string) error {
+	conversation, err := newSCRAMConversation(user, password)
+	if err != nil {
+		return newSQLError(codeInternal, "SCRAM set-up failed")
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}})
+	first, err := receiveAuth[*pgproto3.SASLInitialResponse](c, pgproto3.AuthTypeSASL)
+	if err != nil {
+		return err
+	}
+	answer, err := conversation.Step(string(first.Data))
+	if err != nil {
+		return newSQLError(codeAuthentication, "password authentication failed")
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	second, err := receiveAuth[*pgproto3.SASLResponse](c, pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return err
+	}
+	answer, err = conversation.Step(string(second.Data))
+	if err != nil || !conversation.Valid() {
+		return newSQLError(codeAuthentication, "password authentication failed")
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	return nil
+}
+
+// newSCRAMConversation ignores the user name inside the SCRAM messages.
+// PostgreSQL clients leave it empty there.
+func newSCRAMConversation(user, password string) (*scram.ServerConversation, error) {
+	client, err := scram.SHA256.NewClient(user, password, "")
+	if err != nil {
+		return nil, err
+	}
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Iters: scramIterations, Salt: scramSalt})
+	if err != nil {
+		return nil, err
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return stored, nil })
+	if err != nil {
+		return nil, err
+	}
+	return server.NewConversation(), nil
+}
+
+// receiveAuth flushes and receives an authentication message of one type.
+func receiveAuth[M pgproto3.FrontendMessage](c *session, authType uint32) (M, error) {
+	var none M
+	if err := c.backend.SetAuthType(authType); err != nil {
+		return none, errClosed
+	}
+	if err := c.flush(); err != nil {
+		return none, err
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return none, errClosed
+	}
+	m, ok := message.(M)
+	if !ok {
+		return none, newSQLError(codeProtocol, "unexpected authentication message")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/standin/copy.go
@@ -0,0 +1,6 @@
+package standin
+
+// copyStatement runs a COPY statement.
+func (c *session) copyStatement(*statement, bool) error {
+	return newSQLError(codeFeatureUnsupported, "COPY is not supported")
+}
--- /dev/null
+++ b/standin/simple.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// simpleQuery runs the statements of a simple query as one implicit transaction.
+func (c *session) simpleQuery(text string) error {
+	parts := splitStatements(text)
+	if len(parts) == 0 {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, part := range parts {
+		err := c.simpleStatement(parseStatement(part), i == len(parts)-1)
+		if err == nil {
+			continue
+		}
+		if err := c.abortSimple(err); err != nil {
+			return err
+		}
+		break
+	}
+	return c.ready()
+}
+
+// abortSimple sends the error of a statement and ends an implicit transaction.
+func (c *session) abortSimple(err error) error {
+	var sqlErr *sqlError
+	if !errors.As(err, &sqlErr) {
+		return err
+	}
+	c.sendError(sqlErr)
+	return c.endImplicit()
+}
+
+// simpleStatement runs one statement and sends its result. The implicit
+// transaction ends before the last result is sent.
+func (c *session) simpleStatement(s *statement, last bool) error {
+	if s.class == classCopy {
+		return c.copyStatement(s, last)
+	}
+	set, err := c.run(s, nil)
+	if errors.Is(err, errRolledBack) {
+		c.sendTag("ROLLBACK")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if last {
+		if err := c.endImplicit(); err != nil {
+			return err
+		}
+	}
+	if s.returnsRows() {
+		set.settleTypes(guessType)
+		c.backend.Send(rowDescription(set.columns, nil))
+		if err := c.sendRows(set.columns, nil, set.rows); err != nil {
+			return err
+		}
+	}
+	c.sendTag(s.tag(set.affected))
+	return nil
+}
+
+func (c *session) sendTag(tag string) {
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+// sendRows sends rows without flushing.
+func (c *session) sendRows(columns []column, formats []int16, rows [][]any) error {
+	for _, row := range rows {
+		message, err := encodeRow(columns, formats, row)
+		if err != nil {
+			return err
+		}
+		c.backend.Send(message)
+	}
+	return nil
+}
+
+// exec runs statements inside the process, without a connection.
+func (s *Server) exec(ctx context.Context, text string) error {
+	c := s.newSession(nil)
+	defer c.cancelAll()
+	defer context.AfterFunc(ctx, c.cancelAll)()
+	c.control = true
+	for _, part := range splitStatements(text) {
+		if _, err := c.run(parseStatement(part), nil); err != nil {
+			_, rollbackErr := c.runRollback()
+			return errors.Join(err, rollbackErr)
+		}
+	}
+	return c.commit()
+}
+
+// guessType returns the type of a result column that has no declared type and
+// no value to go by.
+func guessType(string) uint32 {
+	return pgtype.TextOID
+}
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,121 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/nutmegpier/nutmegpier/standin"
+)
+
+// testBound ends a test that waits for a condition in vain.
+const testBound = 30 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func newGroup(t *testing.T, options standin.Options) *standin.Group {
+	t.Helper()
+	g, err := standin.NewGroup(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+// connect opens a connection with an application name and a query mode.
+func connect(t *testing.T, s *standin.Server, name string, mode pgx.QueryExecMode) *pgx.Conn {
+	t.Helper()
+	config, err := pgx.ParseConfig("postgres://proxy:secret@" + s.Addr() + "/orders?sslmode=disable&application_name=" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.DefaultQueryExecMode = mode
+	conn, err := pgx.ConnectConfig(testContext(t), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+func exec(t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := conn.Exec(testContext(t), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func code(err error) string {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return pgErr.Code
+	}
+	return ""
+}
+
+// sheetRow is a row of the table of the tests.
+type sheetRow struct {
+	Name  string
+	Count int
+	Price float64
+	Ready bool
+}
+
+func rows(t *testing.T, conn *pgx.Conn, sql string, args ...any) []sheetRow {
+	t.Helper()
+	result, err := conn.Query(testContext(t), sql, args...)
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	got, err := pgx.CollectRows(result, pgx.RowToStructByPos[sheetRow])
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return got
+}
+
+const schema = "CREATE TABLE tabs (id serial PRIMARY KEY, name text UNIQUE, count int, price float8, ready boolean)"
+
+// TestSimpleMode guards against failures of ordinary clients in the simple
+// query mode, and against a position that is not reported.
+func TestSimpleMode(t *testing.T) {
+	g := newGroup(t, standin.Options{})
+	testClient(t, g, pgx.QueryExecModeSimpleProtocol)
+}
+
+func testClient(t *testing.T, g *standin.Group, mode pgx.QueryExecMode) {
+	t.Helper()
+	conn := connect(t, g.Servers()[0], "client", mode)
+	exec(t, conn, schema)
+	exec(t, conn, "INSERT INTO tabs (name, count, price, ready) VALUES ($1, $2, $3, $4)", "A-Z", 26, 1.5, true)
+	tx, err := conn.Begin(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, conn, "INSERT INTO tabs (name, count, price, ready) VALUES ($1, $2, $3, $4)", "1-31", 31, 2.25, false)
+	exec(t, conn, "UPDATE tabs SET count = count + $1 WHERE name = $2", 1, "1-31")
+	if err := tx.Commit(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	want := []sheetRow{{"1-31", 32, 2.25, false}, {"A-Z", 26, 1.5, true}}
+	if diff := cmp.Diff(want, rows(t, conn, "SELECT name, count, price, ready FROM tabs ORDER BY name")); diff != "" {
+		t.Errorf("rows (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(want[:1], rows(t, conn, "SELECT name, count, price, ready FROM tabs WHERE name = $1 AND count > $2", "1-31", 3)); diff != "" {
+		t.Errorf("selected rows (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff("1/4", conn.PgConn().ParameterStatus("group_position")); diff != "" {
+		t.Errorf("position (-want +got):\n%s", diff)
+	}
+}
