--- /dev/null
+++ b/group/detector.go
@@ -0,0 +1,253 @@
+package group
+
+import (
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// suspectFraction is the part of DetectTime after which silence makes a
+// primary suspected. It leaves time for confirming polls before DetectTime.
+const suspectFraction = 3
+
+// Health is the detector's judgement of a group's primary.
+type Health string
+
+// Judgements of a primary.
+const (
+	// Failed means that a promotion is due.
+	Failed Health = "Failed"
+	// Healthy means that nothing speaks against the primary.
+	Healthy Health = "Healthy"
+	// Suspected means that the group is polled more often.
+	Suspected Health = "Suspected"
+)
+
+// Reason says what a judgement rests on.
+type Reason string
+
+// Reasons of judgements.
+const (
+	// ReasonInstances means that a majority of live instances gets no answer.
+	ReasonInstances Reason = "InstancesSilent"
+	// ReasonNone means that the primary is healthy.
+	ReasonNone Reason = "None"
+	// ReasonNoPrimary means that no server leads the newest promised term.
+	ReasonNoPrimary Reason = "NoPrimary"
+	// ReasonNoMajority means that too few servers answer this instance.
+	ReasonNoMajority Reason = "NoMajority"
+	// ReasonReplicas means that a majority of servers lost the primary.
+	ReasonReplicas Reason = "ReplicasSilent"
+)
+
+// SuspicionReport says that an instance gets no answer from a primary.
+type SuspicionReport struct {
+	Instance fleet.InstanceID
+	// Received is the time at which the report arrived.
+	Received time.Time
+	// Silence is the time since the primary last answered the instance.
+	Silence time.Duration
+	Term    fleet.Term
+}
+
+// Detection is the outcome of one step of a Detector.
+type Detection struct {
+	Health Health
+	// NextPoll is the time at which all servers are to be asked again.
+	NextPoll time.Time
+	Reason   Reason
+	// Silence is the time since the primary last answered this instance.
+	Silence time.Duration
+	// Suspected is the time at which the present suspicion began.
+	Suspected time.Time
+	// Term is the term of the primary that is judged.
+	Term fleet.Term
+}
+
+// Detector judges whether the primary of a group has failed. It is not safe
+// for concurrent use.
+type Detector struct {
+	confirmed    []confirmation
+	lastStep     time.Time
+	leaderless   time.Time
+	promised     fleet.Term
+	settings     Settings
+	suspected    time.Time
+	term         fleet.Term
+	termSince    time.Time
+	trustedSince time.Time
+}
+
+// confirmation is the first request in which a replica reported a silence.
+type confirmation struct {
+	asked  time.Time
+	server fleet.ServerID
+}
+
+// NewDetector returns a detector that has seen nothing yet.
+func NewDetector(settings Settings) *Detector {
+	return &Detector{settings: settings}
+}
+
+// Step judges the primary. Peers' reports and the number of live instances,
+// this one included, are those known at the time now. Steps must not be
+// further apart than PollInterval; a longer gap counts as a pause of this
+// instance, and what was observed before it is not used.
+func (d *Detector) Step(now time.Time, view View, reports []SuspicionReport, live int) Detection {
+	d.resume(now)
+	d.follow(now, view)
+	detection := Detection{Health: Healthy, Reason: ReasonNone, Silence: d.silence(now, view), Term: view.Term}
+	d.judge(now, view, reports, live, &detection)
+	if detection.Health == Healthy {
+		d.suspected = time.Time{}
+	} else if d.suspected.IsZero() {
+		d.suspected = now
+	}
+	detection.Suspected = d.suspected
+	detection.NextPoll = now.Add(d.settings.PollInterval)
+	if detection.Health != Healthy {
+		detection.NextPoll = now.Add(d.settings.SuspectInterval)
+	}
+	return detection
+}
+
+// resume discards older observations after a pause of this instance.
+func (d *Detector) resume(now time.Time) {
+	limit := 2 * d.settings.PollInterval
+	if d.lastStep.IsZero() || now.Sub(d.lastStep) > limit {
+		d.trustedSince = now
+		d.leaderless = time.Time{}
+		d.confirmed = nil
+	}
+	d.lastStep = now
+}
+
+// follow notes since when the term and the lack of a primary are known.
+func (d *Detector) follow(now time.Time, view View) {
+	if d.termSince.IsZero() || view.Term != d.term {
+		d.term, d.termSince, d.confirmed = view.Term, now, nil
+	}
+	if view.Primary != "" {
+		d.leaderless = time.Time{}
+		return
+	}
+	// A growing promise shows a promoter at work.
+	if promised := view.Promised(); d.leaderless.IsZero() || promised > d.promised {
+		d.leaderless, d.promised = now, promised
+	}
+}
+
+func (d *Detector) judge(now time.Time, view View, reports []SuspicionReport, live int, out *Detection) {
+	silent, failed := d.replicas(now, view)
+	switch {
+	case view.Heard(d.recent(now)) < view.Majority():
+		out.Health, out.Reason = Suspected, ReasonNoMajority
+	case view.Primary == "":
+		out.Health, out.Reason = Suspected, ReasonNoPrimary
+		if now.Sub(d.leaderless) >= d.settings.DetectTime {
+			out.Health = Failed
+		}
+	case failed >= view.Majority():
+		out.Health, out.Reason = Failed, ReasonReplicas
+	case d.instancesSilent(view, reports, live, out.Silence):
+		out.Health, out.Reason = Failed, ReasonInstances
+	case silent > 0:
+		out.Health, out.Reason = Suspected, ReasonReplicas
+	case out.Silence >= d.suspectTime():
+		out.Health, out.Reason = Suspected, ReasonInstances
+	}
+}
+
+// instancesSilent reports whether this and a majority of live instances get no
+// answer from the primary.
+func (d *Detector) instancesSilent(view View, reports []SuspicionReport, live int, own time.Duration) bool {
+	if own < d.settings.DetectTime {
+		return false
+	}
+	n := 1
+	for i, report := range reports {
+		if report.Term != view.Term || report.Silence < d.settings.DetectTime || report.Received.Before(d.trustedSince) {
+			continue
+		}
+		if !reportedBefore(reports[:i], report.Instance) {
+			n++
+		}
+	}
+	return n > live/2
+}
+
+// recent returns the time since which an answer must have been asked for to
+// be used as evidence.
+func (d *Detector) recent(now time.Time) time.Time {
+	since := now.Add(-2 * d.settings.PollInterval)
+	if since.Before(d.trustedSince) {
+		return d.trustedSince
+	}
+	return since
+}
+
+// replicas counts the replicas that report silence of the primary, and those
+// whose silence reached DetectTime and was reported at least twice. A replica
+// that was itself paused reports silence once and hears from the primary
+// before the second request.
+func (d *Detector) replicas(now time.Time, view View) (silent, failed int) {
+	var confirmed []confirmation
+	for _, server := range view.Servers {
+		if server.Server == view.Primary || !server.Heard(d.recent(now)) || d.contact(server, view) < d.suspectTime() {
+			continue
+		}
+		silent++
+		first := d.firstSilence(server)
+		confirmed = append(confirmed, first)
+		if d.contact(server, view) >= d.settings.DetectTime && server.Asked.After(first.asked) {
+			failed++
+		}
+	}
+	d.confirmed = confirmed
+	return silent, failed
+}
+
+// contact returns the silence that a replica reports. A replica that does not
+// follow the newest term yet reports the silence of an older primary, so only
+// the time since the newest term became known counts.
+func (d *Detector) contact(server ServerView, view View) time.Duration {
+	if server.Status.Term == view.Term {
+		return server.Status.PrimaryContact
+	}
+	return min(server.Status.PrimaryContact, server.Asked.Sub(d.termSince))
+}
+
+func (d *Detector) firstSilence(server ServerView) confirmation {
+	for _, known := range d.confirmed {
+		if known.server == server.Server {
+			return known
+		}
+	}
+	return confirmation{asked: server.Asked, server: server.Server}
+}
+
+// silence returns the time since the primary last answered this instance.
+func (d *Detector) silence(now time.Time, view View) time.Duration {
+	primary, found := view.Server(view.Primary)
+	if !found || (primary.Failures == 0 && primary.Heard(d.recent(now))) {
+		return 0
+	}
+	since := primary.Asked
+	if since.Before(d.trustedSince) {
+		since = d.trustedSince
+	}
+	return now.Sub(since)
+}
+
+func (d *Detector) suspectTime() time.Duration {
+	return d.settings.DetectTime / suspectFraction
+}
+
+func reportedBefore(reports []SuspicionReport, instance fleet.InstanceID) bool {
+	for _, report := range reports {
+		if report.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/group/evidence_test.go
@@ -0,0 +1,305 @@
+package group_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/group"
+)
+
+// rules is what the evidence model runs with; the faulty ones are mutants.
+type rules struct {
+	decide   func(group.View, fleet.Position) group.CommitDecision
+	longest  bool
+	name     string
+	quorum   int
+	sameTerm bool
+}
+
+// modelPromoter is a promotion in progress.
+type modelPromoter struct {
+	grants []*modelServer
+	logs   []fleet.Position
+	sent   *modelServer
+	term   fleet.Term
+}
+
+// evidenceModel runs servers, promoters and observers in arbitrary order.
+type evidenceModel struct {
+	committed map[fleet.Position]bool
+	delayed   []group.Observation
+	notRun    map[fleet.Position]fleet.Term
+	now       time.Time
+	pick      func(n int) int
+	promoters []modelPromoter
+	rules     rules
+	servers   []*modelServer
+	views     []group.View
+	written   []fleet.Position
+}
+
+func newEvidenceModel(size int, r rules, pick func(n int) int) *evidenceModel {
+	m := &evidenceModel{
+		committed: map[fleet.Position]bool{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
+		pick: pick, promoters: make([]modelPromoter, 3), rules: r, servers: newModelGroup(size),
+	}
+	var members []group.Member
+	for _, s := range m.servers {
+		members = append(members, group.Member{Server: s.id})
+	}
+	m.views = []group.View{group.NewView("g", members), group.NewView("g", members)}
+	return m
+}
+
+func (m *evidenceModel) server() *modelServer {
+	return m.servers[m.pick(len(m.servers))]
+}
+
+func (m *evidenceModel) step() error {
+	m.now = m.now.Add(time.Millisecond)
+	switch m.pick(10) {
+	case 0, 1:
+		m.write()
+	case 2, 3:
+		from, to := m.server(), m.server()
+		if from != to {
+			from.replicate(to, 1+m.pick(len(from.log)))
+		}
+	case 4, 5:
+		return m.elect(m.pick(len(m.promoters)))
+	case 6:
+		m.delayed = append(m.delayed, m.observation())
+	case 7:
+		if n := len(m.delayed); n > 0 {
+			return m.observe(m.pick(len(m.views)), m.delayed[m.pick(n)])
+		}
+	default:
+		return m.observe(m.pick(len(m.views)), m.observation())
+	}
+	return nil
+}
+
+func (m *evidenceModel) write() {
+	s := m.server()
+	if s.role != group.RolePrimary {
+		return
+	}
+	s.log = append(s.log[:len(s.log):len(s.log)], s.term)
+	m.written = append(m.written, s.position(len(s.log)))
+}
+
+func (m *evidenceModel) observation() group.Observation {
+	s := m.server()
+	return group.Observation{Answered: m.now, Asked: m.now, Server: s.id, Status: s.status(m.now)}
+}
+
+// elect advances one promoter: it fences a server, or promotes once it has a quorum.
+func (m *evidenceModel) elect(i int) error {
+	p := &m.promoters[i]
+	holder := fleet.InstanceID(fmt.Sprint("i", i))
+	if p.term == 0 || m.pick(12) == 0 {
+		*p = modelPromoter{term: p.term}
+		for _, s := range m.servers {
+			p.term = max(p.term, s.promised)
+		}
+		p.term++
+	}
+	if len(p.grants) < m.rules.quorum {
+		s := m.server()
+		for _, known := range p.grants {
+			if known == s {
+				return nil
+			}
+		}
+		if s.fence(p.term, holder) {
+			p.grants, p.logs = append(p.grants, s), append(p.logs, s.position(len(s.log)))
+		}
+		return nil
+	}
+	if p.sent != nil && !m.rules.sameTerm {
+		*p = modelPromoter{}
+		return nil
+	}
+	best := 0
+	for j, end := range p.logs {
+		better := end.Compare(p.logs[best]) > 0
+		if m.rules.longest {
+			better = end.Log > p.logs[best].Log
+		}
+		if better && (p.sent == nil || p.grants[j] != p.sent) {
+			best = j
+		}
+	}
+	if p.sent != nil {
+		best = m.pick(len(p.grants))
+	}
+	p.sent = p.grants[best]
+	if p.sent.promote(p.term, holder) != nil {
+		return nil
+	}
+	return m.checkPromoted(p.sent)
+}
+
+func (m *evidenceModel) checkPromoted(s *modelServer) error {
+	for p := range m.committed {
+		if s.term > p.Term && !s.contains(p) {
+			return fmt.Errorf("committed %v is missing on the primary of term %d", p, s.term)
+		}
+	}
+	for p, settled := range m.notRun {
+		if s.term > settled && s.contains(p) {
+			return fmt.Errorf("%v was decided not run but is on the primary of term %d", p, s.term)
+		}
+	}
+	return nil
+}
+
+func (m *evidenceModel) observe(i int, o group.Observation) error {
+	m.views[i] = m.views[i].Observe(o)
+	for _, p := range m.written {
+		switch m.rules.decide(m.views[i], p) {
+		case group.Committed:
+			m.committed[p] = true
+		case group.NotRun:
+			if _, known := m.notRun[p]; !known {
+				m.notRun[p] = m.views[i].Term
+			}
+		}
+		if _, lost := m.notRun[p]; lost && m.committed[p] {
+			return fmt.Errorf("%v was decided both committed and not run", p)
+		}
+	}
+	for p := range m.committed {
+		for q := range m.committed {
+			if p.Log == q.Log && p != q {
+				return fmt.Errorf("%v and %v were both decided committed", p, q)
+			}
+		}
+	}
+	return nil
+}
+
+func run(m *evidenceModel, steps int) error {
+	for range steps {
+		if err := m.step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func majority(size int) int { return size/2 + 1 }
+
+// TestDecideCommitIsFinal guards against a write that is acknowledged and then
+// lost, and against one that is reported as not run and then appears.
+func TestDecideCommitIsFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "size")
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, 1))
+		m := newEvidenceModel(size, rules{decide: group.DecideCommit, quorum: majority(size)}, random.IntN)
+		if err := run(m, 400); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestDecideCommitDecides guards against a model that never gets to decide.
+func TestDecideCommitDecides(t *testing.T) {
+	committed, notRun := 0, 0
+	for seed := range uint64(50) {
+		m := newEvidenceModel(3, rules{decide: group.DecideCommit, quorum: 2}, rand.New(rand.NewPCG(seed, 2)).IntN)
+		if err := run(m, 400); err != nil {
+			t.Fatal(err)
+		}
+		committed, notRun = committed+len(m.committed), notRun+len(m.notRun)
+	}
+	if committed < 100 || notRun < 100 {
+		t.Errorf("decided %d committed and %d not run in 50 runs, want at least 100 each", committed, notRun)
+	}
+}
+
+// TestEvidenceModelCatchesFaults guards against a model that would pass a
+// wrong rule. Each mutant must fail within a fixed number of seeded runs.
+func TestEvidenceModelCatchesFaults(t *testing.T) {
+	for _, mutant := range []rules{
+		{name: "ChoiceByPositionWithoutTerm", decide: group.DecideCommit, longest: true, quorum: 2},
+		{name: "EstablishedByLaterTerms", decide: decideWithLaterTerms, quorum: 2},
+		{name: "FenceOfMinority", decide: group.DecideCommit, quorum: 1},
+		{name: "MinorityEvidence", decide: decideByMinority, quorum: 2},
+		{name: "NotRunBeforeEstablished", decide: decideEarly, quorum: 2},
+		{name: "PromisesIgnored", decide: decideWithoutPromises, quorum: 2},
+		{name: "SecondServerInOneTerm", decide: group.DecideCommit, quorum: 2, sameTerm: true},
+	} {
+		t.Run(mutant.name, func(t *testing.T) {
+			for seed := range uint64(4000) {
+				m := newEvidenceModel(3, mutant, rand.New(rand.NewPCG(seed, 3)).IntN)
+				if err := run(m, 400); err != nil {
+					t.Logf("caught with seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Error("not caught in 4000 runs")
+		})
+	}
+}
+
+// decideByMinority accepts one receipt less than a majority.
+func decideByMinority(view group.View, p fleet.Position) group.CommitDecision {
+	for _, s := range view.Servers {
+		for _, r := range s.Receipts {
+			if r.Position.Term == p.Term && r.Position.Log >= p.Log {
+				return group.Committed
+			}
+		}
+	}
+	return group.DecideCommit(view, p)
+}
+
+// decideEarly decides by the fork point of a term that is not established.
+func decideEarly(view group.View, p fleet.Position) group.CommitDecision {
+	if d := group.DecideCommit(view, p); d != group.Pending || view.Term <= p.Term || view.History.Contains(p) {
+		return d
+	}
+	return group.NotRun
+}
+
+// decideWithLaterTerms takes a term as established when a majority ends in it
+// or any later one, whether or not the later logs contain it.
+func decideWithLaterTerms(view group.View, p fleet.Position) group.CommitDecision {
+	if d := group.DecideCommit(view, p); d != group.Pending {
+		return d
+	}
+	for _, s := range view.Servers {
+		term, n := s.Status.Log.Term, 0
+		for _, other := range view.Servers {
+			if other.Status.Log.Term >= term {
+				n++
+			}
+		}
+		if term > p.Term && n >= view.Majority() && !s.Status.History.Contains(p) {
+			return group.NotRun
+		}
+	}
+	return group.Pending
+}
+
+// decideWithoutPromises counts each log that contains the position, whichever
+// primary it was received from.
+func decideWithoutPromises(view group.View, p fleet.Position) group.CommitDecision {
+	n := 0
+	for _, s := range view.Servers {
+		if s.Status.History.Contains(p) && s.Status.Log.Log >= p.Log {
+			n++
+		}
+	}
+	if n >= view.Majority() {
+		return group.Committed
+	}
+	return group.DecideCommit(view, p)
+}
--- /dev/null
+++ b/group/model_test.go
@@ -0,0 +1,104 @@
+package group_test
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/group"
+)
+
+var errNotPromised = errors.New("term is not promised to the holder")
+
+// modelServer is a backend server with its log reduced to the term of each entry.
+type modelServer struct {
+	contact  time.Time
+	holder   fleet.InstanceID
+	id       fleet.ServerID
+	log      []fleet.Term
+	promised fleet.Term
+	role     group.Role
+	term     fleet.Term
+}
+
+// newModelGroup returns servers that follow the first one in term 1.
+func newModelGroup(n int) []*modelServer {
+	var servers []*modelServer
+	for i := range n {
+		servers = append(servers, &modelServer{
+			id: fleet.ServerID(rune('a' + i)), log: []fleet.Term{1}, promised: 1, role: group.RoleReplica, term: 1,
+		})
+	}
+	servers[0].role = group.RolePrimary
+	return servers
+}
+
+// position returns the position of the entry with the given number.
+func (s *modelServer) position(n int) fleet.Position {
+	if n == 0 {
+		return fleet.Position{}
+	}
+	return fleet.Position{Log: fleet.LogPosition(n), Term: s.log[n-1]}
+}
+
+func (s *modelServer) contains(p fleet.Position) bool {
+	return int(p.Log) <= len(s.log) && s.log[p.Log-1] == p.Term
+}
+
+func (s *modelServer) fence(term fleet.Term, holder fleet.InstanceID) bool {
+	if term < s.promised || (term == s.promised && holder != s.holder) {
+		return false
+	}
+	s.promised, s.holder = term, holder
+	if s.role == group.RolePrimary && s.term < term {
+		s.role = group.RoleFenced
+	}
+	return true
+}
+
+func (s *modelServer) promote(term fleet.Term, holder fleet.InstanceID) error {
+	if s.promised != term || s.holder != holder {
+		return errNotPromised
+	}
+	if s.role != group.RolePrimary || s.term != term {
+		s.role, s.term = group.RolePrimary, term
+		s.log = append(slices.Clip(s.log), term)
+	}
+	return nil
+}
+
+// replicate sends the log of a primary up to an end to a replica.
+func (s *modelServer) replicate(to *modelServer, end int) {
+	if s.role != group.RolePrimary || to.promised > s.term {
+		return
+	}
+	if to.promised < s.term || to.term < s.term {
+		to.promised, to.holder, to.term, to.role = s.term, s.holder, s.term, group.RoleReplica
+	}
+	same := 0
+	for same < min(len(s.log), len(to.log)) && s.log[same] == to.log[same] {
+		same++
+	}
+	if same >= end {
+		return
+	}
+	to.log = slices.Clone(s.log[:end])
+}
+
+func (s *modelServer) status(now time.Time) group.ServerStatus {
+	status := group.ServerStatus{
+		Log: s.position(len(s.log)), PromisedTerm: s.promised, PromisedTo: s.holder,
+		Role: s.role, Server: s.id, Term: s.term,
+	}
+	status.Applied = status.Log
+	if s.role == group.RoleReplica {
+		status.PrimaryContact = now.Sub(s.contact)
+	}
+	for i, term := range s.log {
+		if i == 0 || s.log[i-1] != term {
+			status.History = append(status.History, fleet.TermStart{First: fleet.LogPosition(i + 1), Term: term})
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/group/rank.go
@@ -0,0 +1,35 @@
+package group
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// Holder returns the name under which one run of an instance takes promises.
+// A restarted instance has another epoch, so it never uses a promise that its
+// earlier run may already have used to promote a server.
+func Holder(instance fleet.InstanceID, epoch fleet.Epoch) fleet.InstanceID {
+	return instance + "@" + fleet.InstanceID(strconv.FormatUint(uint64(epoch), 16))
+}
+
+// Rank returns the place of an instance among the live ones for a group by
+// rendezvous hashing, counted from zero. An instance that is not listed as
+// live counts as one more.
+func Rank(group fleet.GroupID, self fleet.InstanceID, live []fleet.InstanceID) int {
+	own := weight(group, self)
+	rank := 0
+	for _, other := range live {
+		w := weight(group, other)
+		if w > own || (w == own && other < self) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(group fleet.GroupID, instance fleet.InstanceID) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(len(group)) + ":" + string(group) + string(instance))
+}
--- /dev/null
+++ b/group/strategy.go
@@ -0,0 +1,111 @@
+package group
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// Strategy orders the replicas that are fresh enough for a read.
+type Strategy string
+
+// Strategies of replica choice.
+const (
+	// FreshnessDistance prefers few outstanding requests, then distance.
+	FreshnessDistance Strategy = "FreshnessDistance"
+	// LeastOutstanding prefers few outstanding requests, then chance.
+	LeastOutstanding Strategy = "LeastOutstanding"
+	// Random leaves the order to chance.
+	Random Strategy = "Random"
+	// SampledTwo compares the outstanding requests of two random replicas.
+	SampledTwo Strategy = "SampledTwo"
+)
+
+// Load is the number of requests that this instance has running on a server.
+type Load struct {
+	Outstanding int
+	Server      fleet.ServerID
+}
+
+// Choice says how to order the candidates of a read.
+type Choice struct {
+	Loads     []Load
+	Placement Placement
+	Random    *rand.Rand
+	Strategy  Strategy
+}
+
+// outstanding returns the number of requests running on a server.
+func (c Choice) outstanding(server fleet.ServerID) int {
+	for _, load := range c.Loads {
+		if load.Server == server {
+			return load.Outstanding
+		}
+	}
+	return 0
+}
+
+// ReadCandidates returns the servers that may serve a read at the time now, in
+// the order in which to try them. Replicas that are not targets by placement
+// are excluded. The primary comes last if it qualifies. The result is empty if
+// no server is known to see enough.
+func ReadCandidates(now time.Time, view View, need Requirement, choice Choice) []fleet.ServerID {
+	seen := CutBack(view, need.Seen)
+	var replicas []ServerView
+	var primary []fleet.ServerID
+	for _, server := range view.Servers {
+		if !Fresh(view, server.Server, need.Written, seen) || !youngEnough(now, view, server, need) {
+			continue
+		}
+		if server.Server == view.Primary {
+			primary = append(primary, server.Server)
+		} else if server.Reachable() && choice.Placement.IsTarget(server.Member) {
+			replicas = append(replicas, server)
+		}
+	}
+	choice.sort(replicas)
+	ids := make([]fleet.ServerID, 0, len(replicas)+1)
+	for _, replica := range replicas {
+		ids = append(ids, replica.Server)
+	}
+	return append(ids, primary...)
+}
+
+func youngEnough(now time.Time, view View, server ServerView, need Requirement) bool {
+	return need.MaxAge <= 0 || coversAge(view, server, now.Add(-need.MaxAge))
+}
+
+// sort orders replicas by the strategy.
+func (c Choice) sort(replicas []ServerView) {
+	if c.Strategy == FreshnessDistance {
+		slices.SortStableFunc(replicas, func(a, b ServerView) int {
+			return cmp.Or(c.compareLoad(a, b), c.compareDistance(a, b))
+		})
+		return
+	}
+	c.Random.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	switch c.Strategy {
+	case LeastOutstanding:
+		slices.SortStableFunc(replicas, c.compareLoad)
+	case SampledTwo:
+		slices.SortStableFunc(replicas[:min(2, len(replicas))], c.compareLoad)
+	}
+}
+
+func (c Choice) compareLoad(a, b ServerView) int {
+	return cmp.Compare(c.outstanding(a.Server), c.outstanding(b.Server))
+}
+
+// compareDistance prefers the own data centre, then the shorter round trip.
+func (c Choice) compareDistance(a, b ServerView) int {
+	if local := c.Placement.isLocal(a.Member); local != c.Placement.isLocal(b.Member) {
+		if local {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.RoundTrip, b.RoundTrip)
+}
