feat: add settings, event log and sheet parsing

The settings and sheet formats are JSON with comments. One decoder in package document reads both and reports all problems at once with line, column and key path. The settings table and the event catalogue generate their reference pages, which tests compare.

--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,165 @@
+package event
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Level is the severity of an event.
+type Level string
+
+// Levels in rising order.
+const (
+	LevelDebug   Level = "debug"
+	LevelInfo    Level = "info"
+	LevelWarning Level = "warning"
+	LevelError   Level = "error"
+)
+
+// Name is the short name of an event.
+type Name string
+
+// Number identifies an event in logs. A number is never used again for
+// another event.
+type Number uint32
+
+// Numbers of all events. The hundreds tell the parts of the system apart.
+const (
+	InstanceStarted      Number = 101
+	InstanceServing      Number = 102
+	InstanceDraining     Number = 103
+	InstanceStopped      Number = 104
+	SettingsReloaded     Number = 110
+	SettingsRefused      Number = 111
+	SheetInForce         Number = 201
+	SheetRefused         Number = 202
+	ValidityGained       Number = 210
+	ValidityLost         Number = 211
+	RosterInForce        Number = 301
+	MemberSuspected      Number = 302
+	MemberHeard          Number = 303
+	MemberRemoved        Number = 304
+	SharesTransferred    Number = 310
+	TransferRecovered    Number = 311
+	StoreUnavailable     Number = 320
+	StoreAvailable       Number = 321
+	PrimarySuspected     Number = 401
+	PrimaryHeard         Number = 402
+	PromotionStarted     Number = 403
+	PromotionFenced      Number = 404
+	PromotionDone        Number = 405
+	PromotionLost        Number = 406
+	PrimaryChanged       Number = 407
+	HandoverStarted      Number = 408
+	ServerUnreachable    Number = 410
+	ServerReachable      Number = 411
+	SessionOpened        Number = 501
+	SessionClosed        Number = 502
+	AuthenticationFailed Number = 503
+	RequestRefused       Number = 504
+	OutcomeUnknown       Number = 505
+	KeyWithdrawn         Number = 506
+	SessionRoamed        Number = 507
+	CancelForwarded      Number = 508
+	ConnectionOpened     Number = 601
+	ConnectionClosed     Number = 602
+	ConnectionFailed     Number = 603
+	AdminRefused         Number = 701
+	SheetPublished       Number = 702
+	SheetNotPublished    Number = 703
+	DrainRequested       Number = 704
+	RestoreRequested     Number = 705
+)
+
+// Entry describes one event.
+type Entry struct {
+	// Fields lists the optional fields that the event carries.
+	Fields  []string
+	Level   Level
+	Meaning string
+	Name    Name
+	Number  Number
+}
+
+// Catalogue returns all events, ordered by number.
+func Catalogue() []Entry {
+	return []Entry{
+		entry(InstanceStarted, "InstanceStarted", LevelInfo, "The process has read its settings and listens.", "Text"),
+		entry(InstanceServing, "InstanceServing", LevelInfo, "The instance admits requests."),
+		entry(InstanceDraining, "InstanceDraining", LevelInfo, "A planned stop began. Running transactions finish; new connections are refused.", "Text"),
+		entry(InstanceStopped, "InstanceStopped", LevelInfo, "The planned stop is complete.", "Text"),
+		entry(SettingsReloaded, "SettingsReloaded", LevelInfo, "The settings file was read again and is in force. Text lists the changes.", "Text"),
+		entry(SettingsRefused, "SettingsRefused", LevelError, "The settings file was read again and has problems. The earlier settings stay in force.", "Text"),
+		entry(SheetInForce, "SheetInForce", LevelInfo, "A newer sheet is in force on this instance. Text holds its version.", "Text"),
+		entry(SheetRefused, "SheetRefused", LevelError, "A fetched sheet cannot be read. The instance does not serve without it.", "Text"),
+		entry(ValidityGained, "ValidityGained", LevelInfo, "The instance proved that its sheet is in force.", "Text"),
+		entry(ValidityLost, "ValidityLost", LevelError, "The validity lease expired. Requests are refused as not run.", "Text"),
+		entry(RosterInForce, "RosterInForce", LevelInfo, "A newer roster generation is in force. Text holds generation and members.", "Text"),
+		entry(MemberSuspected, "MemberSuspected", LevelWarning, "Another instance has been silent for too long.", "Text"),
+		entry(MemberHeard, "MemberHeard", LevelInfo, "A silent instance answers again.", "Text"),
+		entry(MemberRemoved, "MemberRemoved", LevelWarning, "An instance was removed from the roster.", "Text"),
+		entry(SharesTransferred, "SharesTransferred", LevelDebug, "A part of a rate or connection share moved to another instance.", "Server", "Text", "Workspace"),
+		entry(TransferRecovered, "TransferRecovered", LevelWarning, "A transfer of shares was not confirmed and was settled by query.", "Text"),
+		entry(StoreUnavailable, "StoreUnavailable", LevelWarning, "The platform's store does not answer. Traffic continues; publishing fails.", "Text"),
+		entry(StoreAvailable, "StoreAvailable", LevelInfo, "The platform's store answers again.", "Text"),
+		entry(PrimarySuspected, "PrimarySuspected", LevelWarning, "The primary of a database may have failed.", "Database", "Server", "Term", "Text"),
+		entry(PrimaryHeard, "PrimaryHeard", LevelInfo, "A suspected primary answers again in the same term.", "Database", "Server", "Term"),
+		entry(PromotionStarted, "PromotionStarted", LevelWarning, "This instance began a promotion and asks the servers for a promise.", "Database", "Term", "Text"),
+		entry(PromotionFenced, "PromotionFenced", LevelInfo, "A majority of the servers promised the term.", "Database", "Position", "Server", "Term"),
+		entry(PromotionDone, "PromotionDone", LevelWarning, "A server is primary for the new term.", "Database", "Position", "Server", "Term", "Text"),
+		entry(PromotionLost, "PromotionLost", LevelInfo, "Another instance holds the term, or no majority answered.", "Database", "Term", "Text"),
+		entry(PrimaryChanged, "PrimaryChanged", LevelInfo, "This instance learned of a new primary.", "Database", "Position", "Server", "Term"),
+		entry(HandoverStarted, "HandoverStarted", LevelInfo, "A planned handover of the primary began.", "Database", "Server", "Term", "Text"),
+		entry(ServerUnreachable, "ServerUnreachable", LevelWarning, "A backend server does not answer this instance.", "Database", "Server", "Text"),
+		entry(ServerReachable, "ServerReachable", LevelInfo, "A backend server answers again.", "Database", "Server"),
+		entry(SessionOpened, "SessionOpened", LevelDebug, "A caller's session was authenticated.", "Database", "Session", "Workspace"),
+		entry(SessionClosed, "SessionClosed", LevelDebug, "A caller's session ended.", "Database", "Session", "Text", "Workspace"),
+		entry(AuthenticationFailed, "AuthenticationFailed", LevelWarning, "A caller's key was not accepted.", "Database", "Session", "Text", "Workspace"),
+		entry(RequestRefused, "RequestRefused", LevelDebug, "A request was refused and did not run.", "Database", "Session", "Text", "Workspace"),
+		entry(OutcomeUnknown, "OutcomeUnknown", LevelError, "It could not be found out in time whether a request took effect.", "Database", "Position", "Server", "Session", "Term", "Workspace"),
+		entry(KeyWithdrawn, "KeyWithdrawn", LevelInfo, "An open session was closed because its key was withdrawn.", "Database", "Session", "Workspace"),
+		entry(SessionRoamed, "SessionRoamed", LevelDebug, "A session arrived with a position token.", "Database", "Position", "Session", "Workspace"),
+		entry(CancelForwarded, "CancelForwarded", LevelDebug, "A cancel request was passed to the instance that has the session.", "Session", "Text"),
+		entry(ConnectionOpened, "ConnectionOpened", LevelDebug, "A connection to a backend server was opened.", "Database", "Server"),
+		entry(ConnectionClosed, "ConnectionClosed", LevelDebug, "A connection to a backend server was closed.", "Database", "Server", "Text"),
+		entry(ConnectionFailed, "ConnectionFailed", LevelWarning, "A connection to a backend server was lost or could not be opened.", "Database", "Server", "Text"),
+		entry(AdminRefused, "AdminRefused", LevelWarning, "A call of the administration API was refused.", "Text"),
+		entry(SheetPublished, "SheetPublished", LevelInfo, "An operator published a sheet through this instance.", "Text"),
+		entry(SheetNotPublished, "SheetNotPublished", LevelWarning, "A sheet was not published, or its outcome is unknown.", "Text"),
+		entry(DrainRequested, "DrainRequested", LevelInfo, "An operator takes a data centre or backend server out of service.", "Server", "Text"),
+		entry(RestoreRequested, "RestoreRequested", LevelInfo, "An operator brings a data centre or backend server back.", "Server", "Text"),
+	}
+}
+
+const referenceHead = `# Events
+
+<!-- Generated by event.Reference; the test of that package checks this page. -->
+
+Each log line carries the number and name of its event. Numbers are never used
+again for another event. Events also go to the timeline; ` + "`nutmegpier timeline`" + `
+merges the timelines of several instances in causal order.
+
+Each event has ` + "`Time`, `Stamp`, `Instance` and `Epoch`" + `. The optional fields are
+listed. No event holds a caller's key: text that looks like one is redacted.
+
+| Number | Name | Level | Fields | Meaning |
+| --- | --- | --- | --- | --- |
+`
+
+// Reference returns the content of docs/events.md.
+func Reference() string {
+	var page strings.Builder
+	page.WriteString(referenceHead)
+	for _, e := range Catalogue() {
+		fields := strings.Join(e.Fields, ", ")
+		if fields == "" {
+			fields = "-"
+		}
+		fmt.Fprintf(&page, "| %d | %s | %s | %s | %s |\n", e.Number, e.Name, e.Level, fields, e.Meaning)
+	}
+	return page.String()
+}
+
+func entry(number Number, name Name, level Level, meaning string, fields ...string) Entry {
+	return Entry{Fields: fields, Level: level, Meaning: meaning, Name: name, Number: number}
+}
--- /dev/null
+++ b/sheet/parse.go
@@ -0,0 +1,131 @@
+package sheet
+
+import (
+	"fmt"
+
+	"github.com/nutmegpier/nutmegpier/document"
+)
+
+// Largest accepted numbers of a sheet. They bound the arithmetic of the
+// limits and the cost of an authentication.
+const (
+	maxConnections = 100_000
+	maxIterations  = 1_000_000
+	maxRate        = 10_000_000
+	maxWeight      = 1000
+	// minIterations is the smallest count that SCRAM-SHA-256 (RFC 7677) recommends.
+	minIterations = 4096
+)
+
+// Rules returns the accepted values of each key of a sheet, ordered by key path.
+func Rules() []document.Rule {
+	return []document.Rule{
+		{Path: "DataCentres[].DataCentre", Format: document.FormatName, Required: true},
+		{Path: "DataCentres[].State", Choices: []string{string(StateInService), string(StateOut)}, Default: string(StateInService)},
+		{Path: "Databases[].Connections", Min: 0, Max: maxConnections},
+		{Path: "Databases[].Database", Format: document.FormatName, Required: true},
+		{Path: "Format", Min: FormatVersion, Max: FormatVersion, Required: true},
+		{Path: "Routes[].Database", Format: document.FormatName, Required: true},
+		{Path: "Servers[].Server", Format: document.FormatName, Required: true},
+		{Path: "Servers[].State", Choices: []string{string(StateInService), string(StateLeaving)}, Default: string(StateInService)},
+		{Path: "Workspaces[].Burst", Min: 0, Max: maxRate, Required: true},
+		{Path: "Workspaces[].Databases", Required: true},
+		{Path: "Workspaces[].Databases[]", Format: document.FormatName, Required: true},
+		{Path: "Workspaces[].Iterations", Min: minIterations, Max: maxIterations, Default: "4096"},
+		{Path: "Workspaces[].Keys[].KeyID", Format: document.FormatName, Required: true},
+		{Path: "Workspaces[].Keys[].NotAfter", Format: document.FormatTime},
+		{Path: "Workspaces[].Keys[].ServerKey", Format: document.FormatBase64, Required: true, Secret: true},
+		{Path: "Workspaces[].Keys[].StoredKey", Format: document.FormatBase64, Required: true, Secret: true},
+		{Path: "Workspaces[].Rate", Min: 0, Max: maxRate, Required: true},
+		{Path: "Workspaces[].Salt", Format: document.FormatBase64, Required: true},
+		{Path: "Workspaces[].Weight", Min: 1, Max: maxWeight, Default: "1"},
+		{Path: "Workspaces[].Workspace", Format: document.FormatName, Required: true},
+	}
+}
+
+// Parse reads a sheet. The error is an *Error with all problems; keys that
+// were put into the sheet by mistake are redacted in it. The file name is used
+// only in problems.
+func Parse(file string, content []byte) (Sheet, error) {
+	var parsed Sheet
+	d := document.Decode(file, content, Rules(), &parsed)
+	for _, fault := range Check(parsed) {
+		d.Add(fault.Path, fault.Message)
+	}
+	if problems := d.Problems(); len(problems) > 0 {
+		return Sheet{}, &Error{Kind: KindInvalid, Op: "parse sheet", Problems: redactProblems(problems)}
+	}
+	return parsed, nil
+}
+
+// Fault is a contradiction inside a sheet.
+type Fault struct {
+	Message string
+	// Path is the key path, for example "Workspaces[1].Keys[0].KeyID".
+	Path string
+}
+
+// Check returns the contradictions inside a sheet whose values are each accepted.
+func Check(s Sheet) []Fault {
+	c := &checker{seen: map[string]bool{}}
+	for i, dataCentre := range s.DataCentres {
+		unique(c, "data centre", dataCentre.DataCentre, fmt.Sprintf("DataCentres[%d].DataCentre", i))
+	}
+	for i, database := range s.Databases {
+		unique(c, "database", database.Database, fmt.Sprintf("Databases[%d].Database", i))
+	}
+	for i, route := range s.Routes {
+		unique(c, "route for database", route.Database, fmt.Sprintf("Routes[%d].Database", i))
+	}
+	for i, server := range s.Servers {
+		unique(c, "server", server.Server, fmt.Sprintf("Servers[%d].Server", i))
+	}
+	for i, workspace := range s.Workspaces {
+		c.checkWorkspace(workspace, fmt.Sprintf("Workspaces[%d]", i))
+	}
+	return c.faults
+}
+
+type checker struct {
+	faults []Fault
+	seen   map[string]bool
+}
+
+func (c *checker) add(path, message string) {
+	c.faults = append(c.faults, Fault{Message: message, Path: path})
+}
+
+func (c *checker) checkWorkspace(w Workspace, path string) {
+	unique(c, "workspace", w.Workspace, path+".Workspace")
+	for i, database := range w.Databases {
+		unique(c, "database of workspace "+string(w.Workspace), database, fmt.Sprintf("%s.Databases[%d]", path, i))
+	}
+	for i, key := range w.Keys {
+		unique(c, "key of workspace "+string(w.Workspace), key.KeyID, fmt.Sprintf("%s.Keys[%d].KeyID", path, i))
+	}
+	if w.Rate > 0 && w.Burst < 1 {
+		c.add(path+".Burst", "burst below 1 with a rate above 0 admits no request")
+	}
+}
+
+func redactProblems(problems []document.Problem) []document.Problem {
+	redacted := make([]document.Problem, 0, len(problems))
+	for _, problem := range problems {
+		problem.Message = Redact(problem.Message)
+		problem.Path = Redact(problem.Path)
+		problem.Value = Redact(problem.Value)
+		redacted = append(redacted, problem)
+	}
+	return redacted
+}
+
+func unique[T ~string](c *checker, noun string, id T, path string) {
+	if id == "" {
+		return
+	}
+	entry := noun + " " + string(id)
+	if c.seen[entry] {
+		c.add(path, entry+" is listed twice")
+	}
+	c.seen[entry] = true
+}
