feat: add sheet diff, risks, keys and publication decisions

Publishing is decided by a pure function; a lost answer is settled by reading back the publication id. Sheets that hold a key are refused.

--- a/document/document.go
+++ b/document/document.go
@@ -60,6 +60,11 @@
 	d.add(d.offset(path), Problem{Message: message, Path: path})
 }
 
+// AddAt records a problem at a byte offset of the document.
+func (d *Document) AddAt(offset int, message string) {
+	d.add(offset, Problem{Message: message})
+}
+
 // Problems returns all problems in the order of their places.
 func (d *Document) Problems() []Problem {
 	sorted := slices.Clone(d.problems)
--- a/sheet/parse.go
+++ b/sheet/parse.go
@@ -11,6 +11,8 @@
 const (
 	maxConnections = 100_000
 	maxIterations  = 1_000_000
+	// maxKeyProblems bounds the report of keys in a sheet.
+	maxKeyProblems = 100
 	maxRate        = 10_000_000
 	maxWeight      = 1000
 	// minIterations is the smallest count that SCRAM-SHA-256 (RFC 7677) recommends.
@@ -52,6 +54,9 @@
 	for _, fault := range Check(parsed) {
 		d.Add(fault.Path, fault.Message)
 	}
+	for _, found := range keyPattern.FindAllIndex(content, maxKeyProblems) {
+		d.AddAt(found[0], "this looks like a key; only its verifier belongs in a sheet")
+	}
 	if problems := d.Problems(); len(problems) > 0 {
 		return Sheet{}, &Error{Kind: KindInvalid, Op: "parse sheet", Problems: redactProblems(problems)}
 	}
--- /dev/null
+++ b/sheet/sheet_test.go
@@ -0,0 +1,298 @@
+package sheet_test
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/xdg-go/scram"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/sheet"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	content, err := os.ReadFile("testdata/sheet.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+func parse(t testing.TB, content string) sheet.Sheet {
+	t.Helper()
+	parsed, err := sheet.Parse("f", []byte(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+// TestDecidePublish guards against a lost update between racing operators, a
+// second write of one publication, and unsafe sheets that nobody forced.
+func TestDecidePublish(t *testing.T) {
+	content := example(t)
+	current := parse(t, content)
+	stopped := strings.Replace(content, `"Rate": 200`, `"Rate": 0`, 1)
+	usage := sheet.Usage{Busy: []fleet.WorkspaceID{"die-room"}}
+	state := sheet.PublishState{Current: current, Head: 7, HeadPublication: "p7", Usage: usage}
+	for _, tc := range []struct {
+		name    string
+		request sheet.PublishRequest
+		want    sheet.Decision
+	}{
+		{"Conflict", sheet.PublishRequest{Base: 6, Content: content, Publication: "p8"}, sheet.Decision{Outcome: sheet.OutcomeConflict, Version: 7}},
+		{"DryRun", sheet.PublishRequest{Base: 7, Content: content, DryRun: true, Publication: "p8"}, sheet.Decision{Outcome: sheet.OutcomeDryRun, Version: 7}},
+		{"Forced", sheet.PublishRequest{Base: 7, Content: stopped, Force: true, Publication: "p8"}, sheet.Decision{
+			Changes:  []string{"~ Workspaces[die-room].Rate: 200 -> 0"},
+			Problems: []string{"workspace die-room has traffic and a rate of 0"}, Version: 8, Write: true,
+		}},
+		{"Invalid", sheet.PublishRequest{Base: 7, Content: `{"Format": 2}`, Publication: "p8"}, sheet.Decision{
+			Outcome: sheet.OutcomeInvalid, Problems: []string{"sheet:1:12: Format: out of range, found 2, accepted: 1 to 1"}, Version: 7,
+		}},
+		{"Repeated", sheet.PublishRequest{Base: 6, Content: content, Publication: "p7"}, sheet.Decision{Outcome: sheet.OutcomeStored, Version: 7}},
+		{"Unsafe", sheet.PublishRequest{Base: 7, Content: stopped, Publication: "p8"}, sheet.Decision{
+			Changes: []string{"~ Workspaces[die-room].Rate: 200 -> 0"}, Outcome: sheet.OutcomeUnsafe,
+			Problems: []string{"workspace die-room has traffic and a rate of 0"}, Version: 7,
+		}},
+		{"Write", sheet.PublishRequest{Base: 7, Content: content, Publication: "p8"}, sheet.Decision{Version: 8, Write: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, sheet.DecidePublish(state, tc.request)); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRacingPublicationsHaveOneWinner guards against two publications on one
+// base that both report success, with lost answers and repeats of either.
+func TestRacingPublicationsHaveOneWinner(t *testing.T) {
+	content := example(t)
+	rapid.Check(t, func(t *rapid.T) {
+		state := sheet.PublishState{Head: 1, HeadPublication: "p1"}
+		rows := map[fleet.SheetVersion]sheet.PublicationID{1: "p1"}
+		stored := map[sheet.PublicationID]bool{}
+		for _, id := range rapid.SliceOfN(rapid.SampledFrom([]sheet.PublicationID{"a", "b", "c"}), 1, 12).Draw(t, "attempts") {
+			decision := sheet.DecidePublish(state, sheet.PublishRequest{Base: 1, Content: content, Publication: id})
+			if decision.Write && rapid.Bool().Draw(t, "takesEffect") {
+				rows[decision.Version] = id
+				state.Head, state.HeadPublication = decision.Version, id
+			}
+			row, found := rows[2]
+			if decision.Outcome == sheet.OutcomeStored || sheet.Resolve(id, sheet.ReadBack{Found: found, Publication: row}) == sheet.ResolutionStored {
+				stored[id] = true
+			}
+		}
+		if len(stored) > 1 || state.Head > 2 {
+			t.Fatalf("stored %v, head %d", stored, state.Head)
+		}
+	})
+}
+
+// TestDiff guards against changes that an operator is not shown.
+func TestDiff(t *testing.T) {
+	before := example(t)
+	after := strings.NewReplacer(`"Burst": 40`, `"Burst": 50`, `"KeyID": "k2"`, `"KeyID": "k3"`, `"State": "Out"`, `"State": "InService"`).Replace(before)
+	want := []string{
+		"~ DataCentres[gt-2].State: Out -> InService",
+		"~ Workspaces[die-room].Burst: 40 -> 50",
+		"- Workspaces[die-room].Keys[k2].NotAfter: 2026-03-02T12:00:00Z",
+		"- Workspaces[die-room].Keys[k2].ServerKey: DDDD",
+		"- Workspaces[die-room].Keys[k2].StoredKey: CCCC",
+		"+ Workspaces[die-room].Keys[k3].NotAfter: 2026-03-02T12:00:00Z",
+		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDD",
+		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCC",
+	}
+	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+// TestGenerateKey guards against verifiers that do not authenticate their key
+// in a SCRAM-SHA-256 exchange, and against sums that accept other keys.
+func TestGenerateKey(t *testing.T) {
+	random := rand.NewChaCha8([32]byte{1})
+	salt, err := sheet.GenerateSalt(random)
+	if err != nil {
+		t.Fatal(err)
+	}
+	generated, err := sheet.GenerateKey(random, salt, sheet.DefaultIterations)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(generated.Key, "npk_"+generated.Verifier.KeyID+"_") {
+		t.Errorf("key does not name its id %s", generated.Verifier.KeyID)
+	}
+	if err := authenticate(t, generated, generated.Key); err != nil {
+		t.Errorf("own key: %v", err)
+	}
+	if err := authenticate(t, generated, generated.Key+"a"); err == nil {
+		t.Error("another key was accepted")
+	}
+	var failed *sheet.Error
+	if _, err := sheet.GenerateKey(&bytes.Buffer{}, salt, sheet.DefaultIterations); !errors.As(err, &failed) || failed.Kind != sheet.KindRandom {
+		t.Errorf("short random source: %v", err)
+	}
+	if _, err := sheet.GenerateKey(random, "!", 1); !errors.As(err, &failed) || failed.Kind != sheet.KindSalt {
+		t.Errorf("bad salt: %v", err)
+	}
+}
+
+func authenticate(t *testing.T, generated sheet.GeneratedKey, key string) error {
+	t.Helper()
+	raw := func(text string) []byte {
+		decoded, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return decoded
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Iters: generated.Iterations, Salt: string(raw(generated.Salt))},
+			ServerKey:  raw(generated.Verifier.ServerKey),
+			StoredKey:  raw(generated.Verifier.StoredKey),
+		}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := scram.SHA256.NewClient("die-room", key, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask, answer := client.NewConversation(), server.NewConversation()
+	message := ""
+	for !answer.Done() {
+		if message, err = ask.Step(message); err != nil {
+			return err
+		}
+		if message, err = answer.Step(message); err != nil {
+			return err
+		}
+	}
+	_, err = ask.Step(message)
+	return err
+}
+
+// TestLookup guards against expired keys that are accepted, placement that
+// ignores the sheet, and databases used without a grant.
+func TestLookup(t *testing.T) {
+	s := parse(t, example(t))
+	expiry := time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+	credentials, _ := s.Credentials("die-room", expiry.Add(-1))
+	_, known := s.Credentials("nobody", expiry)
+	limits, _ := s.Limits("die-room")
+	want := []any{2, false, true, false, false, true, false, true, true, false, true, false, sheet.Limits{Burst: 40, Rate: 200, Weight: 4}}
+	got := []any{
+		len(credentials.Verifiers), known,
+		s.AcceptsKey("die-room", "k2", expiry.Add(-1)), s.AcceptsKey("die-room", "k2", expiry), s.AcceptsKey("nobody", "k1", expiry),
+		s.IsInService("gt-1"), s.IsInService("gt-2"), s.IsLeaving("orders-3"),
+		s.IsOpenToAll("shelf"), s.IsOpenToAll("orders"),
+		s.MayUse("die-room", "orders"), s.MayUse("die-room", "stock"), limits,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lookups (-want +got):\n%s", diff)
+	}
+}
+
+// TestParseReportsAllProblems guards against a check that stops at the first
+// mistake, and against keys and verifiers in its report.
+func TestParseReportsAllProblems(t *testing.T) {
+	content := strings.NewReplacer(
+		`"Rate": 200`, `"Rate": -1`, `"Weight": 4`, `"Wieght": 4`, `"KeyID": "k2"`, `"KeyID": "k1"`, `"StoredKey": "AAAA"`, `"StoredKey": "secret!"`,
+		`"school-supply"`, `"npk_ab12_s3cr3t!"`, `"Leaving"`, `"Gone"`, `"Burst": 5`, `"Burst": 0.5`,
+	).Replace(example(t))
+	_, err := sheet.Parse("f", []byte(content))
+	var invalid *sheet.Error
+	if !errors.As(err, &invalid) {
+		t.Fatalf("error is %v, want *sheet.Error", err)
+	}
+	want := []string{
+		"f:6:37: Workspaces[0].Rate: out of range, found -1, accepted: 0 to 10000000",
+		"f:6:54: Workspaces[0].Wieght: unknown key, did you mean Weight?",
+		"f:9:34: Workspaces[0].Keys[0].StoredKey: value is not accepted, accepted: base64",
+		"f:10:15: Workspaces[0].Keys[1].KeyID: key of workspace die-room k1 is listed twice",
+		`f:15:17: Workspaces[1].Workspace: value is not accepted, found "npk_[redacted]!", accepted: 1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit`,
+		"f:15:18: this looks like a key; only its verifier belongs in a sheet",
+		"f:15:58: Workspaces[1].Burst: burst below 1 with a rate above 0 admits no request",
+		`f:23:46: Servers[0].State: value is not accepted, found "Gone", accepted: InService, Leaving`,
+	}
+	if diff := cmp.Diff(want, invalid.Lines()); diff != "" {
+		t.Errorf("problems (-want +got):\n%s", diff)
+	}
+}
+
+// TestSetState guards against a drain that loses other parts of the sheet or
+// its comments, and one that leaves the state as it was.
+func TestSetState(t *testing.T) {
+	before := example(t)
+	content, err := sheet.SetDataCentre(before, "gt-1", sheet.StateOut)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if content, err = sheet.SetServer(content, "orders-3", sheet.StateInService); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"+ DataCentres[gt-1].State: Out", "~ Servers[orders-3].State: Leaving -> InService"}
+	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, content))); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+	if !strings.Contains(content, "// The die room has") {
+		t.Error("comment was lost")
+	}
+	if content, err = sheet.SetServer(`{"Format": 1}`, "s-1", sheet.StateLeaving); err != nil || !parse(t, content).IsLeaving("s-1") {
+		t.Errorf("sheet without servers: %q, %v", content, err)
+	}
+}
+
+// TestUnsafe guards against sheets that stop service and that nobody is asked
+// about, and against old risks that block a repair.
+func TestUnsafe(t *testing.T) {
+	content := example(t)
+	usage := sheet.Usage{DataCentres: []fleet.DataCentre{"gt-1"}, Servers: []sheet.ServerPlace{
+		{DataCentre: "gt-2", Group: "orders", Server: "orders-1"},
+		{DataCentre: "gt-1", Group: "orders", Server: "orders-2"},
+		{DataCentre: "gt-2", Group: "stock", Server: "stock-1"},
+	}}
+	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
+		`"KeyID": "k1", "StoredKey": "EEEE"`, `"KeyID": "k9", "StoredKey": "GGGG"`, `"die-room"`, `"dye-room"`).Replace(content)
+	want := []sheet.Risk{
+		{Kind: sheet.RiskAllDataCentresOut},
+		{Kind: sheet.RiskNoServerLeft, Subject: "orders"},
+		{Kind: sheet.RiskWorkspaceRemoved, Subject: "die-room"},
+		{Kind: sheet.RiskKeysWithdrawn, Subject: "school-supply"},
+	}
+	if diff := cmp.Diff(want, sheet.Unsafe(parse(t, content), parse(t, worse), usage)); diff != "" {
+		t.Errorf("risks (-want +got):\n%s", diff)
+	}
+}
+
+// FuzzParse guards against sheets that make the parser or the editor fail
+// after they were accepted.
+func FuzzParse(f *testing.F) {
+	f.Add(example(f))
+	f.Add(`{"Format": 1, "Servers": null}`)
+	f.Add(`{"Format": 1, "DataCentres": [/* none */], "Workspaces": [{}]}`)
+	f.Fuzz(func(t *testing.T, content string) {
+		if _, err := sheet.Parse("f", []byte(content)); err != nil {
+			return
+		}
+		edited, err := sheet.SetDataCentre(content, "fuzz", sheet.StateOut)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if parse(t, edited).IsInService("fuzz") {
+			t.Errorf("edit of %q had no effect", content)
+		}
+	})
+}
--- /dev/null
+++ b/sheet/unsafe.go
@@ -0,0 +1,153 @@
+package sheet
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// RiskKind classifies what is unsafe about a sheet.
+type RiskKind string
+
+// Kinds of risks.
+const (
+	// RiskAllDataCentresOut means that no data centre takes new work.
+	RiskAllDataCentresOut RiskKind = "AllDataCentresOut"
+	// RiskBusyWorkspaceStopped means that a workspace with traffic has a rate of zero.
+	RiskBusyWorkspaceStopped RiskKind = "BusyWorkspaceStopped"
+	// RiskKeysWithdrawn means that a workspace has lost all its keys.
+	RiskKeysWithdrawn RiskKind = "KeysWithdrawn"
+	// RiskNoServerLeft means that no server of a group takes new work.
+	RiskNoServerLeft RiskKind = "NoServerLeft"
+	// RiskWorkspaceRemoved means that a workspace is no longer listed.
+	RiskWorkspaceRemoved RiskKind = "WorkspaceRemoved"
+)
+
+// Risk is one unsafe effect of a sheet.
+type Risk struct {
+	Kind RiskKind
+	// Subject is the id of the workspace or group; empty for all data centres.
+	Subject string
+}
+
+// String returns the risk as a sentence.
+func (r Risk) String() string {
+	switch r.Kind {
+	case RiskAllDataCentresOut:
+		return "all data centres are out"
+	case RiskBusyWorkspaceStopped:
+		return fmt.Sprintf("workspace %s has traffic and a rate of 0", r.Subject)
+	case RiskKeysWithdrawn:
+		return fmt.Sprintf("all keys of workspace %s are withdrawn", r.Subject)
+	case RiskNoServerLeft:
+		return fmt.Sprintf("no server of group %s is left in service", r.Subject)
+	default:
+		return fmt.Sprintf("workspace %s is removed", r.Subject)
+	}
+}
+
+// Usage is what is known of the deployment when a sheet is checked.
+type Usage struct {
+	// Busy lists the workspaces with traffic.
+	Busy []fleet.WorkspaceID
+	// DataCentres lists the data centres that have instances.
+	DataCentres []fleet.DataCentre
+	Servers     []ServerPlace
+}
+
+// ServerPlace says where a backend server stands.
+type ServerPlace struct {
+	DataCentre fleet.DataCentre
+	Group      fleet.GroupID
+	Server     fleet.ServerID
+}
+
+// Unsafe returns the unsafe effects that the newer sheet has and the older one
+// had not, so that a sheet can be repaired in steps.
+func Unsafe(before, after Sheet, usage Usage) []Risk {
+	earlier := standingRisks(before, usage)
+	var risks []Risk
+	for _, risk := range standingRisks(after, usage) {
+		if !slices.Contains(earlier, risk) {
+			risks = append(risks, risk)
+		}
+	}
+	return append(risks, withdrawals(before, after)...)
+}
+
+// standingRisks returns the risks that a sheet has by itself.
+func standingRisks(s Sheet, usage Usage) []Risk {
+	var risks []Risk
+	if allOut(s, usage) {
+		risks = append(risks, Risk{Kind: RiskAllDataCentresOut})
+	}
+	for _, group := range groupsOf(usage) {
+		if !hasServer(s, group, usage) {
+			risks = append(risks, Risk{Kind: RiskNoServerLeft, Subject: string(group)})
+		}
+	}
+	for _, workspace := range usage.Busy {
+		if limits, known := s.Limits(workspace); known && limits.Rate == 0 {
+			risks = append(risks, Risk{Kind: RiskBusyWorkspaceStopped, Subject: string(workspace)})
+		}
+	}
+	return risks
+}
+
+// allOut reports whether no known data centre is in service. Without any known
+// one the sheet's own list decides.
+func allOut(s Sheet, usage Usage) bool {
+	known := slices.Clone(usage.DataCentres)
+	for _, place := range usage.Servers {
+		known = append(known, place.DataCentre)
+	}
+	if len(known) == 0 {
+		for _, d := range s.DataCentres {
+			known = append(known, d.DataCentre)
+		}
+	}
+	return len(known) > 0 && !slices.ContainsFunc(known, s.IsInService)
+}
+
+func groupsOf(usage Usage) []fleet.GroupID {
+	var groups []fleet.GroupID
+	for _, place := range usage.Servers {
+		groups = append(groups, place.Group)
+	}
+	slices.Sort(groups)
+	return slices.Compact(groups)
+}
+
+func hasServer(s Sheet, group fleet.GroupID, usage Usage) bool {
+	return slices.ContainsFunc(usage.Servers, func(place ServerPlace) bool {
+		return place.Group == group && s.IsInService(place.DataCentre) && !s.IsLeaving(place.Server)
+	})
+}
+
+// withdrawals returns the workspaces that lost all keys or are gone.
+func withdrawals(before, after Sheet) []Risk {
+	var risks []Risk
+	for _, w := range before.Workspaces {
+		now, known := after.workspace(w.Workspace)
+		switch {
+		case !known:
+			risks = append(risks, Risk{Kind: RiskWorkspaceRemoved, Subject: string(w.Workspace)})
+		case len(w.Keys) > 0 && !keepsKey(w, now):
+			risks = append(risks, Risk{Kind: RiskKeysWithdrawn, Subject: string(w.Workspace)})
+		}
+	}
+	return risks
+}
+
+// keepsKey reports whether a key of the older workspace is still accepted, so
+// that not all its callers are cut off at once. Callers need time to change to
+// a new key.
+func keepsKey(before, after Workspace) bool {
+	if before.Salt != after.Salt || before.Iterations != after.Iterations {
+		return false
+	}
+	return slices.ContainsFunc(after.Keys, func(key Key) bool {
+		return slices.ContainsFunc(before.Keys, func(old Key) bool { return old.StoredKey == key.StoredKey })
+	})
+}
