--- /dev/null
+++ b/caller/check.go
@@ -0,0 +1,167 @@
+package caller
+
+import (
+	"context"
+	"errors"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+)
+
+// check refuses what can't run over a shared connection, and returns the SQL
+// to send. It acts on the proxy's own settings.
+func (s *session) check(class *Classification, sql string) (string, error) {
+	if refused := class.Refused(); refused != "" {
+		return "", unsupported(refused)
+	}
+	if class.usesSequenceState() && s.tx == backend.TxIdle && !s.pinned {
+		return "", unsupported("currval and lastval need a transaction over shared connections")
+	}
+	first := &class.First
+	own := (first.Verb == VerbSet || first.Verb == VerbReset) && isOwnSetting(first.Name)
+	renamed := first.Verb == VerbDeallocate && s.prepared[first.Name] != nil
+	if len(class.Rest) > 0 {
+		return sql, checkSingle(class)
+	}
+	switch {
+	case own && first.Verb == VerbSet && first.Name != "application_name":
+		return harmlessSQL, s.ownSetting(first.Name, first.Value)
+	case own && first.Name == maxAgeSetting:
+		s.maxAge = 0
+		return harmlessSQL, nil
+	case own:
+		return harmlessSQL, nil
+	case renamed:
+		delete(s.prepared, first.Name)
+		return harmlessSQL, nil
+	}
+	return sql, nil
+}
+
+// checkSingle refuses statements that only work alone in a text.
+func checkSingle(class *Classification) error {
+	for s := range class.statements {
+		if (s.Verb == VerbSet || s.Verb == VerbReset) && isOwnSetting(s.Name) {
+			return unsupported("setting " + s.Name + " must be the only statement of a query")
+		}
+	}
+	return nil
+}
+
+// noteChanges notes the statements that change the session when they succeed.
+func (s *session) noteChanges(class *Classification) {
+	for statement := range class.statements {
+		switch statement.Verb {
+		case VerbSet, VerbReset:
+			if !isOwnSetting(statement.Name) {
+				s.changes = append(s.changes, changeOf(statement))
+			}
+		case VerbDeallocate, VerbDiscard, VerbRollbackTo:
+			s.changes = append(s.changes, changeOf(statement))
+		}
+		if statement.Pins {
+			s.changes = append(s.changes, settingChange{verb: verbPin})
+		}
+	}
+}
+
+// verbPin is the change that pins the connection.
+const verbPin Verb = "Pin"
+
+// settle takes the effect of a completed request into the session.
+func (s *session) settle(r *request, result answer, conn *backend.Conn) {
+	if r.touches {
+		conn.Touch()
+	}
+	s.settleAtOnce(conn)
+	if s.tx != backend.TxIdle {
+		return
+	}
+	if result.code == "" && !s.rolledBack {
+		s.settleCommitted(conn)
+	}
+	s.changes = s.changes[:0]
+	s.rolledBack = false
+}
+
+// settleAtOnce takes the changes that don't wait for a commit.
+func (s *session) settleAtOnce(conn *backend.Conn) {
+	for _, change := range s.changes {
+		switch change.verb {
+		case verbPin:
+			s.pin(conn)
+		case VerbRollbackTo:
+			// Which settings a savepoint keeps isn't tracked, so the
+			// connection keeps them.
+			if len(s.changes) > 1 {
+				s.pin(conn)
+			}
+		case VerbDeallocate:
+			if change.name == "all" {
+				clear(s.prepared)
+				conn.Forget()
+			}
+		case VerbDiscard:
+			if change.name == "all" {
+				clear(s.prepared)
+				conn.Forget()
+			}
+		}
+	}
+}
+
+func (s *session) settleCommitted(conn *backend.Conn) {
+	reset := false
+	changed := false
+	for _, change := range s.changes {
+		switch change.verb {
+		case VerbReset, VerbDiscard:
+			reset = true
+			s.applySettings(change)
+		case VerbSet:
+			changed = true
+			s.applySettings(change)
+		}
+	}
+	switch {
+	case reset:
+		conn.SetProfileUnknown()
+	case changed:
+		conn.SetProfile(s.profile)
+	}
+}
+
+// pin keeps the connection for the session until it ends.
+func (s *session) pin(conn *backend.Conn) {
+	s.pinned = true
+	conn.Touch()
+}
+
+// context is cancelled when the session is.
+func (s *session) context() context.Context {
+	return s.ctx
+}
+
+// dropChanges forgets the changes of a request that failed.
+func (s *session) dropChanges() {
+	s.changes = s.changes[:0]
+}
+
+// stoppedNow reports whether the session is to end.
+func (s *session) stoppedNow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped != ""
+}
+
+func (c *Classification) usesSequenceState() bool {
+	for s := range c.statements {
+		if s.Sequence {
+			return true
+		}
+	}
+	return false
+}
+
+func unsupported(text string) error {
+	return &Error{Op: "check", Kind: KindUnsupported, Err: errors.New(text)}
+}
--- /dev/null
+++ b/caller/error.go
@@ -0,0 +1,124 @@
+// Package caller speaks to callers as a PostgreSQL server: start-up,
+// authentication, relay of statements, transactions, cancel and outcomes.
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindAuthentication means that the key isn't valid for the workspace.
+	KindAuthentication Kind = "Authentication"
+	// KindBackendLost means that the backend server was lost or none is known.
+	KindBackendLost Kind = "BackendLost"
+	// KindClosed means that the session ends by shutdown or a withdrawn key.
+	KindClosed Kind = "Closed"
+	// KindNotServing means that the instance takes no new work.
+	KindNotServing Kind = "NotServing"
+	// KindPositionLost means that no server can satisfy the session's position.
+	KindPositionLost Kind = "PositionLost"
+	// KindProtocol means that the caller broke the protocol.
+	KindProtocol Kind = "Protocol"
+	// KindQueue means that the queue is full or the deadline would pass.
+	KindQueue Kind = "Queue"
+	// KindRateExceeded means that the workspace is over its rate.
+	KindRateExceeded Kind = "RateExceeded"
+	// KindToken means that a session token or another parameter is malformed.
+	KindToken Kind = "Token"
+	// KindUnknown means that the outcome of a write isn't known.
+	KindUnknown Kind = "Unknown"
+	// KindUnsupported means that the statement can't be carried over shared connections.
+	KindUnsupported Kind = "Unsupported"
+)
+
+// Error is the error type of this package. Routers return it so that callers
+// get the SQLSTATE of its kind.
+type Error struct {
+	// Err is the cause. Its text is shown to the caller.
+	Err error
+	// Kind classifies the error.
+	Kind Kind
+	// Op is the operation that failed.
+	Op string
+	// Outcome says whether the request ran. Empty means NotRun.
+	Outcome Outcome
+	// RetryAfter is the time after which a retry can succeed, or zero.
+	RetryAfter time.Duration
+}
+
+// Error returns the text of the error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("caller: %s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("caller: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// code returns the SQLSTATE of a kind.
+func (k Kind) code() string {
+	switch k {
+	case KindAuthentication:
+		return "28P01"
+	case KindClosed:
+		return "57P01"
+	case KindNotServing:
+		return "57P03"
+	case KindProtocol:
+		return "08P01"
+	case KindQueue:
+		return "53300"
+	case KindRateExceeded:
+		return "53400"
+	case KindToken:
+		return "22023"
+	case KindUnknown:
+		return "40003"
+	case KindUnsupported:
+		return "0A000"
+	default:
+		return "08006"
+	}
+}
+
+// response returns the message that reports err to a caller.
+func response(err error, severity string) *pgproto3.ErrorResponse {
+	var known *Error
+	if !errors.As(err, &known) {
+		known = &Error{Kind: KindBackendLost, Err: errors.New("no backend server can take the request")}
+	}
+	outcome := known.Outcome
+	if outcome == "" {
+		outcome = OutcomeNotRun
+	}
+	answer := &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                known.Kind.code(),
+		Message:             known.message(),
+		Detail:              outcome.detail(),
+	}
+	if known.RetryAfter > 0 {
+		answer.Hint = fmt.Sprintf("retry after %d ms", max(1, known.RetryAfter.Milliseconds()))
+	}
+	return answer
+}
+
+func (e *Error) message() string {
+	if e.Err == nil {
+		return string(e.Kind)
+	}
+	return e.Err.Error()
+}
--- /dev/null
+++ b/caller/extended.go
@@ -0,0 +1,385 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+)
+
+// maxPrepared bounds the prepared statements on one backend connection. More
+// are closed when the next session takes the connection.
+const maxPrepared = 512
+
+// extended adds a message of the extended protocol to the batch.
+func (s *session) extended(kind byte) error {
+	body, err := s.reader.Body()
+	if err != nil {
+		return err
+	}
+	if s.skipping {
+		return nil
+	}
+	if len(s.batch.data)+len(body) > s.server.config.MaxMessage {
+		return &Error{Op: "read", Kind: KindProtocol, Err: errors.New("too much data before Sync")}
+	}
+	s.batch.add(kind, body)
+	return nil
+}
+
+// endBatch runs the batch at a Sync or Flush.
+func (s *session) endBatch(kind byte) error {
+	if _, err := s.reader.Body(); err != nil {
+		return err
+	}
+	if s.skipping {
+		return s.endSkipping(kind)
+	}
+	if kind == 'H' && len(s.batch.messages) == 0 {
+		return nil
+	}
+	if kind == 'S' && len(s.batch.messages) == 0 && !s.flushOpen() {
+		s.takeWriter()
+		defer s.giveWriter()
+		return s.ready(false)
+	}
+	r := s.newRequest()
+	r.synced = kind == 'S'
+	if err := s.include(&r); err != nil {
+		s.takeWriter()
+		defer s.giveWriter()
+		defer s.batch.reset()
+		return s.fail(&r, err, s.tx)
+	}
+	return s.serve(&r)
+}
+
+// endSkipping ends a batch of which an error was already reported at a Flush.
+func (s *session) endSkipping(kind byte) error {
+	if kind == 'H' {
+		return nil
+	}
+	s.skipping = false
+	if s.lease == nil {
+		s.takeWriter()
+		defer s.giveWriter()
+		return s.ready(false)
+	}
+	r := s.newRequest()
+	r.synced = true
+	return s.serve(&r)
+}
+
+// flushOpen reports whether messages were sent with Flush whose Sync is missing.
+func (s *session) flushOpen() bool {
+	return s.lease != nil && !s.pinned && s.tx == backend.TxIdle
+}
+
+// include finds out what the messages of the batch ask for.
+func (s *session) include(r *request) error {
+	for _, m := range s.batch.messages {
+		body := s.batch.body(m)
+		var err error
+		switch m.kind {
+		case 'P':
+			err = s.includeParse(body)
+		case 'B':
+			err = s.includeBind(r, body)
+		case 'C', 'D':
+			_, _, err = objectName(body)
+		}
+		if err != nil {
+			s.dropChanges()
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) includeParse(body []byte) error {
+	name, statement, err := parseMessage(body)
+	if err != nil {
+		return err
+	}
+	statement.sql, err = s.check(&statement.class, statement.sql)
+	if err != nil {
+		return err
+	}
+	statement.digest()
+	s.prepared[string(name)] = statement
+	return nil
+}
+
+// includeBind takes the statement of a Bind as one that runs.
+func (s *session) includeBind(r *request, body []byte) error {
+	portalName, name, _, err := bindNames(body)
+	if err != nil {
+		return err
+	}
+	statement := s.prepared[string(name)]
+	if statement == nil {
+		return nil
+	}
+	r.include(&statement.class)
+	s.noteChanges(&statement.class)
+	if len(portalName) > 0 {
+		s.portals = append(s.portals, portal{name: string(portalName), statement: statement})
+	}
+	return nil
+}
+
+// send writes the request to the connection and notes the answers to expect.
+func (s *session) send(r *request, conn *backend.Conn) error {
+	if r.simple {
+		conn.SetUnnamed("")
+		return sendNamed(conn, 'Q', []byte(r.sql), []byte{0})
+	}
+	for _, m := range s.batch.messages {
+		if err := s.sendMessage(conn, m); err != nil {
+			return err
+		}
+	}
+	if r.synced {
+		return sendNamed(conn, 'S')
+	}
+	return sendNamed(conn, 'H')
+}
+
+func (s *session) sendMessage(conn *backend.Conn, m message) error {
+	body := s.batch.body(m)
+	switch m.kind {
+	case 'P':
+		name, _, _ := bytes.Cut(body, []byte{0})
+		return s.sendParse(conn, string(name))
+	case 'B':
+		return s.sendBind(conn, body)
+	case 'C':
+		return s.sendClose(conn, body)
+	case 'D':
+		return s.sendDescribe(conn, body)
+	}
+	s.operation = append(s.operation, operation{kind: m.kind})
+	return conn.Send(s.batch.raw(m))
+}
+
+// sendParse sends a caller's Parse, unless the connection holds the statement.
+func (s *session) sendParse(conn *backend.Conn, name string) error {
+	statement := s.prepared[name]
+	if statement == nil {
+		// A later Close in the same batch removed the statement, so only its
+		// answer is missing.
+		s.operation = append(s.operation, operation{kind: 'P', local: true})
+		return nil
+	}
+	if name != "" && conn.HasPrepared(statement.name) {
+		s.operation = append(s.operation, operation{kind: 'P', local: true})
+		return nil
+	}
+	return s.parse(conn, name, statement, false)
+}
+
+// parse sends a Parse of a statement under its name for the connection.
+func (s *session) parse(conn *backend.Conn, name string, statement *preparedStatement, injected bool) error {
+	on := statement.name
+	if name == "" {
+		on = ""
+		conn.SetUnnamed(statement.name)
+	} else {
+		conn.SetPrepared(on, true)
+	}
+	s.operation = append(s.operation, operation{injected: injected, kind: 'P', name: on})
+	return sendNamed(conn, 'P', []byte(on), []byte{0}, []byte(statement.sql), []byte{0}, statement.types)
+}
+
+// ensureParsed returns the name of a statement on the connection, and parses
+// it there first if needed. Unknown names are passed on for the server to refuse.
+func (s *session) ensureParsed(conn *backend.Conn, name []byte) (string, error) {
+	statement := s.prepared[string(name)]
+	if statement == nil {
+		return string(name), nil
+	}
+	if len(name) == 0 {
+		if conn.Unnamed() != statement.name {
+			return "", s.parse(conn, "", statement, true)
+		}
+		return "", nil
+	}
+	if !conn.HasPrepared(statement.name) {
+		return statement.name, s.parse(conn, statement.name, statement, true)
+	}
+	return statement.name, nil
+}
+
+func (s *session) sendBind(conn *backend.Conn, body []byte) error {
+	portalName, name, rest, err := bindNames(body)
+	if err != nil {
+		return err
+	}
+	on, err := s.ensureParsed(conn, name)
+	if err != nil {
+		return err
+	}
+	s.operation = append(s.operation, operation{kind: 'B'})
+	return sendNamed(conn, 'B', portalName, zeroByte, []byte(on), zeroByte, rest)
+}
+
+func (s *session) sendClose(conn *backend.Conn, body []byte) error {
+	kind, name, err := objectName(body)
+	if err != nil {
+		return err
+	}
+	if kind == 'P' {
+		s.operation = append(s.operation, operation{kind: 'C'})
+		return sendNamed(conn, 'C', body)
+	}
+	// The statement stays on the connection for other sessions.
+	delete(s.prepared, string(name))
+	s.operation = append(s.operation, operation{kind: 'C', local: true})
+	return nil
+}
+
+func (s *session) sendDescribe(conn *backend.Conn, body []byte) error {
+	kind, name, err := objectName(body)
+	if err != nil {
+		return err
+	}
+	if kind == 'P' {
+		s.operation = append(s.operation, operation{kind: 'D'})
+		return sendNamed(conn, 'D', body)
+	}
+	on, err := s.ensureParsed(conn, name)
+	if err != nil {
+		return err
+	}
+	s.operation = append(s.operation, operation{kind: 'D'})
+	return sendNamed(conn, 'D', body[:1], []byte(on), zeroByte)
+}
+
+var zeroByte = []byte{0}
+
+// answerLocal answers the operations at the head of the queue that the server
+// doesn't see.
+func (s *session) answerLocal() {
+	done := 0
+	for done < len(s.operation) && s.operation[done].local {
+		complete := byte('1')
+		if s.operation[done].kind == 'C' {
+			complete = '3'
+		}
+		var raw [headerSize]byte
+		copy(raw[:], []byte{complete, 0, 0, 0, 4})
+		if len(s.held) > 0 {
+			s.held = append(s.held, raw[:]...)
+		} else {
+			_ = s.writer.Raw(raw[:])
+		}
+		done++
+	}
+	s.popOperations(done)
+}
+
+// isSwallowed takes a message that completes an operation off the queue, and
+// reports whether the caller didn't ask for it.
+func (s *session) isSwallowed(_ *backend.Conn, kind byte) bool {
+	switch kind {
+	case '1', '2', '3', 'C', 'I', 'T', 'n', 's':
+	default:
+		return false
+	}
+	if len(s.operation) == 0 {
+		return false
+	}
+	head := s.operation[0]
+	if kind == 'T' && head.kind != 'D' {
+		return false
+	}
+	s.popOperations(1)
+	return head.injected
+}
+
+func (s *session) popOperations(n int) {
+	if n > 0 {
+		s.operation = s.operation[:copy(s.operation, s.operation[n:])]
+	}
+}
+
+// forgetFailed takes back that the statements whose Parse didn't complete are
+// on the connection. The server skips the rest of the batch after an error.
+func (s *session) forgetFailed(conn *backend.Conn) {
+	for _, operation := range s.operation {
+		if operation.kind != 'P' || operation.local {
+			continue
+		}
+		if operation.name == "" {
+			conn.SetUnnamed("")
+			continue
+		}
+		conn.SetPrepared(operation.name, false)
+	}
+	s.operation = s.operation[:0]
+}
+
+// closePrepared removes all statements from a connection that holds too many.
+func (s *session) closePrepared(conn *backend.Conn) error {
+	conn.Forget()
+	return conn.Exec("DEALLOCATE ALL")
+}
+
+// serveLost answers a request in a transaction whose connection was lost.
+func (s *session) serveLost(r *request) error {
+	if r.simple && isTransactionEnd(r.sql) {
+		s.lost = false
+		s.tx = backend.TxIdle
+		_ = s.writer.Message(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		return s.ready(false)
+	}
+	ended := false
+	for _, m := range s.batch.messages {
+		switch m.kind {
+		case 'P':
+			_ = s.writer.Message(&pgproto3.ParseComplete{})
+		case 'B':
+			_, name, _, err := bindNames(s.batch.body(m))
+			statement := s.prepared[string(name)]
+			if err != nil || statement == nil || !isTransactionEnd(statement.sql) {
+				return s.refuseLost(r)
+			}
+			_ = s.writer.Message(&pgproto3.BindComplete{})
+		case 'C':
+			_ = s.writer.Message(&pgproto3.CloseComplete{})
+		case 'D':
+			_ = s.writer.Message(&pgproto3.NoData{})
+		case 'E':
+			ended = true
+			_ = s.writer.Message(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		}
+	}
+	if !ended {
+		return s.refuseLost(r)
+	}
+	s.lost = false
+	s.tx = backend.TxIdle
+	if !r.synced {
+		return s.writer.Flush()
+	}
+	return s.ready(false)
+}
+
+func (s *session) refuseLost(r *request) error {
+	s.dropChanges()
+	failure := response(lostError("current transaction is aborted, commands ignored until end of transaction block"), "ERROR")
+	failure.Code = "25P02"
+	_ = s.writer.Message(failure)
+	if r.synced {
+		return s.ready(false)
+	}
+	s.skipping = true
+	return s.writer.Flush()
+}
+
+func isTransactionEnd(sql string) bool {
+	class := Classify(sql)
+	return len(class.Rest) == 0 && (class.First.Verb == VerbCommit || class.First.Verb == VerbRollback)
+}
--- /dev/null
+++ b/caller/opening.go
@@ -0,0 +1,253 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// maxAuthMessage bounds a message before authentication in bytes.
+const maxAuthMessage = 4096
+
+// errCancelRequest ends a connection that only carried a cancel request.
+var errCancelRequest = errors.New("cancel request")
+
+// open takes a connection through start-up and authentication. When it fails
+// the caller has been told.
+func (s *Server) open(conn net.Conn) (*session, error) {
+	_ = conn.SetDeadline(s.config.Now().Add(s.config.StartupTimeout))
+	conn, startup, err := s.negotiate(conn)
+	if err != nil {
+		return nil, s.reject(conn, err)
+	}
+	if s.isDraining() {
+		return nil, s.reject(conn, &Error{Op: "start up", Kind: KindNotServing, Err: errors.New("the server is shutting down")})
+	}
+	session, err := s.newSession(conn, startup)
+	if err != nil {
+		return nil, s.reject(conn, err)
+	}
+	if session.key, err = s.authenticate(session); err != nil {
+		s.record(workspaceEvent(EventAuthenticationFailed, session.workspace, session.group, ""))
+		return nil, s.reject(conn, err)
+	}
+	if err := s.add(session); err != nil {
+		return nil, s.reject(conn, err)
+	}
+	if err := session.greet(); err != nil {
+		s.remove(session)
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return session, nil
+}
+
+// authenticate runs the authentication exchange and returns the key that matched.
+func (s *Server) authenticate(session *session) (KeyID, error) {
+	authenticator, err := NewAuthenticator(s.config.Credentials, session.workspace, s.config.MockSecret)
+	if err != nil {
+		return "", err
+	}
+	_, isTLS := session.conn.(*tls.Conn)
+	if s.config.AllowCleartext && isTLS {
+		return authenticateCleartext(session, authenticator)
+	}
+	return authenticateSCRAM(session, authenticator)
+}
+
+func authenticateCleartext(session *session, authenticator *Authenticator) (KeyID, error) {
+	if err := session.sendNow(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
+		return "", err
+	}
+	body, err := session.authMessage()
+	if err != nil {
+		return "", err
+	}
+	return authenticator.Password(strings.TrimSuffix(string(body), "\x00"))
+}
+
+func authenticateSCRAM(session *session, authenticator *Authenticator) (KeyID, error) {
+	if err := session.sendNow(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{"SCRAM-SHA-256"}}); err != nil {
+		return "", err
+	}
+	body, err := session.authMessage()
+	if err != nil {
+		return "", err
+	}
+	var initial pgproto3.SASLInitialResponse
+	if err := initial.Decode(body); err != nil || initial.AuthMechanism != "SCRAM-SHA-256" {
+		return "", &Error{Op: "authenticate", Kind: KindProtocol, Err: errors.New("malformed SASL response")}
+	}
+	challenge, err := authenticator.First(string(initial.Data))
+	if err != nil {
+		return "", err
+	}
+	if err := session.sendNow(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}); err != nil {
+		return "", err
+	}
+	if body, err = session.authMessage(); err != nil {
+		return "", err
+	}
+	answer, key, err := authenticator.Final(string(body))
+	if err != nil {
+		return "", err
+	}
+	return key, session.sendNow(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+}
+
+// authMessage reads one message of type 'p'.
+func (s *session) authMessage() ([]byte, error) {
+	frame, err := s.reader.Next()
+	if err != nil {
+		return nil, err
+	}
+	if frame.Type != 'p' || frame.Size > maxAuthMessage {
+		return nil, &Error{Op: "authenticate", Kind: KindProtocol, Err: errors.New("expected an authentication message")}
+	}
+	return s.reader.Body()
+}
+
+// greet tells the caller that it is authenticated and what it is connected to.
+func (s *session) greet() error {
+	w := s.takeWriter()
+	defer s.giveWriter()
+	_ = w.Message(&pgproto3.AuthenticationOk{})
+	for _, parameter := range s.server.config.Parameters {
+		_ = w.Message(&pgproto3.ParameterStatus{Name: parameter.Name, Value: parameter.Value})
+	}
+	if s.hasToken {
+		_ = w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: s.token.String()})
+	}
+	_ = w.Message(&pgproto3.BackendKeyData{ProcessID: s.processID, SecretKey: s.secret[:]})
+	_ = w.Message(&pgproto3.ReadyForQuery{TxStatus: backend.TxIdle})
+	return w.Flush()
+}
+
+// negotiate reads start-up messages until one that starts a session. The
+// connection returned is the TLS one if TLS was negotiated.
+func (s *Server) negotiate(conn net.Conn) (net.Conn, Startup, error) {
+	// A caller may ask for GSS encryption and TLS once each.
+	for range 3 {
+		startup, err := ReadStartup(conn)
+		if err != nil {
+			return conn, startup, err
+		}
+		switch startup.Code {
+		case codeCancel:
+			s.cancelRequest(startup)
+			return conn, startup, errCancelRequest
+		case codeGSSEncrypt:
+			_, err = conn.Write([]byte{'N'})
+		case codeSSL:
+			conn, err = s.startTLS(conn)
+		default:
+			return conn, startup, nil
+		}
+		if err != nil {
+			return conn, startup, err
+		}
+	}
+	return conn, Startup{}, startupError("too many negotiation requests")
+}
+
+func (s *Server) cancelRequest(startup Startup) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.StartupTimeout)
+	defer cancel()
+	if s.Cancel(ctx, startup.ProcessID, startup.Secret) || s.config.CancelForwarder == nil {
+		return
+	}
+	_ = s.config.CancelForwarder.ForwardCancel(ctx, startup.ProcessID, startup.Secret)
+}
+
+// reject tells the caller why its connection is refused, and returns err.
+func (s *Server) reject(conn net.Conn, err error) error {
+	var known *Error
+	if !errors.As(err, &known) {
+		return err
+	}
+	encoded, encodeErr := response(known, "FATAL").Encode(nil)
+	if encodeErr == nil {
+		_, _ = conn.Write(encoded)
+	}
+	return err
+}
+
+func (s *Server) startTLS(conn net.Conn) (net.Conn, error) {
+	var config *tls.Config
+	if _, isTLS := conn.(*tls.Conn); s.config.TLS != nil && !isTLS {
+		config = s.config.TLS()
+	}
+	if config == nil {
+		_, err := conn.Write([]byte{'N'})
+		return conn, err
+	}
+	if _, err := conn.Write([]byte{'S'}); err != nil {
+		return conn, err
+	}
+	secured := tls.Server(conn, config)
+	return secured, secured.Handshake()
+}
+
+// newSession makes a session from the parameters of a start-up message.
+func (s *Server) newSession(conn net.Conn, startup Startup) (*session, error) {
+	session := &session{
+		arrivedAt: s.config.Now(),
+		conn:      conn,
+		ctx:       context.Background(),
+		prepared:  make(map[string]*preparedStatement),
+		reader:    backend.NewFrameReader(conn, readBufferSize, s.config.MaxMessage),
+		server:    s,
+		tx:        backend.TxIdle,
+		workspace: fleet.WorkspaceID(startup.Get("user")),
+	}
+	session.group = fleet.GroupID(startup.Get("database"))
+	if session.group == "" {
+		session.group = fleet.GroupID(session.workspace)
+	}
+	if session.workspace == "" {
+		return nil, startupError("no user name given")
+	}
+	options, err := parseOptions(startup.Get("options"))
+	if err != nil {
+		return nil, err
+	}
+	for _, parameter := range append(options, startup.Parameters...) {
+		if err := session.startupParameter(parameter); err != nil {
+			return nil, err
+		}
+	}
+	session.settings = session.initial
+	session.profile = profileOf(session.settings)
+	return session, nil
+}
+
+// startupParameter takes one start-up parameter into the session.
+func (s *session) startupParameter(parameter Parameter) error {
+	name := strings.ToLower(parameter.Name)
+	switch {
+	case name == "user", name == "database", name == "options", name == "application_name":
+		return nil
+	case strings.HasPrefix(name, "_pq_."):
+		return nil
+	case name == "replication":
+		return &Error{Op: "start up", Kind: KindUnsupported, Err: errors.New("replication connections aren't supported")}
+	case strings.HasPrefix(name, settingPrefix):
+		return s.ownSetting(name, parameter.Value)
+	case !isSettingName(name):
+		return &Error{Op: "start up", Kind: KindToken, Err: fmt.Errorf("start-up parameter %q isn't a setting", name)}
+	case isRefusedSetting(name):
+		return &Error{Op: "start up", Kind: KindUnsupported, Err: fmt.Errorf("setting %s isn't supported over shared connections", name)}
+	}
+	text := "SET " + name + " TO '" + strings.ReplaceAll(parameter.Value, "'", "''") + "'"
+	s.initial = append(s.initial, setting{name: name, text: text})
+	return nil
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,359 @@
+package caller
+
+import (
+	"errors"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// maxReruns bounds how often one request is rerun.
+const maxReruns = 3
+
+// codeReadOnly is the SQLSTATE with which a replica or a fenced primary
+// refuses a write. It proves that nothing ran.
+const codeReadOnly = "25006"
+
+// request is what a batch asks for.
+type request struct {
+	access     Access
+	arrivedAt  time.Time
+	commits    bool
+	control    bool
+	idempotent bool
+	maxAge     time.Duration
+	simple     bool
+	sql        string
+	synced     bool
+	touches    bool
+}
+
+// answer is what relaying a batch led to.
+type answer struct {
+	// code is the SQLSTATE of the first error of the server, or empty.
+	code string
+	// err says that the backend connection failed.
+	err error
+	// rerun says that the server proved that nothing ran, and that nothing
+	// was passed on to the caller.
+	rerun bool
+}
+
+// include takes one statement into account.
+func (r *request) include(c *Classification) {
+	if c.Access() == AccessWrite {
+		r.access = AccessWrite
+	}
+	r.idempotent = r.idempotent || c.Hints.Idempotent
+	r.control = r.control || c.ControlsTransaction()
+	if c.Hints.MaxAge > 0 {
+		r.maxAge = c.Hints.MaxAge
+	}
+	for s := range c.statements {
+		r.commits = r.commits || s.Verb == VerbCommit
+		r.touches = r.touches || s.Touches
+	}
+}
+
+// simple handles a simple query.
+func (s *session) simple() error {
+	body, err := s.reader.Body()
+	if err != nil {
+		return err
+	}
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		return malformed("Query")
+	}
+	if len(s.batch.messages) > 0 {
+		return &Error{Op: "read", Kind: KindProtocol, Err: errors.New("a simple query inside an extended one isn't supported")}
+	}
+	s.skipping = false
+	sql := string(body[:len(body)-1])
+	class := Classify(sql)
+	r := s.newRequest()
+	r.simple, r.synced = true, true
+	r.include(&class)
+	r.sql, err = s.check(&class, sql)
+	if err != nil {
+		return s.answerError(err)
+	}
+	s.noteChanges(&class)
+	return s.serve(&r)
+}
+
+func (s *session) newRequest() request {
+	return request{access: AccessRead, arrivedAt: s.server.config.Now(), maxAge: s.maxAge}
+}
+
+// serve runs a request and answers it. An error ends the session.
+func (s *session) serve(r *request) error {
+	defer s.batch.reset()
+	defer s.giveWriter()
+	s.takeWriter()
+	if s.lost {
+		return s.serveLost(r)
+	}
+	if err := s.admit(r); err != nil {
+		s.changes = s.changes[:0]
+		return s.fail(r, err, s.tx)
+	}
+	s.server.retries.earn()
+	return s.runRequest(r)
+}
+
+// runRequest relays a request, on several servers if nothing ran on the first.
+func (s *session) runRequest(r *request) error {
+	var exclude fleet.ServerID
+	for attempt := 0; ; attempt++ {
+		fresh := s.lease == nil
+		if err := s.ensureLease(r, exclude); err != nil {
+			s.dropChanges()
+			return s.fail(r, err, s.tx)
+		}
+		result, callerErr := s.attempt(r)
+		if callerErr != nil {
+			return callerErr
+		}
+		server := s.lease.Server()
+		if result.err != nil {
+			s.server.record(Event{Group: s.group, Name: EventBackendLost, Server: server, Workspace: s.workspace})
+		}
+		if attempt < maxReruns && fresh && s.mayRerun(r, result) && s.server.retries.spend() {
+			s.server.record(Event{Group: s.group, Name: EventRetry, Server: server, Workspace: s.workspace})
+			s.release(result.err == nil)
+			s.writer.Reset(callerWriter{conn: s.conn, timeout: s.server.config.WriteTimeout})
+			if result.code == codeReadOnly {
+				r.access = AccessWrite
+			}
+			exclude = server
+			continue
+		}
+		if result.err != nil {
+			return s.failLost(r, result)
+		}
+		return s.finish(r, result)
+	}
+}
+
+// admit checks the session's key and the workspace's rate. A transaction is
+// one request, so its statements after the first aren't checked again.
+func (s *session) admit(*request) error {
+	if s.tx != backend.TxIdle {
+		return nil
+	}
+	config := &s.server.config
+	if !config.Credentials.KeyValid(s.workspace, s.key) {
+		s.stop("the key was withdrawn", config.Now())
+		return &Error{Op: "admit", Kind: KindClosed, Err: errors.New("the key was withdrawn")}
+	}
+	decision := config.Gate.Admit(config.Now(), s.workspace)
+	switch {
+	case !decision.Serving:
+		return &Error{Op: "admit", Kind: KindNotServing, Err: errors.New("this instance isn't serving"), RetryAfter: decision.RetryAfter}
+	case !decision.Admitted:
+		return &Error{Op: "admit", Kind: KindRateExceeded, Err: errors.New("the workspace is over its rate"), RetryAfter: decision.RetryAfter}
+	}
+	return nil
+}
+
+// ensureLease gets a connection with the session's state, if it has none.
+func (s *session) ensureLease(r *request, exclude fleet.ServerID) error {
+	if s.lease != nil {
+		return nil
+	}
+	if err := s.ensureToken(r); err != nil {
+		return err
+	}
+	config := &s.server.config
+	lease, err := config.Router.Acquire(s.context(), Request{
+		Access:    r.access,
+		ArrivedAt: r.arrivedAt,
+		Deadline:  r.arrivedAt.Add(config.RequestTimeout),
+		Exclude:   exclude,
+		Group:     s.group,
+		MaxAge:    r.maxAge,
+		Token:     s.token,
+		Workspace: s.workspace,
+	})
+	if err != nil {
+		return acquireError(err)
+	}
+	s.setLease(lease)
+	conn := lease.Conn()
+	if err := conn.Adopt(s.id, s.profile); err != nil {
+		s.release(conn.Reusable())
+		return adoptError(err)
+	}
+	if conn.Prepared() > maxPrepared {
+		if err := s.closePrepared(conn); err != nil {
+			s.release(false)
+			return adoptError(err)
+		}
+	}
+	return nil
+}
+
+// ensureToken gets a position before the first read of a session that brought
+// no token and wrote nothing.
+func (s *session) ensureToken(r *request) error {
+	config := &s.server.config
+	if s.hasToken || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
+		return nil
+	}
+	position, err := config.Barrier.Barrier(s.context(), s.group, s.arrivedAt)
+	if err != nil {
+		return acquireError(err)
+	}
+	s.token = Token{Group: s.group, Seen: position}
+	s.hasToken = true
+	return nil
+}
+
+// mayRerun reports whether a request can be run again on another server.
+func (s *session) mayRerun(r *request, result answer) bool {
+	if s.writer.Flushed() || r.control || s.stoppedNow() {
+		return false
+	}
+	if result.rerun {
+		return true
+	}
+	return result.err != nil && (r.idempotent || !s.lease.Primary())
+}
+
+// finish settles a request that the server answered to the end.
+func (s *session) finish(r *request, result answer) error {
+	conn := s.lease.Conn()
+	position, moved := conn.Moved()
+	primary := s.lease.Primary()
+	if !r.synced {
+		return s.writer.Flush()
+	}
+	s.tx = conn.TxStatus()
+	s.settle(r, result, conn)
+	if s.tx != backend.TxIdle {
+		return s.ready(true)
+	}
+	if !s.pinned {
+		s.release(conn.Reusable())
+	}
+	if !moved {
+		return s.ready(true)
+	}
+	if !primary {
+		s.tellToken(s.token.moveSeen(position))
+		return s.ready(true)
+	}
+	return s.acknowledge(position, result)
+}
+
+// acknowledge passes on the held answer of a write once its commit is durable.
+func (s *session) acknowledge(position fleet.Position, result answer) error {
+	outcome, err := s.server.config.Committer.AwaitCommit(s.context(), s.group, position)
+	switch {
+	case err == nil && outcome == OutcomeCommitted:
+		s.tellToken(s.token.moveWritten(position))
+		return s.ready(true)
+	case err == nil && outcome == OutcomeNotRun:
+		s.server.record(workspaceEvent(EventCommitNotRun, s.workspace, s.group, ""))
+		err = &Error{Op: "commit", Kind: KindBackendLost, Err: errors.New("the commit was lost in a change of primary")}
+	default:
+		s.server.record(workspaceEvent(EventCommitUnknown, s.workspace, s.group, ""))
+		err = unknownError("it isn't known whether the commit is durable")
+	}
+	if result.code == "" {
+		_ = s.writer.Message(response(err, "ERROR"))
+	}
+	return s.ready(false)
+}
+
+// ready ends an answer with ReadyForQuery, after the held messages if wanted.
+func (s *session) ready(withHeld bool) error {
+	if withHeld {
+		_ = s.writer.Raw(s.held)
+	}
+	s.held = s.held[:0]
+	var raw [headerSize + 1]byte
+	copy(raw[:], []byte{'Z', 0, 0, 0, 5, s.tx})
+	if err := s.writer.Raw(raw[:]); err != nil {
+		return err
+	}
+	return s.writer.Flush()
+}
+
+// tellToken takes a token that moved and tells the caller.
+func (s *session) tellToken(token Token, moved bool) {
+	if !moved {
+		return
+	}
+	token.Group = s.group
+	s.token, s.hasToken = token, true
+	_ = s.writer.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token.String()})
+}
+
+// fail answers a request with an error of the proxy.
+func (s *session) fail(r *request, err error, tx byte) error {
+	s.held = s.held[:0]
+	s.tx = tx
+	_ = s.writer.Message(response(err, "ERROR"))
+	if r.synced {
+		return s.ready(false)
+	}
+	s.skipping = true
+	return s.writer.Flush()
+}
+
+// failLost answers a request whose backend connection failed.
+func (s *session) failLost(r *request, result answer) error {
+	inTransaction := s.tx != backend.TxIdle
+	primary := s.lease.Primary()
+	s.pinned = false
+	s.release(false)
+	s.dropChanges()
+	switch {
+	case inTransaction && !r.commits:
+		// The server rolls back. The transaction stays failed until the caller
+		// ends it, so that its later statements don't run on their own.
+		s.lost = true
+		return s.fail(r, lostError("the backend server was lost; the transaction is rolled back"), backend.TxFailed)
+	case !primary:
+		return s.fail(r, lostError("the backend server was lost"), backend.TxIdle)
+	}
+	return s.fail(r, unknownError("the backend server was lost before it answered"), backend.TxIdle)
+}
+
+func acquireError(err error) error {
+	var known *Error
+	if errors.As(err, &known) {
+		return err
+	}
+	var failed *backend.Error
+	if errors.As(err, &failed) {
+		switch failed.Kind {
+		case backend.KindDeadline:
+			return &Error{Op: "acquire", Kind: KindQueue, Err: errors.New("no backend connection became free before the deadline")}
+		case backend.KindQueueFull:
+			return &Error{Op: "acquire", Kind: KindQueue, Err: errors.New("too many requests wait for a backend connection")}
+		}
+	}
+	return lostError("no backend server can take the request")
+}
+
+// adoptError reports that the session's state couldn't be set on a connection.
+func adoptError(err error) error {
+	var failed *backend.Error
+	if errors.As(err, &failed) && failed.Kind == backend.KindServer {
+		return &Error{Op: "acquire", Kind: KindToken, Err: errors.New("the session's settings can't be set: " + failed.Err.Error())}
+	}
+	return lostError("the backend server was lost")
+}
+
+func lostError(text string) error {
+	return &Error{Op: "relay", Kind: KindBackendLost, Err: errors.New(text)}
+}
+
+func unknownError(text string) error {
+	return &Error{Op: "relay", Kind: KindUnknown, Outcome: OutcomeUnknown, Err: errors.New(text)}
+}
--- /dev/null
+++ b/caller/statement.go
@@ -0,0 +1,469 @@
+package caller
+
+import (
+	"strings"
+	"time"
+)
+
+// Verb says what a statement does to the session or transaction.
+type Verb string
+
+// Verbs that the relay acts on. All other statements are VerbOther.
+const (
+	VerbBegin      Verb = "Begin"
+	VerbCommit     Verb = "Commit"
+	VerbDeallocate Verb = "Deallocate"
+	VerbDiscard    Verb = "Discard"
+	VerbEmpty      Verb = "Empty"
+	VerbOther      Verb = "Other"
+	VerbReset      Verb = "Reset"
+	VerbRollback   Verb = "Rollback"
+	VerbRollbackTo Verb = "RollbackTo"
+	VerbSet        Verb = "Set"
+)
+
+// Hints are what comments of the form "nutmegpier: name, name=value" ask for.
+type Hints struct {
+	// Idempotent allows a retry when the outcome isn't known.
+	Idempotent bool
+	// MaxAge is the age of data that a read accepts. Zero means none.
+	MaxAge time.Duration
+	// Primary sends a read to the primary.
+	Primary bool
+}
+
+// Statement is what the relay knows of one SQL statement.
+type Statement struct {
+	// Access says whether a replica can run the statement.
+	Access Access
+	// Name is the lower-case setting of Set and Reset ("all" for RESET ALL),
+	// the object of Discard, or the statement of Deallocate.
+	Name string
+	// Pins says that the statement leaves state on its connection.
+	Pins bool
+	// ReadOnly says that Begin starts a READ ONLY transaction.
+	ReadOnly bool
+	// Refused says why the statement can't run over a shared connection, or is empty.
+	Refused string
+	// Sequence says that the statement reads the sequence state of the session.
+	Sequence bool
+	// Text is the statement without the semicolon.
+	Text string
+	// Touches says that the statement may change session state unseen.
+	Touches bool
+	// Value is the text after "=" or "TO" of Set, without quotes.
+	Value string
+	// Verb says what the statement does to the session or transaction.
+	Verb Verb
+}
+
+// Classification is what the relay knows of one SQL text.
+type Classification struct {
+	// First is the first statement. Its verb is Empty if there is none.
+	First Statement
+	// Hints are the hints of all comments.
+	Hints Hints
+	// Rest lists the statements after the first.
+	Rest []Statement
+}
+
+// Classify classifies an SQL text. It is conservative: what it can't recognise
+// as a read is a write.
+func Classify(sql string) Classification {
+	z := tokenizer{sql: sql}
+	var c Classification
+	c.First = Statement{Access: AccessRead, Verb: VerbEmpty}
+	for {
+		first := z.next()
+		if first.kind == tokenEnd {
+			break
+		}
+		if first.kind == tokenSemicolon {
+			continue
+		}
+		statement := z.statement(first)
+		if c.First.Verb == VerbEmpty {
+			c.First = statement
+			continue
+		}
+		c.Rest = append(c.Rest, statement)
+	}
+	c.Hints = z.hints
+	return c
+}
+
+// Access returns Write if any statement may write or a hint asks for the primary.
+func (c *Classification) Access() Access {
+	if c.First.Access == AccessWrite || c.Hints.Primary {
+		return AccessWrite
+	}
+	for i := range c.Rest {
+		if c.Rest[i].Access == AccessWrite {
+			return AccessWrite
+		}
+	}
+	return AccessRead
+}
+
+// ControlsTransaction reports whether a statement begins or ends a transaction.
+func (c *Classification) ControlsTransaction() bool {
+	for s := range c.statements {
+		switch s.Verb {
+		case VerbBegin, VerbCommit, VerbRollback, VerbRollbackTo:
+			return true
+		}
+	}
+	return false
+}
+
+// Refused returns why the text can't run, or the empty string.
+func (c *Classification) Refused() string {
+	for s := range c.statements {
+		if s.Refused != "" {
+			return s.Refused
+		}
+	}
+	return ""
+}
+
+// statements yields each statement.
+func (c *Classification) statements(yield func(*Statement) bool) {
+	if !yield(&c.First) {
+		return
+	}
+	for i := range c.Rest {
+		if !yield(&c.Rest[i]) {
+			return
+		}
+	}
+}
+
+// read takes the hints of one comment.
+func (h *Hints) read(comment string) {
+	list, found := strings.CutPrefix(strings.TrimSpace(comment), "nutmegpier:")
+	for found && list != "" {
+		var hint string
+		hint, list, _ = strings.Cut(list, ",")
+		name, value, _ := strings.Cut(strings.TrimSpace(hint), "=")
+		switch strings.TrimSpace(name) {
+		case "idempotent":
+			h.Idempotent = true
+		case "max_age":
+			if age, err := time.ParseDuration(strings.TrimSpace(value)); err == nil && age > 0 {
+				h.MaxAge = age
+			}
+		case "primary":
+			h.Primary = true
+		}
+	}
+}
+
+// statement reads up to the next semicolon and classifies what it read.
+func (z *tokenizer) statement(first sqlToken) Statement {
+	s := Statement{Access: AccessWrite, Verb: VerbOther}
+	var end sqlToken
+	switch {
+	case first.is("begin"), first.is("start"):
+		end = z.beginStatement(&s)
+	case first.is("commit"), first.is("end"):
+		end = z.endStatement(&s, VerbCommit)
+	case first.is("rollback"), first.is("abort"):
+		end = z.endStatement(&s, VerbRollback)
+	case first.is("set"):
+		end = z.setStatement(&s)
+	case first.is("reset"):
+		end = z.nameStatement(&s, VerbReset)
+	case first.is("discard"):
+		end = z.nameStatement(&s, VerbDiscard)
+	case first.is("deallocate"):
+		end = z.deallocateStatement(&s)
+	case first.is("select"), first.is("values"), first.is("table"), first.is("with"), first.is("show"):
+		s.Access = AccessRead
+		end = z.scan(&s, first)
+	case first.kind == tokenPunct && first.text == "(":
+		s.Access = AccessRead
+		end = z.scan(&s, first)
+		if !startsQuery(z.sql[first.start:]) {
+			s.Access = AccessWrite
+		}
+	default:
+		end = z.otherStatement(&s, first)
+	}
+	s.Text = z.sql[first.start:end.start]
+	return s
+}
+
+func (z *tokenizer) beginStatement(s *Statement) sqlToken {
+	s.Verb = VerbBegin
+	var previous sqlToken
+	for {
+		t := z.next()
+		if isStatementEnd(t) {
+			return t
+		}
+		if previous.is("read") {
+			s.ReadOnly = t.is("only")
+			s.Access = AccessWrite
+		}
+		if s.ReadOnly {
+			s.Access = AccessRead
+		}
+		previous = t
+	}
+}
+
+func (z *tokenizer) deallocateStatement(s *Statement) sqlToken {
+	s.Verb = VerbDeallocate
+	s.Access = AccessRead
+	t := z.next()
+	if t.is("prepare") {
+		t = z.next()
+	}
+	s.Name = identifier(t)
+	return z.skipStatement(t)
+}
+
+// endStatement reads COMMIT or ROLLBACK. The forms TO and PREPARED differ.
+func (z *tokenizer) endStatement(s *Statement, verb Verb) sqlToken {
+	s.Verb = verb
+	for {
+		t := z.next()
+		switch {
+		case isStatementEnd(t):
+			return t
+		case t.is("to") && verb == VerbRollback:
+			s.Verb = VerbRollbackTo
+		case t.is("prepared"):
+			s.Verb = VerbOther
+		}
+	}
+}
+
+func (z *tokenizer) nameStatement(s *Statement, verb Verb) sqlToken {
+	s.Verb = verb
+	s.Access = AccessRead
+	t := z.next()
+	s.Name = identifier(t)
+	switch {
+	case t.is("time"):
+		s.Name = "timezone"
+	case t.is("session"):
+		s.Refused = "the role of a shared connection can't be changed"
+	}
+	t = z.next()
+	for t.kind == tokenPunct && t.text == "." {
+		s.Name += "." + identifier(z.next())
+		t = z.next()
+	}
+	return z.skipStatement(t)
+}
+
+// otherStatement classifies statements that go to the primary.
+func (z *tokenizer) otherStatement(s *Statement, first sqlToken) sqlToken {
+	switch {
+	case first.is("listen"):
+		s.Refused = "LISTEN isn't supported over shared connections"
+	case first.is("prepare"), first.is("load"):
+		s.Pins = true
+	case first.is("do"), first.is("call"), first.is("execute"):
+		s.Touches = true
+	case first.is("create"):
+		t := z.next()
+		if t.is("local") || t.is("global") {
+			t = z.next()
+		}
+		s.Pins = t.is("temp") || t.is("temporary") || t.is("or")
+		if isStatementEnd(t) {
+			return t
+		}
+	}
+	return z.scan(s, first)
+}
+
+// scan reads the rest of a statement and looks for words that make it a write
+// or leave state on the connection.
+func (z *tokenizer) scan(s *Statement, previous sqlToken) sqlToken {
+	isDeclare := previous.is("declare")
+	var beforePrevious sqlToken
+	for {
+		t := z.next()
+		if isStatementEnd(t) {
+			return t
+		}
+		switch {
+		case t.kind == tokenPunct && t.text == "(" && isName(previous):
+			s.call(previous.text)
+		case t.is("insert"), t.is("update"), t.is("delete"), t.is("merge"), t.is("into"):
+			s.Access = AccessWrite
+		case previous.is("into") && (t.is("temp") || t.is("temporary")):
+			s.Pins = true
+		case previous.is("for") && (t.is("share") || t.is("no") || t.is("key")):
+			s.Access = AccessWrite
+		case isDeclare && t.is("hold") && previous.is("with") && !beforePrevious.is("without"):
+			s.Pins = true
+		}
+		beforePrevious, previous = previous, t
+	}
+}
+
+// setStatement reads SET in its forms.
+func (z *tokenizer) setStatement(s *Statement) sqlToken {
+	s.Verb = VerbSet
+	s.Access = AccessRead
+	t := z.next()
+	if t.is("session") {
+		t = z.next()
+		if t.is("characteristics") {
+			s.Name = "session characteristics"
+			return z.skipStatement(t)
+		}
+	}
+	switch {
+	case t.is("local"), t.is("transaction"), t.is("constraints"):
+		s.Verb = VerbOther
+		return z.skipStatement(t)
+	case t.is("role"), t.is("authorization"):
+		s.Refused = "the role of a shared connection can't be changed"
+		return z.skipStatement(t)
+	case t.is("time"):
+		s.Name = "timezone"
+		return z.skipStatement(z.next())
+	}
+	return z.setValue(s, t)
+}
+
+// setValue reads the name and value of SET name = value.
+func (z *tokenizer) setValue(s *Statement, t sqlToken) sqlToken {
+	s.Name = identifier(t)
+	if isStatementEnd(t) {
+		return t
+	}
+	for t = z.next(); t.kind == tokenPunct && t.text == "."; t = z.next() {
+		part := z.next()
+		s.Name += "." + identifier(part)
+	}
+	if s.Name == "standard_conforming_strings" || s.Name == "role" || s.Name == "session_authorization" {
+		s.Refused = "setting " + s.Name + " isn't supported over shared connections"
+	}
+	if isStatementEnd(t) {
+		return t
+	}
+	start := z.pos
+	end := z.skipStatement(z.next())
+	s.Value = strings.TrimSpace(z.sql[min(start, end.start):end.start])
+	if n := len(s.Value); n >= 2 && s.Value[0] == '\'' && s.Value[n-1] == '\'' {
+		s.Value = s.Value[1 : n-1]
+	}
+	return end
+}
+
+func (z *tokenizer) skipStatement(t sqlToken) sqlToken {
+	for !isStatementEnd(t) {
+		t = z.next()
+	}
+	return t
+}
+
+// call takes a call of the named function into account.
+func (s *Statement) call(name string) {
+	switch effectOf(name) {
+	case effectPins:
+		s.Access = AccessWrite
+		s.Pins = true
+	case effectSequence:
+		s.Sequence = true
+	case effectWrites:
+		s.Access = AccessWrite
+	}
+}
+
+// effect is what calling a function does.
+type effect string
+
+const (
+	effectNone     effect = ""
+	effectPins     effect = "Pins"
+	effectSequence effect = "Sequence"
+	effectWrites   effect = "Writes"
+)
+
+// maxFunctionName is the longest name in functionEffects, in bytes.
+const maxFunctionName = 32
+
+// functionEffects lists the built-in functions that write or keep session state.
+var functionEffects = map[string]effect{
+	"currval":                     effectSequence,
+	"dblink":                      effectWrites,
+	"dblink_connect":              effectPins,
+	"dblink_exec":                 effectWrites,
+	"lastval":                     effectSequence,
+	"lo_create":                   effectWrites,
+	"lo_creat":                    effectWrites,
+	"lo_from_bytea":               effectWrites,
+	"lo_import":                   effectWrites,
+	"lo_put":                      effectWrites,
+	"lo_unlink":                   effectWrites,
+	"nextval":                     effectWrites,
+	"pg_advisory_lock":            effectPins,
+	"pg_advisory_lock_shared":     effectPins,
+	"pg_advisory_unlock":          effectWrites,
+	"pg_advisory_unlock_all":      effectWrites,
+	"pg_advisory_unlock_shared":   effectWrites,
+	"pg_advisory_xact_lock":       effectWrites,
+	"pg_cancel_backend":           effectWrites,
+	"pg_current_xact_id":          effectWrites,
+	"pg_logical_emit_message":     effectWrites,
+	"pg_notify":                   effectWrites,
+	"pg_terminate_backend":        effectWrites,
+	"pg_try_advisory_lock":        effectPins,
+	"pg_try_advisory_lock_shared": effectPins,
+	"pg_try_advisory_xact_lock":   effectWrites,
+	"set_config":                  effectPins,
+	"setval":                      effectWrites,
+	"txid_current":                effectWrites,
+}
+
+// effectOf looks up a function without allocating.
+func effectOf(name string) effect {
+	if len(name) > maxFunctionName {
+		return effectNone
+	}
+	var lower [maxFunctionName]byte
+	for i := range len(name) {
+		c := name[i]
+		if c >= 'A' && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		lower[i] = c
+	}
+	return functionEffects[string(lower[:len(name)])]
+}
+
+// identifier returns a name as PostgreSQL folds it.
+func identifier(t sqlToken) string {
+	switch t.kind {
+	case tokenQuoted:
+		return strings.ReplaceAll(t.text, `""`, `"`)
+	case tokenWord:
+		return strings.ToLower(t.text)
+	}
+	return ""
+}
+
+func isName(t sqlToken) bool {
+	return t.kind == tokenWord || t.kind == tokenQuoted
+}
+
+func isStatementEnd(t sqlToken) bool {
+	return t.kind == tokenEnd || t.kind == tokenSemicolon
+}
+
+// startsQuery reports whether the first word after opening brackets starts a query.
+func startsQuery(sql string) bool {
+	z := tokenizer{sql: sql}
+	t := z.next()
+	for t.kind == tokenPunct && t.text == "(" {
+		t = z.next()
+	}
+	return t.is("select") || t.is("values") || t.is("table") || t.is("with")
+}
