--- a/standin/simple.go
+++ b/standin/simple.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
@@ -99,7 +100,15 @@
 }
 
 // guessType returns the type of a result column that has no declared type and
-// no value to go by.
-func guessType(string) uint32 {
+// no value to go by. Aggregates over no rows are mostly sums of integers.
+func guessType(name string) uint32 {
+	function, _, isCall := strings.Cut(strings.ToLower(name), "(")
+	if !isCall {
+		return pgtype.TextOID
+	}
+	switch function {
+	case "abs", "coalesce", "count", "length", "max", "min", "sum":
+		return pgtype.Int8OID
+	}
 	return pgtype.TextOID
 }
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -119,3 +119,42 @@
 		t.Errorf("position (-want +got):\n%s", diff)
 	}
 }
+
+// TestExtendedMode guards against failures of ordinary clients in the default
+// query mode, which prepares and describes each statement.
+func TestExtendedMode(t *testing.T) {
+	g := newGroup(t, standin.Options{})
+	testClient(t, g, pgx.QueryExecModeCacheStatement)
+	testClientTypes(t, connect(t, g.Servers()[0], "client", pgx.QueryExecModeCacheStatement))
+}
+
+func testClientTypes(t *testing.T, conn *pgx.Conn) {
+	t.Helper()
+	var number int64
+	var name string
+	var ready bool
+	var mean float64
+	ctx := testContext(t)
+	if err := conn.QueryRow(ctx, "SELECT count(*), avg(price)::float8, $1::text, true::bool FROM tabs LIMIT $2", "x", 1).Scan(&number, &mean, &name, &ready); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{int64(2), 1.875, "x", true}, []any{number, mean, name, ready}); diff != "" {
+		t.Errorf("values (-want +got):\n%s", diff)
+	}
+	if err := conn.QueryRow(ctx, "INSERT INTO tabs (name, count) VALUES ($1, $2) RETURNING id, name", "Jan-Dec", 12).Scan(&number, &name); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{int64(3), "Jan-Dec"}, []any{number, name}); diff != "" {
+		t.Errorf("returned values (-want +got):\n%s", diff)
+	}
+	if err := conn.QueryRow(ctx, "SELECT pg_backend_pid(), current_setting('application_name')").Scan(&number, &name); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{int64(conn.PgConn().PID()), "client"}, []any{number, name}); diff != "" {
+		t.Errorf("session values (-want +got):\n%s", diff)
+	}
+	_, err := conn.Exec(ctx, "INSERT INTO tabs (name) VALUES ($1)", "Jan-Dec")
+	if diff := cmp.Diff("23505", code(err)); diff != "" {
+		t.Errorf("code of a duplicate (-want +got):\n%s", diff)
+	}
+}
