--- a/group/controller.go
+++ b/group/controller.go
@@ -151,7 +151,7 @@
 // ReportFailure notes that a connection to a server failed, and asks all
 // servers for their status at once.
 func (c *Controller) ReportFailure(server fleet.ServerID) {
-	c.update(func(v View) View { return v.Refuse(server) })
+	c.update(func(v View) View { return v.Refuse(server, c.config.Clock.Now()) })
 	c.pollAll()
 }
 
--- a/group/detector.go
+++ b/group/detector.go
@@ -45,7 +45,7 @@
 	Instance fleet.InstanceID
 	// Received is the time at which the report arrived.
 	Received time.Time
-	// Silence is the time since the primary last answered the instance.
+	// Silence is the time for which the primary left requests unanswered.
 	Silence time.Duration
 	Term    fleet.Term
 }
@@ -56,7 +56,7 @@
 	// NextPoll is the time at which all servers are to be asked again.
 	NextPoll time.Time
 	Reason   Reason
-	// Silence is the time since the primary last answered this instance.
+	// Silence is the time for which the primary has left requests unanswered.
 	Silence time.Duration
 	// Suspected is the time at which the present suspicion began.
 	Suspected time.Time
@@ -226,13 +226,14 @@
 	return confirmation{asked: server.Asked, server: server.Server}
 }
 
-// silence returns the time since the primary last answered this instance.
+// silence returns the time since the first request that the primary left
+// unanswered. The time without requests before it says nothing.
 func (d *Detector) silence(now time.Time, view View) time.Duration {
 	primary, found := view.Server(view.Primary)
-	if !found || (primary.Failures == 0 && primary.Heard(d.recent(now))) {
+	if !found || primary.Failures == 0 {
 		return 0
 	}
-	since := primary.Asked
+	since := primary.FailingSince
 	if since.Before(d.trustedSince) {
 		since = d.trustedSince
 	}
--- a/group/promoter.go
+++ b/group/promoter.go
@@ -8,6 +8,10 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
+// promoteTries is the number of times that Promote is tried in one term. A
+// higher term is always safe to go on with, so a dead server costs little time.
+const promoteTries = 2
+
 // Phase is the step at which a promoter is.
 type Phase string
 
@@ -136,6 +140,8 @@
 	chosen   fleet.ServerID
 	deadline time.Time
 	due      time.Time
+	// failures counts the failed calls of Promote in this attempt.
+	failures int
 	grants   []grant
 	group    fleet.GroupID
 	handover *HandoverRequest
@@ -285,7 +291,7 @@
 // nextTerm opens an attempt at a term above all that are known.
 func (p *Promoter) nextTerm(in PromoterInput) {
 	p.term = max(p.term, in.View.Promised()) + 1
-	p.grants, p.refused, p.retries = nil, nil, nil
+	p.failures, p.grants, p.refused, p.retries = 0, nil, nil, nil
 	p.record.Attempts++
 	p.record.Term = p.term
 	if p.record.Decided.IsZero() {
@@ -318,7 +324,7 @@
 	case CallFence:
 		p.fenceAnswered(in, answer, out)
 	case CallPromote:
-		p.promoteAnswered(in, answer)
+		p.promoteAnswered(in, answer, out)
 	case CallWait:
 		if p.phase == PhaseCatchUp {
 			p.fence(in, out)
@@ -427,19 +433,35 @@
 	return weight
 }
 
-func (p *Promoter) promoteAnswered(in PromoterInput, answer Answer) {
+func (p *Promoter) promoteAnswered(in PromoterInput, answer Answer, out *PromoterOutput) {
 	if p.phase != PhasePromote {
 		return
 	}
 	status := answer.Status
 	switch {
-	case answer.Failed:
+	case answer.Failed && p.failures+1 < promoteTries:
+		p.failures++
 		p.retryLater(in, answer.Call)
+	case answer.Failed:
+		p.backOff(in)
 	case status.PromisedTerm > p.term || status.Term != p.term || status.Role != RolePrimary:
 		p.backOff(in)
 	default:
 		p.phase, p.deadline = PhaseEstablish, in.Now.Add(p.settings.EstablishTimeout)
 		p.record.Promoted = in.Now
+		p.awaitStart(in, status.Log, out)
+	}
+}
+
+// awaitStart asks the other servers to answer when they have the start of the term.
+func (p *Promoter) awaitStart(in PromoterInput, start fleet.Position, out *PromoterOutput) {
+	for _, server := range in.View.Servers {
+		if server.Server == p.chosen {
+			continue
+		}
+		out.Calls = append(out.Calls, Call{
+			Kind: CallWait, Position: start, Server: server.Server, Term: p.term, Timeout: p.settings.EstablishTimeout,
+		})
 	}
 }
 
--- a/group/view.go
+++ b/group/view.go
@@ -64,6 +64,9 @@
 	Answered time.Time
 	// Asked is the time before the request for Status was sent.
 	Asked time.Time
+	// FailingSince is the time before the first request that failed since the
+	// last answer. It is zero if none failed.
+	FailingSince time.Time
 	// Failures is the number of requests that failed since the last answer.
 	Failures int
 	// Receipts lists what the server received, in rising order of terms.
@@ -83,6 +86,17 @@
 	return s.Failures < unreachableFailures
 }
 
+// fail notes a number of failures of a request, unless a later one was answered.
+func (s *ServerView) fail(asked time.Time, failures int) {
+	if asked.Before(s.Asked) {
+		return
+	}
+	s.Failures += failures
+	if s.FailingSince.IsZero() || asked.Before(s.FailingSince) {
+		s.FailingSince = asked
+	}
+}
+
 // received reports whether the server holds a receipt for the position.
 func (s ServerView) received(p fleet.Position) bool {
 	for _, receipt := range s.Receipts {
@@ -127,16 +141,13 @@
 
 // Fail returns the view after a request to a server failed.
 func (v View) Fail(server fleet.ServerID, asked time.Time) View {
-	return v.change(server, func(s *ServerView) {
-		if !asked.Before(s.Asked) {
-			s.Failures++
-		}
-	})
+	return v.change(server, func(s *ServerView) { s.fail(asked, 1) })
 }
 
-// Refuse returns the view after a connection to a server failed.
-func (v View) Refuse(server fleet.ServerID) View {
-	return v.change(server, func(s *ServerView) { s.Failures = max(s.Failures+1, unreachableFailures) })
+// Refuse returns the view after a connection to a server failed. The server is
+// not used for routing until it answers a request that began later.
+func (v View) Refuse(server fleet.ServerID, now time.Time) View {
+	return v.change(server, func(s *ServerView) { s.fail(now, unreachableFailures) })
 }
 
 // Heard returns the number of servers that answered a request that began at
@@ -169,7 +180,8 @@
 			s.RoundTrip = took
 		}
 		s.RoundTrip = (s.RoundTrip*roundTripWeight + took) / (roundTripWeight + 1)
-		s.Answered, s.Asked, s.Failures, s.Status = o.Answered, o.Asked, 0, o.Status
+		s.Answered, s.Asked, s.Status = o.Answered, o.Asked, o.Status
+		s.Failures, s.FailingSince = 0, time.Time{}
 	})
 }
 
