fix: use one dial function type in package backend

Cause: session and control connections came with two types of the same name. Change: both use the signature of net.Dialer.DialContext. Conclusion: the package builds.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -40,9 +40,6 @@
 	TxOpen   byte = 'T'
 )
 
-// Dial opens a network connection to a backend server.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
 // ConnConfig says how to connect to a backend server.
 type ConnConfig struct {
 	// Address is the host and port of the server.
@@ -94,7 +91,7 @@
 	config = config.withDefaults()
 	ctx, cancel := context.WithTimeout(ctx, config.ConnectTimeout)
 	defer cancel()
-	netConn, err := config.Dial(ctx, config.Address)
+	netConn, err := config.Dial(ctx, "tcp", config.Address)
 	if err != nil {
 		return nil, &Error{Op: "connect", Kind: KindConnection, Err: err}
 	}
@@ -152,7 +149,7 @@
 func (c *Conn) Cancel(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.config.ConnectTimeout)
 	defer cancel()
-	netConn, err := c.config.Dial(ctx, c.config.Address)
+	netConn, err := c.config.Dial(ctx, "tcp", c.config.Address)
 	if err != nil {
 		return &Error{Op: "cancel", Kind: KindConnection, Err: err}
 	}
@@ -481,10 +478,7 @@
 		config.ConnectTimeout = defaultConnectTimeout
 	}
 	if config.Dial == nil {
-		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			var dialer net.Dialer
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		config.Dial = (&net.Dialer{}).DialContext
 	}
 	return config
 }
