--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -47,7 +47,7 @@
 }
 
 // dial serves a new connection over a pipe.
-func (f *fakeServer) dial(context.Context, string) (net.Conn, error) {
+func (f *fakeServer) dial(context.Context, string, string) (net.Conn, error) {
 	client, server := net.Pipe()
 	go f.serve(server)
 	return client, nil
