feat: add administration API and operators' commands

Drain and restore edit the sheet in force, keep its comments and publish against the version read, with a few repeats on a conflict. The commands have documented exit statuses, so that scripts can tell conflicts and unknown outcomes apart.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -2,36 +2,138 @@
 package cmd
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 )
 
-// Exit statuses of the binary.
+// Exit statuses of the binary. docs/guide/operators.md documents them.
 const (
-	exitOK      = 0
+	exitOK = 0
+	// exitFailure means that the command failed and changed nothing.
 	exitFailure = 1
+	// exitUsage means a usage error or bad input.
+	exitUsage = 2
+	// exitConflict means that another operator was faster.
+	exitConflict = 3
+	// exitUnknown means that a change may have taken effect.
+	exitUnknown = 4
+	// exitUnconfirmed means that a change took effect and is not confirmed by a
+	// majority of the instances yet.
+	exitUnconfirmed = 5
 )
 
+// Error is an error with the exit status that it leads to.
+type Error struct {
+	Err error
+	// Op is the command with those that it is part of.
+	Op string
+	// Status is the exit status.
+	Status int
+}
+
+// Error returns command and cause.
+func (e *Error) Error() string {
+	return e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
 // Main runs the command line and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
 	root := newRootCmd()
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	var known *Error
+	if !errors.As(err, &known) {
 		fmt.Fprintf(stderr, "nutmegpier: %v\n", err)
 		return exitFailure
 	}
-	return exitOK
+	fmt.Fprintln(stderr, known)
+	return known.Status
 }
 
 func newRootCmd() *cobra.Command {
-	return &cobra.Command{
-		Use:           "nutmegpier",
-		Short:         "PostgreSQL proxy with session consistency",
-		SilenceErrors: true,
-		SilenceUsage:  true,
+	options := &globalOptions{}
+	root := newGroupCmd("nutmegpier", "PostgreSQL proxy with session consistency",
+		newConfigCmd(options),
+		newDrainCmd(options),
+		newKeyCmd(options),
+		newRestoreCmd(options),
+		newSheetCmd(options),
+		newStatusCmd(options),
+		newTimelineCmd(options),
+		newVersionCmd(options),
+	)
+	root.SilenceErrors = true
+	root.SilenceUsage = true
+	root.PersistentPreRunE = func(*cobra.Command, []string) error { return options.check() }
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error { return usageError(cmd, err) })
+	options.register(root.PersistentFlags())
+	return root
+}
+
+// newGroupCmd returns a command that only holds other commands. Without one of
+// them it shows its help.
+func newGroupCmd(use, short string, children ...*cobra.Command) *cobra.Command {
+	group := &cobra.Command{
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return nil
+			}
+			return usageError(cmd, unknownCommand(cmd, args[0]))
+		},
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Short: short,
+		Use:   use,
 	}
+	group.AddCommand(children...)
+	return group
+}
+
+func unknownCommand(cmd *cobra.Command, name string) error {
+	message := fmt.Sprintf("unknown command %q", name)
+	cmd.SuggestionsMinimumDistance = 2
+	if suggestions := cmd.SuggestionsFor(name); len(suggestions) > 0 {
+		message += ", did you mean " + strings.Join(suggestions, " or ") + "?"
+	}
+	return errors.New(message)
+}
+
+// exactArgs wants exactly the named arguments.
+func exactArgs(names ...string) cobra.PositionalArgs {
+	return rangeArgs(len(names), names...)
+}
+
+// rangeArgs wants the named arguments, of which those after the first are optional.
+func rangeArgs(least int, names ...string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		switch {
+		case len(args) < least:
+			return usageError(cmd, fmt.Errorf("argument %s is missing", names[len(args)]))
+		case len(args) > len(names):
+			return usageError(cmd, fmt.Errorf("unexpected argument %q", args[len(names)]))
+		default:
+			return nil
+		}
+	}
+}
+
+func inputError(cmd *cobra.Command, err error) error {
+	return &Error{Err: err, Op: cmd.CommandPath(), Status: exitUsage}
+}
+
+func usageError(cmd *cobra.Command, err error) error {
+	return &Error{Err: fmt.Errorf("%w\nRun '%s --help' for usage", err, cmd.CommandPath()), Op: cmd.CommandPath(), Status: exitUsage}
 }
--- /dev/null
+++ b/cmd/draincmd.go
@@ -0,0 +1,41 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/operator"
+)
+
+func newDrainCmd(options *globalOptions) *cobra.Command {
+	force := false
+	dataCentre := &cobra.Command{
+		Args:    exactArgs("NAME"),
+		Example: "  nutmegpier drain data-centre gt-2 --token-file token",
+		Long:    "Takes a data centre out of service. Instances there drain, backend servers there get no new\nwork, and their primaries hand over. The sheet in force is edited and published.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runPlacement(cmd, options, func(ctx context.Context, client *operator.Client) (operator.Publication, error) {
+				return client.DrainDataCentre(ctx, fleet.DataCentre(args[0]), force)
+			})
+		},
+		Short: "Take a data centre out of service",
+		Use:   "data-centre NAME",
+	}
+	server := &cobra.Command{
+		Args:    exactArgs("NAME"),
+		Example: "  nutmegpier drain server orders-3 --token-file token",
+		Long:    "Takes a backend server out of service. It gets no new work and hands over when it is primary.\nThe sheet in force is edited and published.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runPlacement(cmd, options, func(ctx context.Context, client *operator.Client) (operator.Publication, error) {
+				return client.DrainServer(ctx, fleet.ServerID(args[0]), force)
+			})
+		},
+		Short: "Take a backend server out of service",
+		Use:   "server NAME",
+	}
+	drain := newGroupCmd("drain", "Take a data centre or backend server out of service", dataCentre, server)
+	drain.PersistentFlags().BoolVar(&force, "force", false, "accept unsafe changes")
+	return drain
+}
--- a/sheet/sheet.go
+++ b/sheet/sheet.go
@@ -82,7 +82,7 @@
 	KeyID string
 	// NotAfter is the time in RFC 3339 form from which the key is refused;
 	// empty means never.
-	NotAfter string
+	NotAfter string `json:",omitempty"`
 	// ServerKey is in base64.
 	ServerKey string
 	// StoredKey is in base64.
--- a/sheet/unsafe.go
+++ b/sheet/unsafe.go
@@ -96,13 +96,14 @@
 }
 
 // allOut reports whether no known data centre is in service. Without any known
-// one the sheet's own list decides.
+// one the sheet's own list decides, if it has at least two: a list of one says
+// little, because data centres that are not listed are in service.
 func allOut(s Sheet, usage Usage) bool {
 	known := slices.Clone(usage.DataCentres)
 	for _, place := range usage.Servers {
 		known = append(known, place.DataCentre)
 	}
-	if len(known) == 0 {
+	if len(known) == 0 && len(s.DataCentres) > 1 {
 		for _, d := range s.DataCentres {
 			known = append(known, d.DataCentre)
 		}
