--- a/caller/error.go
+++ b/caller/error.go
@@ -21,6 +21,8 @@
 	KindBackendLost Kind = "BackendLost"
 	// KindClosed means that the session ends by shutdown or a withdrawn key.
 	KindClosed Kind = "Closed"
+	// KindForbidden means that the workspace has no such access to the database.
+	KindForbidden Kind = "Forbidden"
 	// KindNotServing means that the instance takes no new work.
 	KindNotServing Kind = "NotServing"
 	// KindPositionLost means that no server can satisfy the session's position.
@@ -35,6 +37,8 @@
 	KindToken Kind = "Token"
 	// KindUnknown means that the outcome of a write isn't known.
 	KindUnknown Kind = "Unknown"
+	// KindUnknownDatabase means that there is no such database.
+	KindUnknownDatabase Kind = "UnknownDatabase"
 	// KindUnsupported means that the statement can't be carried over shared connections.
 	KindUnsupported Kind = "Unsupported"
 )
@@ -74,6 +78,8 @@
 		return "28P01"
 	case KindClosed:
 		return "57P01"
+	case KindForbidden:
+		return "42501"
 	case KindNotServing:
 		return "57P03"
 	case KindProtocol:
@@ -86,6 +92,8 @@
 		return "22023"
 	case KindUnknown:
 		return "40003"
+	case KindUnknownDatabase:
+		return "3D000"
 	case KindUnsupported:
 		return "0A000"
 	default:
--- /dev/null
+++ b/instance/credentials.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/blackboard"
+	"github.com/nutmegpier/nutmegpier/caller"
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// credentials answers for the keys of the sheet in force.
+type credentials struct {
+	now   func() time.Time
+	sheet *blackboard.Section[SheetInForce]
+}
+
+var _ caller.Credentials = &credentials{}
+
+// KeyValid reports whether the sheet in force still accepts the key.
+func (c *credentials) KeyValid(workspace fleet.WorkspaceID, key caller.KeyID) bool {
+	return c.sheet.Load().Sheet.AcceptsKey(workspace, string(key), c.now())
+}
+
+// Verifiers returns the verifiers of the workspace in the sheet in force.
+func (c *credentials) Verifiers(workspace fleet.WorkspaceID) (caller.Verifiers, bool) {
+	found, ok := c.sheet.Load().Sheet.Credentials(workspace, c.now())
+	if !ok {
+		return caller.Verifiers{}, false
+	}
+	verifiers := caller.Verifiers{Iterations: found.Iterations, Salt: found.Salt}
+	for _, verifier := range found.Verifiers {
+		verifiers.Credentials = append(verifiers.Credentials, caller.Credential{
+			KeyID:     caller.KeyID(verifier.KeyID),
+			ServerKey: verifier.ServerKey,
+			StoredKey: verifier.StoredKey,
+		})
+	}
+	return verifiers, true
+}
--- /dev/null
+++ b/instance/error.go
@@ -0,0 +1,32 @@
+package instance
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindListen means that a listener could not be opened.
+	KindListen Kind = "Listen"
+	// KindSettings means that the settings cannot be used.
+	KindSettings Kind = "Settings"
+	// KindStop means that a planned stop could not finish in time.
+	KindStop Kind = "Stop"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Err  error
+	Kind Kind
+	// Op is the operation that failed.
+	Op string
+}
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string {
+	return "instance: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/instance/router.go
@@ -0,0 +1,302 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/blackboard"
+	"github.com/nutmegpier/nutmegpier/caller"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/group"
+)
+
+// retryPause is the time between attempts while a group changes its primary.
+const retryPause = 5 * time.Millisecond
+
+// groupControl is what the router needs of the controller of a group.
+type groupControl interface {
+	// AwaitCommit waits until the outcome of a write is known.
+	AwaitCommit(ctx context.Context, p fleet.Position) (group.CommitDecision, error)
+	// AwaitFresh waits until a replica may serve the read, and returns the candidates.
+	AwaitFresh(ctx context.Context, need group.Requirement, choice group.Choice, bound time.Duration) ([]fleet.ServerID, error)
+	// AwaitPrimary waits until a primary is known that answers.
+	AwaitPrimary(ctx context.Context) (fleet.ServerID, fleet.Term, error)
+	// Barrier returns a position that contains all writes acknowledged before the arrival.
+	Barrier(ctx context.Context, arrived time.Time) (fleet.Position, error)
+	// ReportFailure notes that a connection to a server failed.
+	ReportFailure(server fleet.ServerID)
+}
+
+// pool is what the router needs of the pool of backend connections.
+type pool interface {
+	// Acquire waits for a connection to a server.
+	Acquire(ctx context.Context, now time.Time, request backend.PoolRequest) (*backend.PoolLease, error)
+	// Counts returns the state of the pool of a server.
+	Counts(server fleet.ServerID) backend.Counts
+}
+
+// routedGroup is a group with what routing needs of it.
+type routedGroup struct {
+	control groupControl
+	id      fleet.GroupID
+	servers []fleet.ServerID
+	view    *blackboard.Section[group.View]
+}
+
+// router chooses servers by the view of their group and takes connections from
+// the pool.
+type router struct {
+	commitBound time.Duration
+	freshWait   time.Duration
+	groups      []routedGroup
+	local       fleet.DataCentre
+	now         func() time.Time
+	pool        pool
+	sheet       *blackboard.Section[SheetInForce]
+	strategy    group.Strategy
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+}
+
+var (
+	_ caller.Barrier   = &router{}
+	_ caller.Committer = &router{}
+	_ caller.Router    = &router{}
+)
+
+// Acquire returns a connection to a server that may serve the request.
+func (r *router) Acquire(ctx context.Context, request caller.Request) (caller.Lease, error) {
+	routed, err := r.find(request.Group)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.authorize(request); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	if request.Access == caller.AccessRead {
+		return r.acquireRead(ctx, routed, request)
+	}
+	return r.acquirePrimary(ctx, routed, request)
+}
+
+// AwaitCommit waits at most for the commit bound until the outcome is known.
+func (r *router) AwaitCommit(ctx context.Context, id fleet.GroupID, position fleet.Position) (caller.Outcome, error) {
+	routed, err := r.find(id)
+	if err != nil {
+		return caller.OutcomeUnknown, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.commitBound)
+	defer cancel()
+	decision, err := routed.control.AwaitCommit(ctx, position)
+	switch decision {
+	case group.Committed:
+		return caller.OutcomeCommitted, nil
+	case group.NotRun:
+		return caller.OutcomeNotRun, nil
+	}
+	return caller.OutcomeUnknown, err
+}
+
+// Barrier returns a position that covers all writes acknowledged before arrivedAt.
+func (r *router) Barrier(ctx context.Context, id fleet.GroupID, arrivedAt time.Time) (fleet.Position, error) {
+	routed, err := r.find(id)
+	if err != nil {
+		return fleet.Position{}, err
+	}
+	position, err := routed.control.Barrier(ctx, arrivedAt)
+	if err != nil {
+		return fleet.Position{}, routeError("barrier", err)
+	}
+	return position, nil
+}
+
+// acquireRead tries the candidates in order. A candidate whose connection
+// fails is reported, and the next one is tried.
+func (r *router) acquireRead(ctx context.Context, routed routedGroup, request caller.Request) (caller.Lease, error) {
+	need := group.Requirement{
+		MaxAge:  request.MaxAge,
+		Seen:    request.Token.Seen,
+		Written: request.Token.Written,
+	}
+	for {
+		candidates, err := routed.control.AwaitFresh(ctx, need, r.choice(routed), r.freshWait)
+		if err != nil {
+			return nil, routeError("choose replica", err)
+		}
+		lease, err := r.tryServers(ctx, routed, request, candidates)
+		if lease != nil || isFinal(ctx, err) {
+			return lease, err
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return nil, routeError("choose replica", err)
+		}
+	}
+}
+
+// acquirePrimary waits through a change of primary until the deadline.
+func (r *router) acquirePrimary(ctx context.Context, routed routedGroup, request caller.Request) (caller.Lease, error) {
+	for {
+		server, _, err := routed.control.AwaitPrimary(ctx)
+		if err != nil {
+			return nil, routeError("find primary", err)
+		}
+		lease, err := r.tryServers(ctx, routed, request, []fleet.ServerID{server})
+		if lease != nil || isFinal(ctx, err) {
+			return lease, err
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return nil, routeError("find primary", err)
+		}
+	}
+}
+
+// tryServers returns a lease of the first server that gives a connection. The
+// error is that of the last one that was tried.
+func (r *router) tryServers(ctx context.Context, routed routedGroup, request caller.Request, servers []fleet.ServerID) (caller.Lease, error) {
+	primary := routed.view.Load().Primary
+	var last error = &caller.Error{
+		Op:      "acquire",
+		Kind:    caller.KindBackendLost,
+		Err:     fmt.Errorf("database %q: no backend server can serve the request", routed.id),
+		Outcome: caller.OutcomeNotRun,
+	}
+	for _, server := range servers {
+		if server == request.Exclude && len(servers) > 1 {
+			continue
+		}
+		poolRequest := r.poolRequest(server, request)
+		poolRequest.Primary = server == primary
+		lease, err := r.pool.Acquire(ctx, r.now(), poolRequest)
+		if err == nil {
+			return lease, nil
+		}
+		last = routeError("acquire", err)
+		if isConnectionFailure(err) {
+			routed.control.ReportFailure(server)
+		}
+	}
+	return nil, last
+}
+
+func (r *router) poolRequest(server fleet.ServerID, request caller.Request) backend.PoolRequest {
+	weight := 1
+	if limits, found := r.sheet.Load().Sheet.Limits(request.Workspace); found {
+		weight = limits.Weight
+	}
+	return backend.PoolRequest{
+		ArrivedAt: request.ArrivedAt,
+		Deadline:  request.Deadline,
+		Server:    server,
+		Weight:    weight,
+		Workspace: request.Workspace,
+	}
+}
+
+func (r *router) choice(routed routedGroup) group.Choice {
+	choice := group.Choice{
+		Placement: placement(r.sheet.Load().Sheet, r.local),
+		Random:    r.newRandom(),
+		Strategy:  r.strategy,
+	}
+	for _, server := range routed.servers {
+		counts := r.pool.Counts(server)
+		choice.Loads = append(choice.Loads, group.Load{Outstanding: counts.InUse + counts.Waiting, Server: server})
+	}
+	return choice
+}
+
+// newRandom returns a source for one decision, because sources are not safe
+// for concurrent use.
+func (r *router) newRandom() *rand.Rand {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	return rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
+}
+
+func (r *router) authorize(request caller.Request) error {
+	current := r.sheet.Load().Sheet
+	if current.MayUse(request.Workspace, request.Group) {
+		return nil
+	}
+	if request.Access == caller.AccessRead && current.IsOpenToAll(request.Group) {
+		return nil
+	}
+	return &caller.Error{
+		Op:      "authorize",
+		Kind:    caller.KindForbidden,
+		Err:     fmt.Errorf("workspace %q has no such access to database %q", request.Workspace, request.Group),
+		Outcome: caller.OutcomeNotRun,
+	}
+}
+
+func (r *router) find(id fleet.GroupID) (routedGroup, error) {
+	for _, routed := range r.groups {
+		if routed.id == id {
+			return routed, nil
+		}
+	}
+	return routedGroup{}, &caller.Error{
+		Op:      "find database",
+		Kind:    caller.KindUnknownDatabase,
+		Err:     fmt.Errorf("database %q does not exist", id),
+		Outcome: caller.OutcomeNotRun,
+	}
+}
+
+// routeError gives an error of the group or the pool the kind that callers see.
+func routeError(op string, err error) error {
+	var already *caller.Error
+	if errors.As(err, &already) {
+		return already
+	}
+	return &caller.Error{Op: op, Kind: routeKind(err), Err: err, Outcome: caller.OutcomeNotRun}
+}
+
+func routeKind(err error) caller.Kind {
+	var groupErr *group.Error
+	if errors.As(err, &groupErr) && groupErr.Kind == group.KindLost {
+		return caller.KindPositionLost
+	}
+	var backendErr *backend.Error
+	if errors.As(err, &backendErr) {
+		switch backendErr.Kind {
+		case backend.KindDeadline, backend.KindQueueFull:
+			return caller.KindQueue
+		}
+	}
+	return caller.KindBackendLost
+}
+
+// isFinal reports whether another attempt is of no use.
+func isFinal(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	var callerErr *caller.Error
+	return errors.As(err, &callerErr) && callerErr.Kind != caller.KindBackendLost
+}
+
+// pause waits for a while or until the context ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func isConnectionFailure(err error) bool {
+	var backendErr *backend.Error
+	return errors.As(err, &backendErr) && backendErr.Kind == backend.KindConnection
+}
