--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,349 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// Defaults of a pool.
+const (
+	defaultMaxOpening = 2
+	defaultQueueLimit = 1024
+)
+
+// PoolConfig holds the dependencies and settings of a Pool.
+type PoolConfig struct {
+	// Connect opens a connection to a server. It must honour ctx.
+	Connect func(ctx context.Context, server fleet.ServerID, address string) (*Conn, error)
+	// MaxOpening bounds the concurrent openings for each server. Zero means 2.
+	MaxOpening int
+	// Now returns the time. Nil means time.Now.
+	Now func() time.Time
+	// QueueLimit bounds the waiting requests of a workspace for each server.
+	// Zero means 1024.
+	QueueLimit int
+	// Starved is told when requests wait for a permit. It must not block or
+	// call the pool. Nil means nobody is told.
+	Starved func(server fleet.ServerID)
+}
+
+// PoolRequest asks a Pool for a connection.
+type PoolRequest struct {
+	// ArrivedAt is when the request arrived from the caller.
+	ArrivedAt time.Time
+	// Deadline is when the request is refused.
+	Deadline time.Time
+	// Primary says that the server was chosen as primary. The lease repeats it.
+	Primary bool
+	// Server is the server to connect to.
+	Server fleet.ServerID
+	// Weight is the share of the workspace in the queue.
+	Weight int
+	// Workspace is the workspace of the caller.
+	Workspace fleet.WorkspaceID
+}
+
+// Pool holds the session connections to all backend servers. The decisions are
+// those of PoolState.
+type Pool struct {
+	cancel  context.CancelFunc
+	config  PoolConfig
+	ctx     context.Context
+	mu      sync.Mutex
+	servers map[fleet.ServerID]*poolServer
+}
+
+// poolServer holds the connections of one server. The pool's mu guards it.
+type poolServer struct {
+	address string
+	id      fleet.ServerID
+	idle    []*Conn
+	next    WaiterID
+	retry   *time.Timer
+	state   *PoolState
+	waiters map[WaiterID]*waiter
+}
+
+// waiter is a request that waits. Its channel gets one grant.
+type waiter struct {
+	granted chan grant
+	request PoolRequest
+}
+
+// grant is what a waiter gets.
+type grant struct {
+	err   error
+	lease *PoolLease
+}
+
+// PoolLease is the use of one connection of a Pool.
+type PoolLease struct {
+	conn     *Conn
+	pool     *Pool
+	primary  bool
+	released bool
+	server   *poolServer
+}
+
+// NewPool returns a pool without servers.
+func NewPool(config PoolConfig) *Pool {
+	if config.MaxOpening == 0 {
+		config.MaxOpening = defaultMaxOpening
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.QueueLimit == 0 {
+		config.QueueLimit = defaultQueueLimit
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{cancel: cancel, config: config, ctx: ctx, servers: make(map[fleet.ServerID]*poolServer)}
+}
+
+// Acquire waits for a connection until the request's deadline. Errors are of
+// type *Error; all mean that nothing ran.
+func (p *Pool) Acquire(ctx context.Context, now time.Time, request PoolRequest) (*PoolLease, error) {
+	p.mu.Lock()
+	s := p.servers[request.Server]
+	if s == nil || s.state.Draining() {
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: KindUnavailable, Err: errors.New("the server takes no new work")}
+	}
+	if s.state.TryGrant() {
+		lease := p.lease(s, request.Primary)
+		p.mu.Unlock()
+		return lease, nil
+	}
+	counts := s.state.Counts()
+	if counts.total() == 0 && now.Before(s.state.RetryAt()) {
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: KindUnavailable, Err: errors.New("the server can't be reached")}
+	}
+	s.next++
+	id := s.next
+	w := &waiter{granted: make(chan grant, 1), request: request}
+	s.waiters[id] = w
+	actions, queued := s.state.Enqueue(now, id, request.Workspace, request.Weight, request.Deadline)
+	if !queued {
+		delete(s.waiters, id)
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: KindQueueFull}
+	}
+	p.perform(s, actions)
+	p.mu.Unlock()
+	return p.await(ctx, now, s, id, w)
+}
+
+// Close closes all idle connections and refuses further requests.
+func (p *Pool) Close() {
+	p.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		p.perform(s, s.state.Drain())
+	}
+}
+
+// Counts returns the numbers of connections to a server.
+func (p *Pool) Counts(server fleet.ServerID) Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		return s.state.Counts()
+	}
+	return Counts{}
+}
+
+// Drain stops new work for a server. SetServer ends the drain.
+func (p *Pool) Drain(server fleet.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		p.perform(s, s.state.Drain())
+	}
+}
+
+// GivePermit gives up one permit for a server, and reports false if all are in
+// use. The connection that used it is closed when GivePermit returns.
+func (p *Pool) GivePermit(server fleet.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		return false
+	}
+	actions, given := s.state.GivePermit(p.config.Now())
+	p.perform(s, actions)
+	return given
+}
+
+// Held returns the number of permits in effect for a server. It is above the
+// limit while connections over a lowered limit are still in use.
+func (p *Pool) Held(server fleet.ServerID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		return s.state.Held()
+	}
+	return 0
+}
+
+// SetServer adds a server or changes its limits. A changed address closes the
+// idle connections; those in use are closed when they are released.
+func (p *Pool) SetServer(server fleet.ServerID, address string, limits Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		s = &poolServer{address: address, id: server, waiters: make(map[WaiterID]*waiter)}
+		s.state = NewPoolState(limits, p.config.MaxOpening, p.config.QueueLimit)
+		p.servers[server] = s
+	}
+	if s.address != address {
+		s.address = address
+		p.perform(s, s.state.Drain())
+	}
+	p.perform(s, s.state.SetLimits(p.config.Now(), limits))
+}
+
+// Warm keeps at least n connections to a server open, within its permits.
+func (p *Pool) Warm(server fleet.ServerID, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		p.perform(s, s.state.Warm(p.config.Now(), n))
+	}
+}
+
+// Conn returns the connection.
+func (l *PoolLease) Conn() *Conn {
+	return l.conn
+}
+
+// Primary reports whether the server was chosen as primary.
+func (l *PoolLease) Primary() bool {
+	return l.primary
+}
+
+// Release gives the connection back. It is closed if it isn't healthy, or not
+// in a state in which another request can use it. Repeating it has no effect.
+func (l *PoolLease) Release(healthy bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
+	healthy = healthy && l.conn.Reusable() && l.conn.config.Address == l.server.address && !l.server.state.Draining()
+	if healthy {
+		l.server.idle = append(l.server.idle, l.conn)
+	} else {
+		_ = l.conn.Close()
+	}
+	l.pool.perform(l.server, l.server.state.Release(l.pool.config.Now(), healthy))
+}
+
+// Server returns the id of the server.
+func (l *PoolLease) Server() fleet.ServerID {
+	return l.server.id
+}
+
+// await waits for the grant of a queued request.
+func (p *Pool) await(ctx context.Context, now time.Time, s *poolServer, id WaiterID, w *waiter) (*PoolLease, error) {
+	timer := time.NewTimer(w.request.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g.lease, g.err
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	delete(s.waiters, id)
+	abandoned := s.state.Abandon(id)
+	p.mu.Unlock()
+	if !abandoned {
+		// The grant came first, so it is in the channel.
+		g := <-w.granted
+		return g.lease, g.err
+	}
+	return nil, &Error{Op: "acquire", Kind: KindDeadline, Err: ctx.Err()}
+}
+
+// lease takes the idle connection that was used last, so that the others can
+// be given up. The caller holds mu and has told the state.
+func (p *Pool) lease(s *poolServer, primary bool) *PoolLease {
+	last := len(s.idle) - 1
+	conn := s.idle[last]
+	s.idle[last] = nil
+	s.idle = s.idle[:last]
+	return &PoolLease{conn: conn, pool: p, primary: primary, server: s}
+}
+
+// open opens one connection for an ActionOpen.
+func (p *Pool) open(s *poolServer, address string) {
+	conn, err := p.config.Connect(p.ctx, s.id, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && (s.address != address || s.state.Draining()) {
+		_ = conn.Close()
+		err = &Error{Op: "open", Kind: KindClosed}
+	}
+	if err == nil {
+		s.idle = append(s.idle, conn)
+	}
+	p.perform(s, s.state.Opened(p.config.Now(), err == nil))
+	if err != nil {
+		p.retryLater(s)
+	}
+}
+
+// perform does what the state asks for. The caller holds mu.
+func (p *Pool) perform(s *poolServer, actions []Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case ActionCloseIdle:
+			oldest := s.idle[0]
+			s.idle = append(s.idle[:0], s.idle[1:]...)
+			_ = oldest.Close()
+		case ActionExpire:
+			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindDeadline}})
+		case ActionGrant:
+			lease := p.lease(s, s.waiters[action.Waiter].request.Primary)
+			s.resolve(action.Waiter, grant{lease: lease})
+		case ActionOpen:
+			go p.open(s, s.address)
+		case ActionRefuse:
+			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindUnavailable, Err: errors.New("the server can't be reached")}})
+		case ActionStarved:
+			if p.config.Starved != nil {
+				p.config.Starved(s.id)
+			}
+		}
+	}
+}
+
+// retryLater tries openings again when the backoff has passed. The caller holds mu.
+func (p *Pool) retryLater(s *poolServer) {
+	if s.retry != nil {
+		s.retry.Stop()
+	}
+	s.retry = time.AfterFunc(s.state.RetryAt().Sub(p.config.Now()), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.ctx.Err() == nil {
+			p.perform(s, s.state.Tick(p.config.Now()))
+		}
+	})
+}
+
+// resolve answers a waiter.
+func (s *poolServer) resolve(id WaiterID, g grant) {
+	w := s.waiters[id]
+	delete(s.waiters, id)
+	w.granted <- g
+}
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -282,7 +282,7 @@
 
 // isSwallowed takes a message that completes an operation off the queue, and
 // reports whether the caller didn't ask for it.
-func (s *session) isSwallowed(_ *backend.Conn, kind byte) bool {
+func (s *session) isSwallowed(kind byte) bool {
 	switch kind {
 	case '1', '2', '3', 'C', 'I', 'T', 'n', 's':
 	default:
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -323,7 +323,7 @@
 	}
 	for key, id := range p.keys {
 		client, _ := scram.SHA256.NewClient("", key, "")
-		stored := client.GetStoredCredentials(scram.KeyFactors{Salt: p.salt, Iters: 4096})
+		stored, _ := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: p.salt, Iters: 4096})
 		verifiers.Credentials = append(verifiers.Credentials, caller.Credential{KeyID: id, ServerKey: stored.ServerKey, StoredKey: stored.StoredKey})
 	}
 	return verifiers, true
@@ -403,3 +403,9 @@
 		return reply{}
 	}
 }
+
+func (p *fakePolicy) decide(decision caller.Decision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decision = decision
+}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -86,7 +86,7 @@
 	case 'N':
 		return conn.CopyTo(s.writer)
 	}
-	if s.isSwallowed(conn, frame.Type) {
+	if s.isSwallowed(frame.Type) {
 		return nil
 	}
 	if frame.Type == 'C' && s.lease.Primary() {
