--- a/backend/control.go
+++ b/backend/control.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return group.ServerStatus{}, err
 	}
-	status, err := parseStatusRow(names, values)
+	status, err := ParseStatusRow(names, values)
 	if err != nil {
 		return group.ServerStatus{}, &Error{Err: err, Kind: KindProtocol, Op: op}
 	}
@@ -239,7 +239,7 @@
 	if values[0] != "t" && values[0] != "f" {
 		return false, group.ServerStatus{}, fmt.Errorf("column granted: want t or f, got %q", values[0])
 	}
-	status, err := parseStatusRow(names[1:], values[1:])
+	status, err := ParseStatusRow(names[1:], values[1:])
 	return values[0] == "t", status, err
 }
 
@@ -266,10 +266,11 @@
 	statusConnectionLimit
 )
 
-// parseStatusRow parses a status row. Each column must be there, in order.
-func parseStatusRow(names, values []string) (group.ServerStatus, error) {
+// ParseStatusRow parses the names and values of a status row. Each column must
+// be there, in order.
+func ParseStatusRow(names, values []string) (group.ServerStatus, error) {
 	if len(names) != len(statusColumns) || len(values) != len(names) {
-		return group.ServerStatus{}, fmt.Errorf("status row has %d columns, want %d", len(names), len(statusColumns))
+		return group.ServerStatus{}, fmt.Errorf("status row has %d columns and %d values, want %d", len(names), len(values), len(statusColumns))
 	}
 	for i, name := range names {
 		if name != statusColumns[i] {
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,336 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	nutmegpierv1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
+	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
+	"github.com/nutmegpier/nutmegpier/platform"
+)
+
+// Outage is the way in which the table and the objects are unavailable.
+type Outage string
+
+// Outages.
+const (
+	// OutageFail fails calls at once.
+	OutageFail Outage = "Fail"
+	// OutageHang answers no call before the caller's deadline.
+	OutageHang Outage = "Hang"
+	// OutageNone is normal service.
+	OutageNone Outage = "None"
+)
+
+// CallCounts counts the calls that reached the platform. Calls during an
+// outage count too.
+type CallCounts struct {
+	Lists  int
+	Reads  int
+	Writes int
+}
+
+// Platform is the stand-in for the platform: table, object store and list of
+// instances. It is an http.Handler for PlatformService. Outages and delays
+// concern the table and the objects; the list has its own lag and outage.
+type Platform struct {
+	handler http.Handler
+
+	// mu guards the fields below.
+	mu          sync.Mutex
+	changed     chan struct{}
+	counts      CallCounts
+	delay       time.Duration
+	frozen      []platform.Instance
+	instances   map[fleet.InstanceID]platform.Instance
+	isFrozen    bool
+	listOutage  Outage
+	loseAnswers int
+	objects     map[string][]byte
+	outage      Outage
+	rows        map[string]platform.Row
+}
+
+var _ nutmegpierv1connect.PlatformServiceHandler = &Platform{}
+
+// NewPlatform returns a platform without rows, objects and instances.
+func NewPlatform() *Platform {
+	p := &Platform{
+		changed:    make(chan struct{}),
+		instances:  make(map[fleet.InstanceID]platform.Instance),
+		listOutage: OutageNone,
+		objects:    make(map[string][]byte),
+		outage:     OutageNone,
+		rows:       make(map[string]platform.Row),
+	}
+	_, p.handler = nutmegpierv1connect.NewPlatformServiceHandler(p)
+	return p
+}
+
+// ServeHTTP serves PlatformService.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.handler.ServeHTTP(w, r)
+}
+
+// Listen serves the platform on a new loopback listener. It returns the base
+// URL and a function that stops serving.
+func (p *Platform) Listen() (baseURL string, stop func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, &Error{Err: err, Kind: KindListen, Op: "platform"}
+	}
+	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
+	var wg sync.WaitGroup
+	// Serve ends with an error only when stop closes the server.
+	wg.Go(func() { _ = server.Serve(listener) })
+	return "http://" + listener.Addr().String(), func() {
+		server.Close()
+		wg.Wait()
+	}, nil
+}
+
+// Counts returns the calls so far.
+func (p *Platform) Counts() CallCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// AddInstance adds an instance to the list, or replaces its entry.
+func (p *Platform) AddInstance(instance platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[instance.ID] = instance
+}
+
+// RemoveInstance removes an instance from the list.
+func (p *Platform) RemoveInstance(id fleet.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.instances, id)
+}
+
+// FreezeInstances makes the list lag: while frozen, it is reported as it was.
+func (p *Platform) FreezeInstances(frozen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen, p.isFrozen = p.sortedInstances(), frozen
+}
+
+// LoseAnswers fails the next n writes after they took effect.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseAnswers = n
+}
+
+// SetDelay makes each call to the table and the objects take longer.
+func (p *Platform) SetDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// SetListOutage starts or ends an outage of the list of instances.
+func (p *Platform) SetListOutage(outage Outage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listOutage = outage
+	p.broadcast()
+}
+
+// SetOutage starts or ends an outage of the table and the objects. A hanging
+// call is answered when the outage ends before the caller's deadline.
+func (p *Platform) SetOutage(outage Outage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outage = outage
+	p.broadcast()
+}
+
+// broadcast wakes hanging calls. The caller holds mu.
+func (p *Platform) broadcast() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// enter waits for the delay and for the end of a hanging outage.
+func (p *Platform) enter(ctx context.Context, outage *Outage) error {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	if outage == &p.outage && delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+	}
+	for {
+		p.mu.Lock()
+		current, changed := *outage, p.changed
+		p.mu.Unlock()
+		switch current {
+		case OutageNone:
+			return nil
+		case OutageFail:
+			return connect.NewError(connect.CodeUnavailable, errors.New("the service is down"))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+	}
+}
+
+// count counts a call.
+func (p *Platform) count(counter *int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*counter++
+}
+
+// GetObject returns one object.
+func (p *Platform) GetObject(ctx context.Context, req *connect.Request[nutmegpierv1.GetObjectRequest]) (*connect.Response[nutmegpierv1.GetObjectResponse], error) {
+	p.count(&p.counts.Reads)
+	if err := p.enter(ctx, &p.outage); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	content, found := p.objects[req.Msg.GetName()]
+	return connect.NewResponse(&nutmegpierv1.GetObjectResponse{Content: content, Found: found}), nil
+}
+
+// ListInstances returns the list of instances, as it was when it is frozen.
+func (p *Platform) ListInstances(ctx context.Context, _ *connect.Request[nutmegpierv1.ListInstancesRequest]) (*connect.Response[nutmegpierv1.ListInstancesResponse], error) {
+	p.count(&p.counts.Lists)
+	if err := p.enter(ctx, &p.listOutage); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	instances := p.frozen
+	if !p.isFrozen {
+		instances = p.sortedInstances()
+	}
+	res := &nutmegpierv1.ListInstancesResponse{}
+	for _, i := range instances {
+		res.Instances = append(res.Instances, &nutmegpierv1.ListedInstance{
+			DataCentre:  string(i.DataCentre),
+			Instance:    string(i.ID),
+			PeerAddress: i.PeerAddress,
+			State:       string(i.State),
+		})
+	}
+	return connect.NewResponse(res), nil
+}
+
+// sortedInstances returns the instances by id. The caller holds mu.
+func (p *Platform) sortedInstances() []platform.Instance {
+	var instances []platform.Instance
+	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
+		instances = append(instances, p.instances[id])
+	}
+	return instances
+}
+
+// PutObject stores one object.
+func (p *Platform) PutObject(ctx context.Context, req *connect.Request[nutmegpierv1.PutObjectRequest]) (*connect.Response[nutmegpierv1.PutObjectResponse], error) {
+	p.count(&p.counts.Writes)
+	if err := p.enter(ctx, &p.outage); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects[req.Msg.GetName()] = slices.Clone(req.Msg.GetContent())
+	if err := p.takeLostAnswer(); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&nutmegpierv1.PutObjectResponse{}), nil
+}
+
+// takeLostAnswer returns an error if the answer is to be lost. The caller holds mu.
+func (p *Platform) takeLostAnswer() error {
+	if p.loseAnswers == 0 {
+		return nil
+	}
+	p.loseAnswers--
+	return connect.NewError(connect.CodeUnavailable, errors.New("the answer was lost"))
+}
+
+// ReadRows reads rows of the table.
+func (p *Platform) ReadRows(ctx context.Context, req *connect.Request[nutmegpierv1.ReadRowsRequest]) (*connect.Response[nutmegpierv1.ReadRowsResponse], error) {
+	p.count(&p.counts.Reads)
+	if err := p.enter(ctx, &p.outage); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	prefix := req.Msg.GetPrefix()
+	res := &nutmegpierv1.ReadRowsResponse{}
+	for _, key := range slices.Sorted(maps.Keys(p.rows)) {
+		if slices.Contains(req.Msg.GetKeys(), key) || prefix != "" && strings.HasPrefix(key, prefix) {
+			res.Rows = append(res.Rows, p.rowMessage(key))
+		}
+	}
+	return connect.NewResponse(res), nil
+}
+
+// rowMessage returns the message for a row. The caller holds mu.
+func (p *Platform) rowMessage(key string) *nutmegpierv1.Row {
+	row := p.rows[key]
+	return &nutmegpierv1.Row{Key: key, Revision: uint64(row.Revision), Value: row.Value}
+}
+
+// WriteRows writes all rows if all conditions hold, and none otherwise.
+func (p *Platform) WriteRows(ctx context.Context, req *connect.Request[nutmegpierv1.WriteRowsRequest]) (*connect.Response[nutmegpierv1.WriteRowsResponse], error) {
+	p.count(&p.counts.Writes)
+	if err := p.enter(ctx, &p.outage); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keys := make(map[string]bool)
+	applied := true
+	for _, c := range req.Msg.GetConditions() {
+		keys[c.GetKey()] = true
+		applied = applied && uint64(p.rows[c.GetKey()].Revision) == c.GetRevision()
+	}
+	for _, row := range req.Msg.GetRows() {
+		keys[row.GetKey()] = true
+		if applied {
+			p.write(row)
+		}
+	}
+	res := &nutmegpierv1.WriteRowsResponse{Applied: applied}
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		res.Rows = append(res.Rows, p.rowMessage(key))
+	}
+	if err := p.takeLostAnswer(); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(res), nil
+}
+
+// write stores a row. The caller holds mu.
+func (p *Platform) write(row *nutmegpierv1.Row) {
+	p.rows[row.GetKey()] = platform.Row{
+		Key:      row.GetKey(),
+		Revision: p.rows[row.GetKey()].Revision + 1,
+		Value:    slices.Clone(row.GetValue()),
+	}
+}
