--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"errors"
 	"math/rand/v2"
@@ -10,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 	"github.com/xdg-go/scram"
 	"pgregory.net/rapid"
 
@@ -66,7 +67,7 @@
 		{"Write", sheet.PublishRequest{Base: 7, Content: content, Publication: "p8"}, sheet.Decision{Version: 8, Write: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if diff := cmp.Diff(tc.want, sheet.DecidePublish(state, tc.request)); diff != "" {
+			if diff := gocmp.Diff(tc.want, sheet.DecidePublish(state, tc.request)); diff != "" {
 				t.Errorf("decision (-want +got):\n%s", diff)
 			}
 		})
@@ -112,7 +113,7 @@
 		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDD",
 		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCC",
 	}
-	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
+	if diff := gocmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
@@ -200,7 +201,7 @@
 		s.IsOpenToAll("shelf"), s.IsOpenToAll("orders"),
 		s.MayUse("die-room", "orders"), s.MayUse("die-room", "stock"), limits,
 	}
-	if diff := cmp.Diff(want, got); diff != "" {
+	if diff := gocmp.Diff(want, got); diff != "" {
 		t.Errorf("lookups (-want +got):\n%s", diff)
 	}
 }
@@ -227,7 +228,7 @@
 		"f:15:58: Workspaces[1].Burst: burst below 1 with a rate above 0 admits no request",
 		`f:23:46: Servers[0].State: value is not accepted, found "Gone", accepted: InService, Leaving`,
 	}
-	if diff := cmp.Diff(want, invalid.Lines()); diff != "" {
+	if diff := gocmp.Diff(want, invalid.Lines()); diff != "" {
 		t.Errorf("problems (-want +got):\n%s", diff)
 	}
 }
@@ -244,7 +245,7 @@
 		t.Fatal(err)
 	}
 	want := []string{"+ DataCentres[gt-1].State: Out", "~ Servers[orders-3].State: Leaving -> InService"}
-	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, content))); diff != "" {
+	if diff := gocmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, content))); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 	if !strings.Contains(content, "// The die room has") {
@@ -255,6 +256,27 @@
 	}
 }
 
+// TestReferencePage guards against a page that lacks a key of the sheet or
+// states other accepted values.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/sheet.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, rule := range sheet.Rules() {
+		line := "| `" + rule.Path + "` | " + cmp.Or(rule.Accepted(false), "-") + " | "
+		switch {
+		case rule.Required:
+			line += "required"
+		default:
+			line += cmp.Or(rule.Default, "-")
+		}
+		if !strings.Contains(string(page), line+" | ") {
+			t.Errorf("docs/sheet.md lacks %q", line)
+		}
+	}
+}
+
 // TestUnsafe guards against sheets that stop service and that nobody is asked
 // about, and against old risks that block a repair.
 func TestUnsafe(t *testing.T) {
@@ -264,15 +286,18 @@
 		{DataCentre: "gt-1", Group: "orders", Server: "orders-2"},
 		{DataCentre: "gt-2", Group: "stock", Server: "stock-1"},
 	}}
-	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
+	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-9", "State": "Out"}, {"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
+		`{"Server": "orders-3"`, `{"Server": "order-2", "State": "Leaving"}, {"Server": "orders-3"`,
 		`"KeyID": "k1", "StoredKey": "EEEE"`, `"KeyID": "k9", "StoredKey": "GGGG"`, `"die-room"`, `"dye-room"`).Replace(content)
 	want := []sheet.Risk{
 		{Kind: sheet.RiskAllDataCentresOut},
 		{Kind: sheet.RiskNoServerLeft, Subject: "orders"},
+		{Kind: sheet.RiskUnknownDataCentre, Subject: "gt-9"},
+		{Kind: sheet.RiskUnknownServer, Subject: "order-2"},
 		{Kind: sheet.RiskWorkspaceRemoved, Subject: "die-room"},
 		{Kind: sheet.RiskKeysWithdrawn, Subject: "school-supply"},
 	}
-	if diff := cmp.Diff(want, sheet.Unsafe(parse(t, content), parse(t, worse), usage)); diff != "" {
+	if diff := gocmp.Diff(want, sheet.Unsafe(parse(t, content), parse(t, worse), usage)); diff != "" {
 		t.Errorf("risks (-want +got):\n%s", diff)
 	}
 }
--- a/sheet/unsafe.go
+++ b/sheet/unsafe.go
@@ -20,6 +20,11 @@
 	RiskKeysWithdrawn RiskKind = "KeysWithdrawn"
 	// RiskNoServerLeft means that no server of a group takes new work.
 	RiskNoServerLeft RiskKind = "NoServerLeft"
+	// RiskUnknownDataCentre means that a data centre is out that has no known
+	// instance or server, as after a typing error.
+	RiskUnknownDataCentre RiskKind = "UnknownDataCentre"
+	// RiskUnknownServer means that a server is leaving that no group has.
+	RiskUnknownServer RiskKind = "UnknownServer"
 	// RiskWorkspaceRemoved means that a workspace is no longer listed.
 	RiskWorkspaceRemoved RiskKind = "WorkspaceRemoved"
 )
@@ -27,7 +32,8 @@
 // Risk is one unsafe effect of a sheet.
 type Risk struct {
 	Kind RiskKind
-	// Subject is the id of the workspace or group; empty for all data centres.
+	// Subject is the id of the workspace, group, server or data centre; empty
+	// for all data centres.
 	Subject string
 }
 
@@ -42,6 +48,10 @@
 		return fmt.Sprintf("all keys of workspace %s are withdrawn", r.Subject)
 	case RiskNoServerLeft:
 		return fmt.Sprintf("no server of group %s is left in service", r.Subject)
+	case RiskUnknownDataCentre:
+		return fmt.Sprintf("data centre %s is out, but no known instance or server is there", r.Subject)
+	case RiskUnknownServer:
+		return fmt.Sprintf("server %s is leaving, but no group has it", r.Subject)
 	default:
 		return fmt.Sprintf("workspace %s is removed", r.Subject)
 	}
@@ -92,6 +102,28 @@
 			risks = append(risks, Risk{Kind: RiskBusyWorkspaceStopped, Subject: string(workspace)})
 		}
 	}
+	return append(risks, unknownPlaces(s, usage)...)
+}
+
+// unknownPlaces returns the places out of service that nothing is known of.
+// Without known servers nothing can be said.
+func unknownPlaces(s Sheet, usage Usage) []Risk {
+	if len(usage.Servers) == 0 {
+		return nil
+	}
+	var risks []Risk
+	known := dataCentresOf(usage)
+	for _, d := range s.DataCentres {
+		if d.State == StateOut && !slices.Contains(known, d.DataCentre) {
+			risks = append(risks, Risk{Kind: RiskUnknownDataCentre, Subject: string(d.DataCentre)})
+		}
+	}
+	for _, server := range s.Servers {
+		isKnown := slices.ContainsFunc(usage.Servers, func(place ServerPlace) bool { return place.Server == server.Server })
+		if server.State == StateLeaving && !isKnown {
+			risks = append(risks, Risk{Kind: RiskUnknownServer, Subject: string(server.Server)})
+		}
+	}
 	return risks
 }
 
@@ -99,10 +131,7 @@
 // one the sheet's own list decides, if it has at least two: a list of one says
 // little, because data centres that are not listed are in service.
 func allOut(s Sheet, usage Usage) bool {
-	known := slices.Clone(usage.DataCentres)
-	for _, place := range usage.Servers {
-		known = append(known, place.DataCentre)
-	}
+	known := dataCentresOf(usage)
 	if len(known) == 0 && len(s.DataCentres) > 1 {
 		for _, d := range s.DataCentres {
 			known = append(known, d.DataCentre)
@@ -111,6 +140,14 @@
 	return len(known) > 0 && !slices.ContainsFunc(known, s.IsInService)
 }
 
+func dataCentresOf(usage Usage) []fleet.DataCentre {
+	known := slices.Clone(usage.DataCentres)
+	for _, place := range usage.Servers {
+		known = append(known, place.DataCentre)
+	}
+	return known
+}
+
 func groupsOf(usage Usage) []fleet.GroupID {
 	var groups []fleet.GroupID
 	for _, place := range usage.Servers {
