fix: resolve pipelined statements at their place in the batch

A batch that prepares the unnamed statement twice used the second text for both. Statements are now resolved while the batch is read.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -82,6 +82,7 @@
 	owner    uint64
 	txStatus byte
 	unnamed  string
+	unsynced bool
 	writer   *FrameWriter
 }
 
@@ -124,6 +125,12 @@
 	c.moved = false
 }
 
+// BeginUnsynced says that messages are about to be sent that end in a Flush.
+// The connection can't be reused before their Sync was answered.
+func (c *Conn) BeginUnsynced() {
+	c.unsynced = true
+}
+
 // Body returns the body of the current message. It is valid until Next.
 func (c *Conn) Body() ([]byte, error) {
 	if c.bodyRead {
@@ -254,7 +261,7 @@
 // Reusable reports whether the connection is in a known state outside a
 // transaction, so that another request may use it.
 func (c *Conn) Reusable() bool {
-	return !c.broken && c.inFlight == 0 && c.txStatus == TxIdle && c.reader.Buffered() == 0
+	return !c.broken && !c.unsynced && c.inFlight == 0 && c.txStatus == TxIdle && c.reader.Buffered() == 0
 }
 
 // Send appends raw bytes to what Flush sends.
@@ -467,6 +474,7 @@
 		return c.fail("read", &Error{Op: "read", Kind: KindProtocol, Err: errors.New("unexpected ReadyForQuery")})
 	}
 	c.txStatus = body[0]
+	c.unsynced = false
 	return nil
 }
 
--- a/caller/batch.go
+++ b/caller/batch.go
@@ -18,6 +18,9 @@
 	end   int
 	kind  byte
 	start int
+	// statement is the one that Parse, Bind or Describe refers to at this
+	// place of the batch. It is nil if there is none.
+	statement *preparedStatement
 }
 
 // batch is what a caller sent up to a Query, Sync or Flush. It is kept until
@@ -66,16 +69,10 @@
 	kind     byte
 	// local says that the answer is made here, not by the server.
 	local bool
-	// name is the statement that an answer to Parse or Close is about.
+	// name is the statement that an answer to Parse is about.
 	name string
 }
 
-// portal is a portal of the current transaction.
-type portal struct {
-	name      string
-	statement *preparedStatement
-}
-
 // preparedStatement is a statement that a caller prepared. It is parsed on a
 // backend connection when it is first used there.
 type preparedStatement struct {
--- a/caller/check.go
+++ b/caller/check.go
@@ -20,6 +20,7 @@
 	own := (first.Verb == VerbSet || first.Verb == VerbReset) && isOwnSetting(first.Name)
 	renamed := first.Verb == VerbDeallocate && s.prepared[first.Name] != nil
 	if len(class.Rest) > 0 {
+		s.pinMixed(class)
 		return sql, checkSingle(class)
 	}
 	switch {
@@ -37,6 +38,19 @@
 	return sql, nil
 }
 
+// pinMixed pins the connection for a text that both controls transactions and
+// changes settings, since which changes last isn't tracked inside a text.
+func (s *session) pinMixed(class *Classification) {
+	if !class.ControlsTransaction() {
+		return
+	}
+	for statement := range class.statements {
+		if statement.Verb == VerbSet || statement.Verb == VerbReset {
+			statement.Pins = true
+		}
+	}
+}
+
 // checkSingle refuses statements that only work alone in a text.
 func checkSingle(class *Classification) error {
 	for s := range class.statements {
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"errors"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -79,16 +78,16 @@
 
 // include finds out what the messages of the batch ask for.
 func (s *session) include(r *request) error {
-	for _, m := range s.batch.messages {
-		body := s.batch.body(m)
+	for i := range s.batch.messages {
+		m := &s.batch.messages[i]
 		var err error
 		switch m.kind {
 		case 'P':
-			err = s.includeParse(body)
+			err = s.includeParse(m)
 		case 'B':
-			err = s.includeBind(r, body)
+			err = s.includeBind(r, m)
 		case 'C', 'D':
-			_, _, err = objectName(body)
+			err = s.includeObject(m)
 		}
 		if err != nil {
 			s.dropChanges()
@@ -98,8 +97,8 @@
 	return nil
 }
 
-func (s *session) includeParse(body []byte) error {
-	name, statement, err := parseMessage(body)
+func (s *session) includeParse(m *message) error {
+	name, statement, err := parseMessage(s.batch.body(*m))
 	if err != nil {
 		return err
 	}
@@ -109,24 +108,36 @@
 	}
 	statement.digest()
 	s.prepared[string(name)] = statement
+	m.statement = statement
+	return nil
+}
+
+// includeObject takes the object of a Describe or Close. A closed statement
+// stays on the connection for other sessions.
+func (s *session) includeObject(m *message) error {
+	kind, name, err := objectName(s.batch.body(*m))
+	if err != nil || kind != 'S' {
+		return err
+	}
+	m.statement = s.prepared[string(name)]
+	if m.kind == 'C' {
+		delete(s.prepared, string(name))
+	}
 	return nil
 }
 
 // includeBind takes the statement of a Bind as one that runs.
-func (s *session) includeBind(r *request, body []byte) error {
-	portalName, name, _, err := bindNames(body)
+func (s *session) includeBind(r *request, m *message) error {
+	_, name, _, err := bindNames(s.batch.body(*m))
 	if err != nil {
 		return err
 	}
-	statement := s.prepared[string(name)]
-	if statement == nil {
+	m.statement = s.prepared[string(name)]
+	if m.statement == nil {
 		return nil
 	}
-	r.include(&statement.class)
-	s.noteChanges(&statement.class)
-	if len(portalName) > 0 {
-		s.portals = append(s.portals, portal{name: string(portalName), statement: statement})
-	}
+	r.include(&m.statement.class)
+	s.noteChanges(&m.statement.class)
 	return nil
 }
 
@@ -151,39 +162,31 @@
 	body := s.batch.body(m)
 	switch m.kind {
 	case 'P':
-		name, _, _ := bytes.Cut(body, []byte{0})
-		return s.sendParse(conn, string(name))
+		return s.sendParse(conn, body[0] == 0, m.statement)
 	case 'B':
-		return s.sendBind(conn, body)
+		return s.sendBind(conn, body, m.statement)
 	case 'C':
 		return s.sendClose(conn, body)
 	case 'D':
-		return s.sendDescribe(conn, body)
+		return s.sendDescribe(conn, body, m.statement)
 	}
 	s.operation = append(s.operation, operation{kind: m.kind})
 	return conn.Send(s.batch.raw(m))
 }
 
 // sendParse sends a caller's Parse, unless the connection holds the statement.
-func (s *session) sendParse(conn *backend.Conn, name string) error {
-	statement := s.prepared[name]
-	if statement == nil {
-		// A later Close in the same batch removed the statement, so only its
-		// answer is missing.
+func (s *session) sendParse(conn *backend.Conn, unnamed bool, statement *preparedStatement) error {
+	if !unnamed && conn.HasPrepared(statement.name) {
 		s.operation = append(s.operation, operation{kind: 'P', local: true})
 		return nil
 	}
-	if name != "" && conn.HasPrepared(statement.name) {
-		s.operation = append(s.operation, operation{kind: 'P', local: true})
-		return nil
-	}
-	return s.parse(conn, name, statement, false)
+	return s.parse(conn, unnamed, statement, false)
 }
 
 // parse sends a Parse of a statement under its name for the connection.
-func (s *session) parse(conn *backend.Conn, name string, statement *preparedStatement, injected bool) error {
+func (s *session) parse(conn *backend.Conn, unnamed bool, statement *preparedStatement, injected bool) error {
 	on := statement.name
-	if name == "" {
+	if unnamed {
 		on = ""
 		conn.SetUnnamed(statement.name)
 	} else {
@@ -195,29 +198,28 @@
 
 // ensureParsed returns the name of a statement on the connection, and parses
 // it there first if needed. Unknown names are passed on for the server to refuse.
-func (s *session) ensureParsed(conn *backend.Conn, name []byte) (string, error) {
-	statement := s.prepared[string(name)]
+func (s *session) ensureParsed(conn *backend.Conn, name []byte, statement *preparedStatement) (string, error) {
 	if statement == nil {
 		return string(name), nil
 	}
 	if len(name) == 0 {
 		if conn.Unnamed() != statement.name {
-			return "", s.parse(conn, "", statement, true)
+			return "", s.parse(conn, true, statement, true)
 		}
 		return "", nil
 	}
 	if !conn.HasPrepared(statement.name) {
-		return statement.name, s.parse(conn, statement.name, statement, true)
+		return statement.name, s.parse(conn, false, statement, true)
 	}
 	return statement.name, nil
 }
 
-func (s *session) sendBind(conn *backend.Conn, body []byte) error {
+func (s *session) sendBind(conn *backend.Conn, body []byte, statement *preparedStatement) error {
 	portalName, name, rest, err := bindNames(body)
 	if err != nil {
 		return err
 	}
-	on, err := s.ensureParsed(conn, name)
+	on, err := s.ensureParsed(conn, name, statement)
 	if err != nil {
 		return err
 	}
@@ -226,21 +228,15 @@
 }
 
 func (s *session) sendClose(conn *backend.Conn, body []byte) error {
-	kind, name, err := objectName(body)
-	if err != nil {
-		return err
-	}
-	if kind == 'P' {
+	if body[0] == 'P' {
 		s.operation = append(s.operation, operation{kind: 'C'})
 		return sendNamed(conn, 'C', body)
 	}
-	// The statement stays on the connection for other sessions.
-	delete(s.prepared, string(name))
 	s.operation = append(s.operation, operation{kind: 'C', local: true})
 	return nil
 }
 
-func (s *session) sendDescribe(conn *backend.Conn, body []byte) error {
+func (s *session) sendDescribe(conn *backend.Conn, body []byte, statement *preparedStatement) error {
 	kind, name, err := objectName(body)
 	if err != nil {
 		return err
@@ -249,7 +245,7 @@
 		s.operation = append(s.operation, operation{kind: 'D'})
 		return sendNamed(conn, 'D', body)
 	}
-	on, err := s.ensureParsed(conn, name)
+	on, err := s.ensureParsed(conn, name, statement)
 	if err != nil {
 		return err
 	}
@@ -341,9 +337,7 @@
 		case 'P':
 			_ = s.writer.Message(&pgproto3.ParseComplete{})
 		case 'B':
-			_, name, _, err := bindNames(s.batch.body(m))
-			statement := s.prepared[string(name)]
-			if err != nil || statement == nil || !isTransactionEnd(statement.sql) {
+			if m.statement == nil || !isTransactionEnd(m.statement.sql) {
 				return s.refuseLost(r)
 			}
 			_ = s.writer.Message(&pgproto3.BindComplete{})
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -53,6 +53,13 @@
 	return client, nil
 }
 
+// connections returns how many connections were opened.
+func (f *fakeServer) connections() uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pid
+}
+
 // statements returns the statements that ran.
 func (f *fakeServer) statements() []string {
 	f.mu.Lock()
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -15,20 +15,24 @@
 
 // relayState is the state of one relayed answer.
 type relayState struct {
-	answer    answer
-	commitTag bool
-	holding   bool
-	inBlock   bool
+	answer  answer
+	holding bool
+	inBlock bool
 }
 
 // attempt sends a request to the leased connection and relays the answer. An
 // error ends the session.
 func (s *session) attempt(r *request) (answer, error) {
 	conn := s.lease.Conn()
-	s.held = s.held[:0]
 	s.operation = s.operation[:0]
+	s.rolledBack = false
+	if !s.commitTag {
+		s.held = s.held[:0]
+	}
 	if r.synced {
 		conn.Begin()
+	} else {
+		conn.BeginUnsynced()
 	}
 	if err := s.send(r, conn); err != nil {
 		return answer{err: err}, nil
@@ -41,7 +45,7 @@
 
 // relay passes the server's messages on until the answer is complete.
 func (s *session) relay(r *request, conn *backend.Conn) (answer, error) {
-	state := relayState{inBlock: s.tx != backend.TxIdle}
+	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle}
 	for {
 		s.answerLocal()
 		if !r.synced && (len(s.operation) == 0 || state.answer.code != "") {
@@ -89,10 +93,17 @@
 	if s.isSwallowed(frame.Type) {
 		return nil
 	}
+	if frame.Type == 'C' {
+		body, err := conn.Body()
+		if err != nil {
+			return err
+		}
+		s.rolledBack = string(body) == "ROLLBACK\x00"
+	}
 	if frame.Type == 'C' && s.lease.Primary() {
 		return s.hold(conn, frame, state)
 	}
-	if state.holding && state.commitTag {
+	if state.holding && s.commitTag {
 		return s.holdMore(conn, frame)
 	}
 	if state.holding {
@@ -130,14 +141,14 @@
 	if err != nil {
 		return err
 	}
-	if state.holding && !state.commitTag {
+	if state.holding && !s.commitTag {
 		if err := s.writer.Raw(s.held); err != nil {
 			return err
 		}
 		s.held = s.held[:0]
 	}
 	state.holding = true
-	state.commitTag = state.commitTag || strings.HasPrefix(string(body), "COMMIT")
+	s.commitTag = s.commitTag || strings.HasPrefix(string(body), "COMMIT")
 	s.holdRaw(frame, body)
 	return nil
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -141,7 +141,7 @@
 // admit checks the session's key and the workspace's rate. A transaction is
 // one request, so its statements after the first aren't checked again.
 func (s *session) admit(*request) error {
-	if s.tx != backend.TxIdle {
+	if s.tx != backend.TxIdle || s.flushOpen() {
 		return nil
 	}
 	config := &s.server.config
@@ -229,7 +229,7 @@
 	position, moved := conn.Moved()
 	primary := s.lease.Primary()
 	if !r.synced {
-		return s.writer.Flush()
+		return s.finishFlush()
 	}
 	s.tx = conn.TxStatus()
 	s.settle(r, result, conn)
@@ -249,6 +249,16 @@
 	return s.acknowledge(position, result)
 }
 
+// finishFlush ends the answer to a Flush. What is held acknowledges nothing
+// before Sync, except for a COMMIT, which stays held.
+func (s *session) finishFlush() error {
+	if !s.commitTag {
+		_ = s.writer.Raw(s.held)
+		s.held = s.held[:0]
+	}
+	return s.writer.Flush()
+}
+
 // acknowledge passes on the held answer of a write once its commit is durable.
 func (s *session) acknowledge(position fleet.Position, result answer) error {
 	outcome, err := s.server.config.Committer.AwaitCommit(s.context(), s.group, position)
@@ -275,6 +285,7 @@
 		_ = s.writer.Raw(s.held)
 	}
 	s.held = s.held[:0]
+	s.commitTag = false
 	var raw [headerSize + 1]byte
 	copy(raw[:], []byte{'Z', 0, 0, 0, 5, s.tx})
 	if err := s.writer.Raw(raw[:]); err != nil {
@@ -296,6 +307,7 @@
 // fail answers a request with an error of the proxy.
 func (s *session) fail(r *request, err error, tx byte) error {
 	s.held = s.held[:0]
+	s.commitTag = false
 	s.tx = tx
 	_ = s.writer.Message(response(err, "ERROR"))
 	if r.synced {
--- a/caller/session.go
+++ b/caller/session.go
@@ -23,6 +23,7 @@
 	arrivedAt  time.Time
 	batch      batch
 	changes    []settingChange
+	commitTag  bool
 	conn       net.Conn
 	ctx        context.Context
 	group      fleet.GroupID
@@ -35,7 +36,6 @@
 	maxAge     time.Duration
 	operation  []operation
 	pinned     bool
-	portals    []portal
 	prepared   map[string]*preparedStatement
 	processID  uint32
 	profile    string
@@ -243,7 +243,6 @@
 	s.lease = nil
 	s.cancelled = false
 	s.pinned = false
-	s.portals = s.portals[:0]
 }
 
 // sendNow sends one message to the caller.
--- /dev/null
+++ b/caller/session_test.go
@@ -0,0 +1,238 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/nutmegpier/nutmegpier/caller"
+)
+
+// TestAuthentication guards against a wrong key being accepted, a second valid
+// key being refused, and unknown workspaces being told apart.
+func TestAuthentication(t *testing.T) {
+	d := deploy(t, oneRow("primary"), nil)
+	for _, tc := range []struct {
+		name, user, key string
+		want            [2]string
+	}{
+		{"FirstKey", testWorkspace, "old key", [2]string{}},
+		{"SecondKey", testWorkspace, testKey, [2]string{}},
+		{"UnknownWorkspace", "nobody", testKey, [2]string{"28P01", "Outcome: NotRun"}},
+		{"WrongKey", testWorkspace, "wrong", [2]string{"28P01", "Outcome: NotRun"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			conn, err := d.tryConnect(func(config *pgx.ConnConfig) { config.User, config.Password = tc.user, tc.key })
+			var got [2]string
+			if err != nil {
+				got = failure(t, err)
+			} else {
+				_ = conn.Close(context.Background())
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// awaitFatal reads from an idle connection until the server closes it, and
+// returns the SQLSTATE that it sent.
+func awaitFatal(t *testing.T, conn *pgx.Conn) string {
+	t.Helper()
+	var code string
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := conn.PgConn().WaitForNotification(ctx)
+	var known *pgconn.PgError
+	if errors.As(err, &known) {
+		code = known.Code
+	}
+	return code
+}
+
+// TestWithdrawnKey guards against sessions that outlive their key: idle ones
+// end at once, those in a transaction when it ends.
+func TestWithdrawnKey(t *testing.T) {
+	d := deploy(t, writes, nil)
+	idle, inTransaction, other := d.connect(t), d.connect(t), d.connect(t, func(config *pgx.ConnConfig) { config.Password = "old key" })
+	mustExec(t, inTransaction, "begin")
+	d.policy.revoke("k2")
+	d.server.Recheck()
+	if diff := cmp.Diff("57P01", awaitFatal(t, idle)); diff != "" {
+		t.Errorf("idle session (-want +got):\n%s", diff)
+	}
+	mustExec(t, inTransaction, "insert into t values (1)")
+	mustExec(t, inTransaction, "commit")
+	if diff := cmp.Diff("57P01", awaitFatal(t, inTransaction)); diff != "" {
+		t.Errorf("session after its transaction (-want +got):\n%s", diff)
+	}
+	mustExec(t, other, "select 1")
+}
+
+// TestDrain guards against a shutdown that interrupts a transaction or lets
+// new sessions in.
+func TestDrain(t *testing.T) {
+	d := deploy(t, writes, nil)
+	idle, inTransaction := d.connect(t), d.connect(t)
+	mustExec(t, inTransaction, "begin")
+	drained := make(chan error, 1)
+	go func() { drained <- d.server.Drain(context.Background()) }()
+	if diff := cmp.Diff("57P01", awaitFatal(t, idle)); diff != "" {
+		t.Errorf("idle session (-want +got):\n%s", diff)
+	}
+	_, err := d.tryConnect()
+	if diff := cmp.Diff([2]string{"57P03", "Outcome: NotRun"}, failure(t, err)); diff != "" {
+		t.Errorf("new session (-want +got):\n%s", diff)
+	}
+	mustExec(t, inTransaction, "insert into t values (1)")
+	mustExec(t, inTransaction, "commit")
+	if err := <-drained; err != nil {
+		t.Errorf("Drain: %v", err)
+	}
+}
+
+// TestCancel guards against a cancel request that reaches another session's
+// statement: it carries the key of the backend connection in use, and that
+// connection isn't used again.
+func TestCancel(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	script := func(sql string) reply {
+		if strings.HasPrefix(sql, "select slow") {
+			close(started)
+			<-cancelled
+			return reply{code: "57014"}
+		}
+		return writes(sql)
+	}
+	d := deploy(t, script, nil)
+	conn := d.connect(t, simpleMode)
+	go func() {
+		<-started
+		if err := conn.PgConn().CancelRequest(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(uint32(1), <-d.primary.cancels); diff != "" {
+			t.Errorf("cancelled process (-want +got):\n%s", diff)
+		}
+		close(cancelled)
+	}()
+	_, err := conn.Exec(context.Background(), "select slow")
+	if diff := cmp.Diff([2]string{"57014", "Outcome: Failed"}, failure(t, err)); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+	mustExec(t, conn, "select 1")
+	if diff := cmp.Diff(uint32(2), d.primary.connections()); diff != "" {
+		t.Errorf("connections to the backend server (-want +got):\n%s", diff)
+	}
+}
+
+// forwarder notes the cancel requests for other instances.
+type forwarder struct {
+	forwarded chan uint32
+}
+
+func (f forwarder) ForwardCancel(_ context.Context, processID uint32, _ []byte) error {
+	f.forwarded <- processID
+	return nil
+}
+
+// TestCancelElsewhere guards against cancel requests being lost that reach an
+// instance that doesn't serve the session.
+func TestCancelElsewhere(t *testing.T) {
+	f := forwarder{forwarded: make(chan uint32, 1)}
+	d := deploy(t, writes, nil, func(config *caller.Config) { config.CancelForwarder = f })
+	conn, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	request, err := (&pgproto3.CancelRequest{ProcessID: 77, SecretKey: []byte{1, 2, 3, 4}}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(uint32(77), <-f.forwarded); diff != "" {
+		t.Errorf("forwarded process (-want +got):\n%s", diff)
+	}
+}
+
+// TestHostileInput guards against input that hangs a session or is answered
+// with a wrong SQLSTATE.
+func TestHostileInput(t *testing.T) {
+	message := func(code uint32, rest string) []byte {
+		raw := binary.BigEndian.AppendUint32(nil, uint32(8+len(rest)))
+		return append(binary.BigEndian.AppendUint32(raw, code), rest...)
+	}
+	const version3 = 3 << 16
+	for _, tc := range []struct {
+		name  string
+		input []byte
+		half  bool
+		want  string
+	}{
+		{"BadLength", []byte{0, 0, 0, 1, 0, 0, 0, 0}, false, "08P01"},
+		{"BadOptions", message(version3, "user\x00u\x00options\x00-x\x00\x00"), false, "08P01"},
+		{"HalfClosed", []byte{0, 0}, true, ""},
+		{"NoUser", message(version3, "database\x00d\x00\x00"), false, "08P01"},
+		{"OldVersion", message(2<<16, ""), false, "08P01"},
+		{"Oversized", []byte{0x7f, 0, 0, 0, 0, 3, 0, 0}, false, "08P01"},
+		{"Replication", message(version3, "user\x00u\x00replication\x00true\x00\x00"), false, "0A000"},
+		{"SettingInjection", message(version3, "user\x00u\x00a;drop table t\x00x\x00\x00"), false, "22023"},
+		{"Slow", []byte{0, 0}, false, ""},
+		{"Unterminated", message(version3, "user\x00u"), false, "08P01"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := deploy(t, writes, nil, func(config *caller.Config) { config.StartupTimeout = 200 * time.Millisecond })
+			conn, err := net.Dial("tcp", d.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write(tc.input); err != nil {
+				t.Fatal(err)
+			}
+			if tc.half {
+				_ = conn.(*net.TCPConn).CloseWrite()
+			}
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			output, _ := io.ReadAll(conn)
+			if diff := cmp.Diff(tc.want, fatalCode(output)); diff != "" {
+				t.Errorf("SQLSTATE (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// fatalCode returns the SQLSTATE of an encoded ErrorResponse.
+func fatalCode(output []byte) string {
+	_, rest, found := bytes.Cut(output[min(5, len(output)):], []byte("\x00C"))
+	if !found {
+		return ""
+	}
+	code, _, _ := bytes.Cut(rest, []byte{0})
+	return string(code)
+}
+
+// TestOversizedMessage guards against a message over the limit being buffered.
+func TestOversizedMessage(t *testing.T) {
+	d := deploy(t, writes, nil, func(config *caller.Config) { config.MaxMessage = 1000 })
+	conn := d.connect(t, simpleMode)
+	_, err := conn.Exec(context.Background(), "select '"+strings.Repeat("x", 2000)+"'")
+	if diff := cmp.Diff("08P01", failure(t, err)[0]); diff != "" {
+		t.Errorf("SQLSTATE (-want +got):\n%s", diff)
+	}
+}
