fix: keep failover events in the timeline under a flood of refusals

Debug events come with single requests and pushed all others out of the ring buffer. They have a ring of their own now. Differences of settings hide token sums, JSON lists without entries are [], and the reference pages are written by go test -update.

--- a/cmd/configcmd.go
+++ b/cmd/configcmd.go
@@ -47,6 +47,7 @@
 
 // printReport prints a check of a file and fails when it has problems.
 func (o *globalOptions) printReport(cmd *cobra.Command, report checkReport) error {
+	report.Problems = orEmpty(report.Problems)
 	err := o.print(cmd, report, func(out io.Writer) error {
 		for _, problem := range report.Problems {
 			fmt.Fprintln(out, problem)
--- a/cmd/options.go
+++ b/cmd/options.go
@@ -83,6 +83,14 @@
 	return context.WithTimeout(parent, o.timeout)
 }
 
+// orEmpty makes the JSON form of a list without entries [] rather than null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
 // print writes the value as JSON, or calls text for the text form.
 func (o *globalOptions) print(cmd *cobra.Command, value any, text func(out io.Writer) error) error {
 	out := cmd.OutOrStdout()
--- a/cmd/sheetcmd.go
+++ b/cmd/sheetcmd.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	changes := sheet.Diff(before, after)
-	return options.print(cmd, changes, func(out io.Writer) error {
+	return options.print(cmd, orEmpty(changes), func(out io.Writer) error {
 		for _, change := range changes {
 			fmt.Fprintln(out, change)
 		}
@@ -182,7 +182,7 @@
 	if err != nil {
 		return callError(cmd, err)
 	}
-	return options.print(cmd, history, func(out io.Writer) error { return renderHistory(out, history) })
+	return options.print(cmd, orEmpty(history), func(out io.Writer) error { return renderHistory(out, history) })
 }
 
 func renderHistory(out io.Writer, history []operator.SheetSummary) error {
--- a/cmd/timelinecmd.go
+++ b/cmd/timelinecmd.go
@@ -63,7 +63,7 @@
 		return callError(cmd, lastErr)
 	}
 	merged := event.Merge(lists...)
-	return options.print(cmd, merged, func(out io.Writer) error {
+	return options.print(cmd, orEmpty(merged), func(out io.Writer) error {
 		_, err := io.WriteString(out, event.Render(merged))
 		return err
 	})
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"io"
 	"os"
 	"strings"
@@ -16,6 +17,8 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
+var update = flag.Bool("update", false, "write docs/events.md")
+
 var start = time.Date(2026, 3, 2, 6, 30, 0, 0, time.UTC)
 
 func recorder(instance fleet.InstanceID, now *time.Time, out io.Writer, capacity int) *event.Recorder {
@@ -41,6 +44,11 @@
 		}
 		last, seen[e.Name] = e.Number, true
 	}
+	if *update {
+		if err := os.WriteFile("../docs/events.md", []byte(event.Reference()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
 	page, err := os.ReadFile("../docs/events.md")
 	if err != nil {
 		t.Fatal(err)
@@ -62,6 +70,12 @@
 	for _, e := range r.Events(event.Filter{}) {
 		got = append(got, e.Text)
 	}
+	for range 9 {
+		r.Record(event.RequestRefused, event.Fields{})
+	}
+	if diff := cmp.Diff(6, len(r.Events(event.Filter{}))); diff != "" {
+		t.Errorf("after a flood of debug events (-want +got):\n%s", diff)
+	}
 	if diff := cmp.Diff([]string{"3", "4", "5"}, got); diff != "" {
 		t.Errorf("texts (-want +got):\n%s", diff)
 	}
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -23,14 +23,15 @@
 	logger   *logrus.Logger
 
 	mu sync.Mutex
-	// next is the index in ring that is overwritten next.
-	next  int
-	ring  []Event
-	size  int
+	// debug keeps the events that come with single requests, so that a flood
+	// of them does not push out the events of a failover.
+	debug ring
+	other ring
 	stamp Stamp
 }
 
-// New returns a recorder that keeps at least one and at most capacity events.
+// New returns a recorder that keeps the latest events: up to capacity of level
+// debug, and up to capacity of the other levels.
 func New(instance fleet.InstanceID, epoch fleet.Epoch, clock Clock, logger *logrus.Logger, capacity int) *Recorder {
 	entries := map[Number]Entry{}
 	for _, e := range Catalogue() {
@@ -38,11 +39,12 @@
 	}
 	return &Recorder{
 		clock:    clock,
+		debug:    ring{size: max(capacity, 1)},
 		entries:  entries,
 		epoch:    epoch,
 		instance: instance,
 		logger:   logger,
-		size:     max(capacity, 1),
+		other:    ring{size: max(capacity, 1)},
 	}
 }
 
@@ -68,14 +70,7 @@
 func (r *Recorder) Events(filter Filter) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var matching []Event
-	for i := range r.ring {
-		e := r.ring[(r.next+i)%len(r.ring)]
-		if filter.matches(e) {
-			matching = append(matching, e)
-		}
-	}
-	return filter.limit(matching)
+	return filter.limit(Merge(r.debug.matching(filter), r.other.matching(filter)))
 }
 
 // Observe takes in a stamp of another instance. Stamps taken later are later
@@ -120,12 +115,11 @@
 	e.Time = r.clock()
 	r.stamp = r.stamp.next(Stamp{}, e.Time)
 	e.Stamp = r.stamp
-	if len(r.ring) < r.size {
-		r.ring = append(r.ring, *e)
+	if e.Level == LevelDebug {
+		r.debug.add(*e)
 		return
 	}
-	r.ring[r.next] = *e
-	r.next = (r.next + 1) % r.size
+	r.other.add(*e)
 }
 
 func (r *Recorder) log(e Event) {
@@ -137,7 +131,12 @@
 }
 
 func logFields(e Event) logrus.Fields {
-	fields := logrus.Fields{"Event": uint32(e.Number), "Instance": string(e.Instance)}
+	fields := logrus.Fields{
+		"Epoch":    uint64(e.Epoch),
+		"Event":    uint32(e.Number),
+		"Instance": string(e.Instance),
+		"Stamp":    e.Stamp.String(),
+	}
 	put := func(name, value string) {
 		if value != "" {
 			fields[name] = value
--- a/settings/diff.go
+++ b/settings/diff.go
@@ -15,19 +15,26 @@
 	Restart bool
 }
 
+// hiddenValue stands for values that are not shown.
+const hiddenValue = "(hidden)"
+
 var indexPattern = regexp.MustCompile(`\[\d+\]`)
 
 // Diff returns the settings that differ, ordered by key path. Lists are
-// compared by index; a list that changed its length is one change.
+// compared by index; a list that changed its length is one change. Secret
+// values are not shown.
 func Diff(before, after Settings) []Change {
-	reload := map[string]bool{}
+	described := map[string]Setting{}
 	for _, setting := range Table() {
-		reload[setting.Rule.Path] = setting.Reload
+		described[setting.Rule.Path] = setting
 	}
 	var changes []Change
 	walk("", reflect.ValueOf(before), reflect.ValueOf(after), func(path, old, changed string) {
-		pattern := indexPattern.ReplaceAllString(path, "[]")
-		changes = append(changes, Change{New: changed, Old: old, Path: path, Restart: !reload[pattern]})
+		setting := described[indexPattern.ReplaceAllString(path, "[]")]
+		if setting.Rule.Secret {
+			old, changed = hiddenValue, hiddenValue
+		}
+		changes = append(changes, Change{New: changed, Old: old, Path: path, Restart: !setting.Reload})
 	})
 	return changes
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"os"
 	"reflect"
 	"strings"
@@ -13,6 +14,8 @@
 	"github.com/nutmegpier/nutmegpier/settings"
 )
 
+var update = flag.Bool("update", false, "write docs/settings.md")
+
 func example(t testing.TB) string {
 	t.Helper()
 	content, err := os.ReadFile("testdata/serve.hujson")
@@ -41,15 +44,16 @@
 
 // TestDiffMarksRestarts guards against a reload that silently ignores a change.
 func TestDiffMarksRestarts(t *testing.T) {
-	before, err := settings.Parse("f", []byte(example(t)))
+	before, err := settings.Parse("f", []byte(strings.Replace(example(t), `"Backend": {`, `"Admin": {"Tokens": [{"Role": "Read", "TokenSHA256": "`+strings.Repeat("ab", 32)+`"}]}, "Backend": {`, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	after, err := settings.Parse("f", []byte(strings.NewReplacer("127.0.0.1:6432", "127.0.0.1:6439", `"Backend": {`, `"Backend": {"MaxOpenings": 9, `).Replace(example(t))))
+	after, err := settings.Parse("f", []byte(strings.NewReplacer("127.0.0.1:6432", "127.0.0.1:6439", `"Backend": {`, `"Admin": {"Tokens": [{"Role": "Read", "TokenSHA256": "`+strings.Repeat("cd", 32)+`"}]}, "Backend": {"MaxOpenings": 9, `).Replace(example(t))))
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := []settings.Change{
+		{New: "(hidden)", Old: "(hidden)", Path: "Admin.Tokens[0].TokenSHA256"},
 		{New: "9", Old: "4", Path: "Backend.MaxOpenings"},
 		{New: "127.0.0.1:6439", Old: "127.0.0.1:6432", Path: "Listen.Callers", Restart: true},
 	}
@@ -113,6 +117,11 @@
 
 // TestReferencePage guards against a reference page that lags the table.
 func TestReferencePage(t *testing.T) {
+	if *update {
+		if err := os.WriteFile("../docs/settings.md", []byte(settings.Reference()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
 	page, err := os.ReadFile("../docs/settings.md")
 	if err != nil {
 		t.Fatal(err)
--- a/settings/table.go
+++ b/settings/table.go
@@ -71,7 +71,7 @@
 		{"Certificate authority of all instances. Empty means no TLS between instances.", false, text("TLS.Peers.CAFile", document.FormatPath), UnitNone},
 		{"Certificate shown to other instances.", false, text("TLS.Peers.CertFile", document.FormatPath), UnitNone},
 		{"Private key of the certificate shown to other instances.", false, text("TLS.Peers.KeyFile", document.FormatPath), UnitNone},
-		{"Events kept in memory for the timeline.", false, numbers("Timeline.Capacity", "10000", 16, 1000000), UnitEvents},
+		{"Events kept in memory for the timeline; debug events have as much room of their own.", false, numbers("Timeline.Capacity", "10000", 16, 1000000), UnitEvents},
 		{"Time to find out whether a commit took effect before its outcome is reported as unknown.", true, durations("Timeouts.CommitBound", "5s", 10*time.Millisecond, 10*time.Minute), UnitDuration},
 		{"Time that a read waits for a fresh replica before it goes to the primary.", true, durations("Timeouts.FreshWait", "20ms", 0, 10*time.Second), UnitDuration},
 		{"Time after which an idle caller session outside a transaction is closed. 0s means never.", true, durations("Timeouts.Idle", "0s", 0, 7*24*time.Hour), UnitDuration},
