--- /dev/null
+++ b/demo/error.go
@@ -0,0 +1,30 @@
+package demo
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindCommand means that a fault command cannot be understood.
+	KindCommand Kind = "Command"
+	// KindStart means that a part of the deployment could not be started.
+	KindStart Kind = "Start"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Err  error
+	Kind Kind
+	// Op is the operation that failed.
+	Op string
+}
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string {
+	return "demo: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -12,9 +12,11 @@
 // limits is what the gate needs of the shares that this instance holds.
 type limits interface {
 	// Admit takes one request from the workspace's share.
-	Admit(now time.Time, workspace fleet.WorkspaceID) workspace.Decision
+	Admit(now time.Time, id fleet.WorkspaceID) workspace.Decision
 	// Permits returns the number of connections that may be open to a server.
 	Permits(server fleet.ServerID) int
+	// Share returns the share of a workspace's limit that is held now.
+	Share(now time.Time, id fleet.WorkspaceID) workspace.Share
 	// Valid reports whether the instance may serve at this time.
 	Valid(now time.Time) bool
 }
@@ -23,6 +25,7 @@
 type gate struct {
 	lifecycle *blackboard.Section[Lifecycle]
 	limits    limits
+	metrics   *metrics
 }
 
 var _ caller.Gate = &gate{}
@@ -30,9 +33,15 @@
 // Admit decides on one request of a workspace.
 func (g *gate) Admit(now time.Time, id fleet.WorkspaceID) caller.Decision {
 	if !g.serving(now) {
+		g.metrics.refusedNotServing.Add(1)
 		return caller.Decision{}
 	}
 	decision := g.limits.Admit(now, id)
+	if counts := g.metrics.workspace(id); decision.Admitted {
+		counts.admitted.Add(1)
+	} else {
+		counts.refused.Add(1)
+	}
 	return caller.Decision{
 		Admitted:   decision.Admitted,
 		RetryAfter: decision.RetryAfter,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -55,6 +55,7 @@
 	board    *Board
 	callers  *caller.Server
 	config   Config
+	metrics  *metrics
 	groups   []*groupController
 	pool     *backend.Pool
 	recorder *recorder
@@ -71,7 +72,7 @@
 
 // New builds an instance. Nothing runs before Run.
 func New(config Config) (*Instance, error) {
-	i := &Instance{config: config, recorder: &recorder{events: config.Events}}
+	i := &Instance{config: config, metrics: newMetrics(), recorder: &recorder{events: config.Events}}
 	i.board = newBoard(groupIDs(config.Settings))
 	i.pool = backend.NewPool(backend.PoolConfig{
 		Connect:    i.connect,
@@ -203,7 +204,7 @@
 		Committer:      i.router,
 		Credentials:    &credentials{now: i.config.Now, sheet: i.board.Sheet},
 		Events:         i.recorder,
-		Gate:           &gate{lifecycle: i.board.Lifecycle, limits: i.config.Limits},
+		Gate:           &gate{lifecycle: i.board.Lifecycle, limits: i.config.Limits, metrics: i.metrics},
 		IdleTimeout:    configured.Timeouts.Idle,
 		MaxMessage:     configured.Limits.MaxMessageBytes,
 		MockSecret:     secret,
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -42,6 +42,10 @@
 	return l.permits
 }
 
+func (fixedLimits) Share(time.Time, fleet.WorkspaceID) workspace.Share {
+	return workspace.Share{Rate: 1000}
+}
+
 func (fixedLimits) Valid(time.Time) bool {
 	return true
 }
