fix: hold commits and promises of a paused stand-in server

A request that was running when the server was paused could commit, and a fence with a drain could be granted. Both now wait until the server goes on.

--- a/standin/run.go
+++ b/standin/run.go
@@ -231,6 +231,9 @@
 	if tx == nil {
 		return nil
 	}
+	if c.server.waitResumed(c.ctx) != nil {
+		return errClosed
+	}
 	c.tx = nil
 	position, err := c.server.commit(tx)
 	if err != nil {
--- a/standin/server.go
+++ b/standin/server.go
@@ -120,6 +120,11 @@
 	}
 }
 
+// waitResumed waits while the server is paused.
+func (s *Server) waitResumed(ctx context.Context) error {
+	return s.waitFor(ctx, func() bool { return !s.paused })
+}
+
 // Status returns the server's status.
 func (s *Server) Status() group.ServerStatus {
 	s.sessionsMu.Lock()
@@ -167,6 +172,9 @@
 		_ = s.waitFor(drainCtx, func() bool { return s.writer == nil || s.promise.Term >= term })
 		cancel()
 	}
+	if s.waitResumed(ctx) != nil {
+		return false, s.Status()
+	}
 	granted := s.grant(term, holder)
 	return granted, s.Status()
 }
