--- a/backend/error.go
+++ b/backend/error.go
@@ -1,23 +1,37 @@
+// Package backend speaks to backend servers as a PostgreSQL client. It holds
+// the session connections, their pool and the control connection.
 package backend
 
 import "fmt"
 
-// Kind classifies an error of this package.
+// Kind classifies an Error.
 type Kind string
 
-// Kinds of errors of control connections.
+// Kinds of errors.
 const (
-	// KindConnection means that the connection could not be opened or broke.
+	// KindAuthentication means that the server refused the proxy's credentials.
+	KindAuthentication Kind = "Authentication"
+	// KindClosed means that the pool or the connection is closed.
+	KindClosed Kind = "Closed"
+	// KindConnection means that the connection failed.
 	KindConnection Kind = "Connection"
-	// KindProtocol means that the server's answer is malformed.
+	// KindDeadline means that a request waited until its deadline.
+	KindDeadline Kind = "Deadline"
+	// KindProtocol means that the peer broke the protocol.
 	KindProtocol Kind = "Protocol"
+	// KindQueueFull means that too many requests wait for the server.
+	KindQueueFull Kind = "QueueFull"
 	// KindServer means that the server answered with an error.
 	KindServer Kind = "Server"
+	// KindUnavailable means that the server takes no new work.
+	KindUnavailable Kind = "Unavailable"
 )
 
 // Error is the error type of this package.
 type Error struct {
-	// Err is the cause, if there is one.
+	// Code is the SQLSTATE of a server's answer, or empty.
+	Code string
+	// Err is the cause.
 	Err error
 	// Kind classifies the error.
 	Kind Kind
