feat: check idle connections before use and cancel waiting requests

A connection that the server closed while it was idle made the next write's outcome unknown; the pool now looks before it hands the connection out. A cancel request also ends the wait for a connection. Sessions on the stand-in and COPY are tested.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -73,6 +74,9 @@
 	net      net.Conn
 	pid      uint32
 	position fleet.Position
+	peek     syscall.RawConn
+	peekErr  error
+	peekFunc func(fd uintptr) bool
 	prepared map[string]struct{}
 	profile  string
 	reader   *FrameReader
@@ -116,9 +120,23 @@
 	}
 	_ = netConn.SetDeadline(time.Time{})
 	c.ready = true
+	c.preparePeek()
 	return c, nil
 }
 
+// Alive reports whether an idle connection is still open, as far as this side
+// knows. It doesn't block. A server that closed the connection while it was
+// idle would otherwise make the outcome of the next write unknown.
+func (c *Conn) Alive() bool {
+	if c.peek == nil {
+		return true
+	}
+	if err := c.peek.Read(c.peekFunc); err != nil {
+		return false
+	}
+	return errors.Is(c.peekErr, syscall.EAGAIN)
+}
+
 // Begin says that a request that ends in one ReadyForQuery is about to be sent.
 func (c *Conn) Begin() {
 	c.inFlight++
@@ -364,6 +382,24 @@
 	return &Error{Op: op, Kind: KindConnection, Err: err}
 }
 
+// preparePeek sets up what Alive needs, so that it doesn't allocate.
+func (c *Conn) preparePeek() {
+	raw, isSocket := c.net.(syscall.Conn)
+	if !isSocket {
+		return
+	}
+	peek, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.peek = peek
+	buffer := make([]byte, 1)
+	c.peekFunc = func(fd uintptr) bool {
+		_, _, c.peekErr = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}
+}
+
 func (c *Conn) saslAnswer(want uint32) (string, error) {
 	frame, err := c.Next()
 	if err != nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -107,6 +107,17 @@
 // Acquire waits for a connection until the request's deadline. Errors are of
 // type *Error; all mean that nothing ran.
 func (p *Pool) Acquire(ctx context.Context, now time.Time, request PoolRequest) (*PoolLease, error) {
+	for {
+		lease, err := p.acquire(ctx, now, request)
+		if err != nil || lease.conn.Alive() {
+			return lease, err
+		}
+		lease.Release(false)
+	}
+}
+
+// acquire waits for a connection, which the server may have closed meanwhile.
+func (p *Pool) acquire(ctx context.Context, now time.Time, request PoolRequest) (*PoolLease, error) {
 	p.mu.Lock()
 	s := p.servers[request.Server]
 	if s == nil || s.state.Draining() {
--- a/caller/check.go
+++ b/caller/check.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"errors"
 
 	"github.com/nutmegpier/nutmegpier/backend"
@@ -150,11 +149,6 @@
 	conn.Touch()
 }
 
-// context is cancelled when the session is.
-func (s *session) context() context.Context {
-	return s.ctx
-}
-
 // dropChanges forgets the changes of a request that failed.
 func (s *session) dropChanges() {
 	s.changes = s.changes[:0]
--- a/caller/error.go
+++ b/caller/error.go
@@ -19,6 +19,8 @@
 	KindAuthentication Kind = "Authentication"
 	// KindBackendLost means that the backend server was lost or none is known.
 	KindBackendLost Kind = "BackendLost"
+	// KindCancelled means that the caller cancelled the request before it ran.
+	KindCancelled Kind = "Cancelled"
 	// KindClosed means that the session ends by shutdown or a withdrawn key.
 	KindClosed Kind = "Closed"
 	// KindNotServing means that the instance takes no new work.
@@ -72,6 +74,8 @@
 	switch k {
 	case KindAuthentication:
 		return "28P01"
+	case KindCancelled:
+		return "57014"
 	case KindClosed:
 		return "57P01"
 	case KindNotServing:
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -96,6 +96,7 @@
 type fakeConn struct {
 	backend  *pgproto3.Backend
 	bound    string
+	copied   []byte
 	failed   bool
 	parsed   map[string]string
 	position string
@@ -121,6 +122,9 @@
 func (c *fakeConn) handle(message pgproto3.FrontendMessage) bool {
 	switch m := message.(type) {
 	case *pgproto3.Query:
+		if strings.HasPrefix(m.String, "copy") {
+			return c.copy(m.String)
+		}
 		alive := true
 		for _, sql := range strings.Split(m.String, ";") {
 			if alive = c.execute(strings.TrimSpace(sql), true); !alive || c.failed {
@@ -157,6 +161,8 @@
 		return c.ready()
 	case *pgproto3.Flush:
 		return c.backend.Flush() == nil
+	case *pgproto3.CopyData:
+		c.copied = append(c.copied, m.Data...)
 	case *pgproto3.CopyDone:
 		c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1")})
 		return c.ready()
@@ -164,6 +170,19 @@
 	return true
 }
 
+// copy starts to take COPY data, or sends back what it took.
+func (c *fakeConn) copy(sql string) bool {
+	if strings.Contains(sql, "from") {
+		c.backend.Send(&pgproto3.CopyInResponse{})
+		return c.backend.Flush() == nil
+	}
+	c.backend.Send(&pgproto3.CopyOutResponse{})
+	c.backend.Send(&pgproto3.CopyData{Data: c.copied})
+	c.backend.Send(&pgproto3.CopyDone{})
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1")})
+	return c.ready()
+}
+
 func (c *fakeConn) execute(sql string, describe bool) bool {
 	c.server.mu.Lock()
 	c.server.log = append(c.server.log, sql)
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return nil, s.reject(conn, err)
 	}
+	if err := session.negotiateVersion(startup); err != nil {
+		return nil, err
+	}
 	if session.key, err = s.authenticate(session); err != nil {
 		s.record(workspaceEvent(EventAuthenticationFailed, session.workspace, session.group, ""))
 		return nil, s.reject(conn, err)
@@ -168,6 +171,21 @@
 	_ = s.config.CancelForwarder.ForwardCancel(ctx, startup.ProcessID, startup.Secret)
 }
 
+// negotiateVersion tells a caller that asks for a newer minor version or for
+// protocol options that this server has none of them.
+func (s *session) negotiateVersion(startup Startup) error {
+	var options []string
+	for _, parameter := range startup.Parameters {
+		if strings.HasPrefix(parameter.Name, "_pq_.") {
+			options = append(options, parameter.Name)
+		}
+	}
+	if startup.Code&0xffff == 0 && options == nil {
+		return nil
+	}
+	return s.sendNow(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: protocolMajor << 16, UnrecognizedOptions: options})
+}
+
 // reject tells the caller why its connection is refused, and returns err.
 func (s *Server) reject(conn net.Conn, err error) error {
 	var known *Error
@@ -202,7 +220,6 @@
 	session := &session{
 		arrivedAt: s.config.Now(),
 		conn:      conn,
-		ctx:       context.Background(),
 		prepared:  make(map[string]*preparedStatement),
 		reader:    backend.NewFrameReader(conn, readBufferSize, s.config.MaxMessage),
 		server:    s,
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -264,13 +264,33 @@
 	}
 }
 
-// TestBatchAndCopy guards against answers of pipelined statements getting out
-// of step, and against COPY data that is lost.
-func TestBatchAndCopy(t *testing.T) {
+// TestCopy guards against COPY data that is lost or changed, also when it is
+// larger than the buffers.
+func TestCopy(t *testing.T) {
 	d := deploy(t, writes, nil)
 	conn := d.connect(t)
 	ctx := context.Background()
-	for range 2 {
+	data := strings.Repeat("0123456789\n", 20000)
+	if _, err := conn.PgConn().CopyFrom(ctx, strings.NewReader(data), "copy c from stdin"); err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	if _, err := conn.PgConn().CopyTo(ctx, &got, "copy c to stdout"); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(data, got.String()); diff != "" {
+		t.Errorf("data came back changed: %d bytes of %d", got.Len(), len(data))
+	}
+	mustExec(t, conn, "select 1")
+}
+
+// TestPipeline guards against answers of pipelined statements getting out of
+// step, also when the same name is used for several statements.
+func TestPipeline(t *testing.T) {
+	d := deploy(t, writes, nil)
+	ctx := context.Background()
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement, pgx.QueryExecModeExec, pgx.QueryExecModeDescribeExec} {
+		conn := d.connect(t, func(config *pgx.ConnConfig) { config.DefaultQueryExecMode = mode })
 		batch := &pgx.Batch{}
 		for range 5 {
 			batch.Queue("insert into t values (1)")
--- a/caller/request.go
+++ b/caller/request.go
@@ -168,7 +168,9 @@
 		return err
 	}
 	config := &s.server.config
-	lease, err := config.Router.Acquire(s.context(), Request{
+	ctx, done := s.waitContext()
+	defer done()
+	lease, err := config.Router.Acquire(ctx, Request{
 		Access:    r.access,
 		ArrivedAt: r.arrivedAt,
 		Deadline:  r.arrivedAt.Add(config.RequestTimeout),
@@ -179,7 +181,7 @@
 		Workspace: s.workspace,
 	})
 	if err != nil {
-		return acquireError(err)
+		return s.waitError(ctx, err)
 	}
 	s.setLease(lease)
 	conn := lease.Conn()
@@ -203,7 +205,7 @@
 	if s.hasToken || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
 		return nil
 	}
-	position, err := config.Barrier.Barrier(s.context(), s.group, s.arrivedAt)
+	position, err := config.Barrier.Barrier(s.ctx, s.group, s.arrivedAt)
 	if err != nil {
 		return acquireError(err)
 	}
@@ -261,7 +263,7 @@
 
 // acknowledge passes on the held answer of a write once its commit is durable.
 func (s *session) acknowledge(position fleet.Position, result answer) error {
-	outcome, err := s.server.config.Committer.AwaitCommit(s.context(), s.group, position)
+	outcome, err := s.server.config.Committer.AwaitCommit(s.ctx, s.group, position)
 	switch {
 	case err == nil && outcome == OutcomeCommitted:
 		s.tellToken(s.token.moveWritten(position))
@@ -321,10 +323,16 @@
 func (s *session) failLost(r *request, result answer) error {
 	inTransaction := s.tx != backend.TxIdle
 	primary := s.lease.Primary()
-	s.pinned = false
+	pinned := s.pinned
 	s.release(false)
 	s.dropChanges()
 	switch {
+	case pinned && r.commits, pinned && !inTransaction:
+		// Locks or temporary tables went with the connection, so the session
+		// can't go on as if it still had them.
+		return unknownError("the backend server was lost, and with it the state of the session")
+	case pinned:
+		return lostError("the backend server was lost, and with it the state of the session")
 	case inTransaction && !r.commits:
 		// The server rolls back. The transaction stays failed until the caller
 		// ends it, so that its later statements don't run on their own.
--- a/caller/session.go
+++ b/caller/session.go
@@ -26,6 +26,7 @@
 	commitTag  bool
 	conn       net.Conn
 	ctx        context.Context
+	endWait    func()
 	group      fleet.GroupID
 	hasToken   bool
 	held       []byte
@@ -57,6 +58,9 @@
 	lease     Lease
 	stopAt    time.Time
 	stopped   string
+	// stopWaiting ends the wait for a connection while waiting is set.
+	stopWaiting context.CancelFunc
+	waiting     bool
 }
 
 // abort cuts the session off.
@@ -64,6 +68,9 @@
 	_ = s.conn.SetDeadline(longAgo)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waiting {
+		s.stopWaiting()
+	}
 	if s.lease != nil {
 		_ = s.lease.Conn().Close()
 	}
@@ -75,6 +82,10 @@
 func (s *session) cancel(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waiting {
+		s.stopWaiting()
+		return
+	}
 	if s.lease == nil {
 		return
 	}
@@ -85,6 +96,8 @@
 // run serves requests until the session ends.
 func (s *session) run() {
 	defer s.end()
+	s.ctx, s.stopWaiting = context.WithCancel(context.Background())
+	s.endWait = s.endWaiting
 	for {
 		frame, err := s.await()
 		if err == nil {
@@ -126,6 +139,33 @@
 	return frame, err
 }
 
+// waitContext returns the context of the session for a wait that a cancel
+// request ends, and a function that ends the wait. The context is kept for
+// later waits, since making one for each costs allocations.
+func (s *session) waitContext() (context.Context, func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		s.ctx, s.stopWaiting = context.WithCancel(context.Background())
+	}
+	s.waiting = true
+	return s.ctx, s.endWait
+}
+
+func (s *session) endWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+}
+
+// waitError returns the error of a wait, which may have been cancelled.
+func (s *session) waitError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return &Error{Op: "acquire", Kind: KindCancelled, Err: errors.New("canceling statement due to user request")}
+	}
+	return acquireError(err)
+}
+
 // closeReason says why this side closes the session. The caller holds mu.
 func (s *session) closeReason() error {
 	reason := s.stopped
@@ -139,6 +179,7 @@
 // rolled back by closing its connection.
 func (s *session) end() {
 	s.giveWriter()
+	s.stopWaiting()
 	s.mu.Lock()
 	held := s.lease
 	s.mu.Unlock()
