--- a/group/evidence_test.go
+++ b/group/evidence_test.go
@@ -33,6 +33,7 @@
 type evidenceModel struct {
 	committed map[fleet.Position]bool
 	delayed   []group.Observation
+	entries   map[fleet.LogPosition]fleet.Term
 	notRun    map[fleet.Position]fleet.Term
 	now       time.Time
 	pick      func(n int) int
@@ -45,7 +46,7 @@
 
 func newEvidenceModel(size int, r rules, pick func(n int) int) *evidenceModel {
 	m := &evidenceModel{
-		committed: map[fleet.Position]bool{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
+		committed: map[fleet.Position]bool{}, entries: map[fleet.LogPosition]fleet.Term{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
 		pick: pick, promoters: make([]modelPromoter, 3), rules: r, servers: newModelGroup(size),
 	}
 	var members []group.Member
@@ -164,7 +165,9 @@
 	for _, p := range m.written {
 		switch m.rules.decide(m.views[i], p) {
 		case group.Committed:
-			m.committed[p] = true
+			if err := m.commit(p); err != nil {
+				return err
+			}
 		case group.NotRun:
 			if _, known := m.notRun[p]; !known {
 				m.notRun[p] = max(m.views[i].Settled.LastTerm(), p.Term)
@@ -174,13 +177,16 @@
 			return fmt.Errorf("%v was decided both committed and not run", p)
 		}
 	}
-	for p := range m.committed {
-		for q := range m.committed {
-			if p.Log == q.Log && p != q {
-				return fmt.Errorf("%v and %v were both decided committed", p, q)
-			}
-		}
+	return nil
+}
+
+// commit notes a decision and looks for another entry at the same place.
+func (m *evidenceModel) commit(p fleet.Position) error {
+	m.committed[p] = true
+	if term, found := m.entries[p.Log]; found && term != p.Term {
+		return fmt.Errorf("%v and %d/%d were both decided committed", p, term, p.Log)
 	}
+	m.entries[p.Log] = p.Term
 	return nil
 }
 
--- /dev/null
+++ b/group/freshness_test.go
@@ -0,0 +1,174 @@
+package group_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/group"
+)
+
+var strategies = []group.Strategy{group.FreshnessDistance, group.LeastOutstanding, group.Random, group.SampledTwo}
+
+// freshModel advances an evidence model with slow applying and notes when each
+// position was the newest committed one.
+type freshModel struct {
+	*evidenceModel
+	// newest lists the end of the acknowledged log over time.
+	newest []group.Sample
+}
+
+func (m *freshModel) advance() error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	var end fleet.Position
+	for p := range m.committed {
+		if p.Compare(end) > 0 {
+			end = p
+		}
+	}
+	m.newest = append(m.newest, group.Sample{Begun: m.now, Position: end})
+	return nil
+}
+
+// acknowledgedBy returns the newest position that was acknowledged at a time.
+func (m *freshModel) acknowledgedBy(at time.Time) fleet.Position {
+	var end fleet.Position
+	for _, sample := range m.newest {
+		if !sample.Begun.After(at) {
+			end = sample.Position
+		}
+	}
+	return end
+}
+
+// TestReadCandidatesCoverRequirement guards against a replica that serves a
+// read without the session's token in its history, or on evidence older than
+// the accepted age.
+func TestReadCandidatesCoverRequirement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 8))
+		m := &freshModel{evidenceModel: newEvidenceModel(3, rules{decide: group.DecideCommit, quorum: 2}, random.IntN)}
+		for range 200 {
+			if err := m.advance(); err != nil {
+				t.Fatal(err)
+			}
+			m.check(t, random)
+		}
+	})
+}
+
+func (m *freshModel) check(t *rapid.T, random *rand.Rand) {
+	view := m.views[random.IntN(len(m.views))]
+	need := group.Requirement{MaxAge: time.Duration(random.IntN(60)) * time.Millisecond}
+	if len(m.written) > 0 {
+		need.Written = m.written[random.IntN(len(m.written))]
+		need.Seen = m.written[random.IntN(len(m.written))]
+	}
+	choice := group.Choice{Random: random, Strategy: strategies[random.IntN(len(strategies))]}
+	for _, id := range group.ReadCandidates(m.now, view, need, choice) {
+		server, _ := view.Server(id)
+		history := server.Status.History
+		if id != view.Primary && !history.Contains(need.Written) {
+			t.Fatalf("%s lacks %v", id, need.Written)
+		}
+		if seen := group.CutBack(view, need.Seen); id != view.Primary && !history.Contains(seen) {
+			t.Fatalf("%s lacks %v", id, seen)
+		}
+		if need.MaxAge == 0 {
+			continue
+		}
+		if id == view.Primary {
+			for _, s := range m.servers {
+				if s.id == id {
+					server.Status.Log = s.position(len(s.log))
+				}
+			}
+		}
+		if old := m.acknowledgedBy(m.now.Add(-need.MaxAge - time.Millisecond)); server.Status.Log.Compare(old) < 0 {
+			t.Fatalf("%s ends at %v, but %v was acknowledged more than %v ago", id, server.Status.Log, old, need.MaxAge)
+		}
+	}
+	if position, ok := group.DecideBarrier(view, m.now.Add(-20*time.Millisecond)); ok {
+		if old := m.acknowledgedBy(m.now.Add(-21 * time.Millisecond)); position.Compare(old) < 0 {
+			t.Fatalf("barrier %v, but %v was acknowledged before the arrival", position, old)
+		}
+	}
+}
+
+// healthyView returns a view of three servers at the given log ends in term 1.
+func healthyView(now time.Time, ends map[fleet.ServerID]fleet.LogPosition) group.View {
+	view := group.NewView("g", []group.Member{
+		{DataCentre: "1", Server: "a"}, {DataCentre: "2", Server: "b"}, {DataCentre: "3", Server: "c"},
+	})
+	for _, id := range []fleet.ServerID{"a", "b", "c"} {
+		status := group.ServerStatus{
+			Applied: fleet.Position{Log: ends[id], Term: 1}, History: fleet.History{{First: 1, Term: 1}},
+			Log: fleet.Position{Log: ends[id], Term: 1}, PromisedTerm: 1, Role: group.RoleReplica, Server: id, Term: 1,
+		}
+		if id == "a" {
+			status.Role = group.RolePrimary
+		}
+		view = view.Observe(group.Observation{Answered: now, Asked: now.Add(-time.Millisecond), Server: id, Status: status})
+	}
+	return view
+}
+
+// TestReadCandidatesOrder guards against reads on the primary, on servers that
+// leave, or on a busier replica while another one qualifies.
+func TestReadCandidatesOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := healthyView(now, map[fleet.ServerID]fleet.LogPosition{"a": 20, "b": 20, "c": 10})
+	busy := []group.Load{{Outstanding: 2, Server: "b"}, {Outstanding: 1, Server: "c"}}
+	for _, tc := range []struct {
+		name   string
+		choice group.Choice
+		need   group.Requirement
+		want   []fleet.ServerID
+	}{
+		{"LeastBusyFirst", group.Choice{Loads: busy, Strategy: group.FreshnessDistance}, group.Requirement{}, []fleet.ServerID{"c", "b", "a"}},
+		{"NearestFirst", group.Choice{Placement: group.Placement{Local: "3"}, Strategy: group.FreshnessDistance}, group.Requirement{}, []fleet.ServerID{"c", "b", "a"}},
+		{"OnlyFresh", group.Choice{Strategy: group.FreshnessDistance}, group.Requirement{Written: fleet.Position{Log: 15, Term: 1}}, []fleet.ServerID{"b", "a"}},
+		{"NotLeaving", group.Choice{Placement: group.Placement{Leaving: []fleet.ServerID{"b"}}, Strategy: group.FreshnessDistance}, group.Requirement{}, []fleet.ServerID{"c", "a"}},
+		{"NotOutOfService", group.Choice{Placement: group.Placement{OutOfService: []fleet.DataCentre{"3"}}, Strategy: group.FreshnessDistance}, group.Requirement{}, []fleet.ServerID{"b", "a"}},
+		{"TooOld", group.Choice{Strategy: group.FreshnessDistance}, group.Requirement{MaxAge: time.Microsecond}, []fleet.ServerID{}},
+		{"UnknownTerm", group.Choice{Strategy: group.FreshnessDistance}, group.Requirement{Written: fleet.Position{Log: 1, Term: 2}}, []fleet.ServerID{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, group.ReadCandidates(now, view, tc.need, tc.choice)); diff != "" {
+				t.Errorf("candidates (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLostPositionsAreCutBack guards against sessions that wait for ever for a
+// position that was lost in a change of primary.
+func TestLostPositionsAreCutBack(t *testing.T) {
+	view := group.View{Settled: fleet.History{{First: 1, Term: 1}, {First: 11, Term: 3}}}
+	for _, tc := range []struct {
+		position, want fleet.Position
+	}{
+		{fleet.Position{Log: 10, Term: 1}, fleet.Position{Log: 10, Term: 1}},
+		{fleet.Position{Log: 11, Term: 1}, fleet.Position{Log: 10, Term: 1}},
+		{fleet.Position{Log: 12, Term: 2}, fleet.Position{Log: 10, Term: 1}},
+		{fleet.Position{Log: 99, Term: 3}, fleet.Position{Log: 99, Term: 3}},
+		{fleet.Position{Log: 99, Term: 4}, fleet.Position{Log: 99, Term: 4}},
+	} {
+		if diff := cmp.Diff(tc.want, group.CutBack(view, tc.position)); diff != "" {
+			t.Errorf("CutBack(%v) (-want +got):\n%s", tc.position, diff)
+		}
+		if got, want := group.IsLost(view, tc.position), tc.position != tc.want; got != want {
+			t.Errorf("IsLost(%v) = %v, want %v", tc.position, got, want)
+		}
+	}
+	if slices.Contains([]bool{group.IsLost(view, fleet.Position{})}, true) {
+		t.Error("the start of the log is lost")
+	}
+}
