--- a/document/rule.go
+++ b/document/rule.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
 	"net/netip"
@@ -22,6 +23,8 @@
 	FormatAny Format = "text"
 	// FormatBase64 is standard base64 with padding.
 	FormatBase64 Format = "base64"
+	// FormatBase64Sum is a SHA-256 sum in standard base64 with padding.
+	FormatBase64Sum Format = "base64 of 32 bytes"
 	// FormatName is a short name of letters, digits, dot, hyphen and underscore.
 	FormatName Format = "1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit"
 	// FormatPath is the path of a file.
@@ -102,11 +105,14 @@
 	case FormatBase64:
 		_, err := base64.StdEncoding.DecodeString(text)
 		return err == nil
+	case FormatBase64Sum:
+		sum, err := base64.StdEncoding.DecodeString(text)
+		return err == nil && len(sum) == sha256.Size
 	case FormatName:
 		return namePattern.MatchString(text)
 	case FormatSHA256:
 		sum, err := hex.DecodeString(text)
-		return err == nil && len(sum) == 32
+		return err == nil && len(sum) == sha256.Size
 	case FormatTime:
 		_, err := time.Parse(time.RFC3339, text)
 		return err == nil
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -61,6 +61,8 @@
 	KeyWithdrawn         Number = 506
 	SessionRoamed        Number = 507
 	CancelForwarded      Number = 508
+	CommitLost           Number = 509
+	RequestRetried       Number = 510
 	ConnectionOpened     Number = 601
 	ConnectionClosed     Number = 602
 	ConnectionFailed     Number = 603
@@ -120,6 +122,8 @@
 		entry(KeyWithdrawn, "KeyWithdrawn", LevelInfo, "An open session was closed because its key was withdrawn.", "Database", "Session", "Workspace"),
 		entry(SessionRoamed, "SessionRoamed", LevelDebug, "A session arrived with a position token.", "Database", "Position", "Session", "Workspace"),
 		entry(CancelForwarded, "CancelForwarded", LevelDebug, "A cancel request was passed to the instance that has the session.", "Session", "Text"),
+		entry(CommitLost, "CommitLost", LevelWarning, "A commit was lost in a change of primary and did certainly not take effect.", "Database", "Position", "Server", "Session", "Term", "Workspace"),
+		entry(RequestRetried, "RequestRetried", LevelDebug, "A request that did not run, or is idempotent, runs again on another server.", "Database", "Server", "Session", "Text", "Workspace"),
 		entry(ConnectionOpened, "ConnectionOpened", LevelDebug, "A connection to a backend server was opened.", "Database", "Server"),
 		entry(ConnectionClosed, "ConnectionClosed", LevelDebug, "A connection to a backend server was closed.", "Database", "Server", "Text"),
 		entry(ConnectionFailed, "ConnectionFailed", LevelWarning, "A connection to a backend server was lost or could not be opened.", "Database", "Server", "Text"),
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -107,11 +107,11 @@
 		"~ DataCentres[gt-2].State: Out -> InService",
 		"~ Workspaces[die-room].Burst: 40 -> 50",
 		"- Workspaces[die-room].Keys[k2].NotAfter: 2026-03-02T12:00:00Z",
-		"- Workspaces[die-room].Keys[k2].ServerKey: DDDD",
-		"- Workspaces[die-room].Keys[k2].StoredKey: CCCC",
+		"- Workspaces[die-room].Keys[k2].ServerKey: DDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDA=",
+		"- Workspaces[die-room].Keys[k2].StoredKey: CCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCA=",
 		"+ Workspaces[die-room].Keys[k3].NotAfter: 2026-03-02T12:00:00Z",
-		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDD",
-		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCC",
+		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDA=",
+		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCA=",
 	}
 	if diff := gocmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
@@ -185,6 +185,40 @@
 	return err
 }
 
+// TestIndexAgreesWithSheet guards against an index that answers otherwise than
+// the sheet that it was built from.
+func TestIndexAgreesWithSheet(t *testing.T) {
+	ids := rapid.SampledFrom([]string{"a", "b", "c"})
+	times := rapid.SampledFrom([]string{"", "bad", "2026-03-02T12:00:00Z", "2026-03-02T12:00:01+01:00"})
+	rapid.Check(t, func(t *rapid.T) {
+		id := ids.Draw(t, "id")
+		s := sheet.Sheet{
+			DataCentres: []sheet.DataCentre{{DataCentre: fleet.DataCentre(ids.Draw(t, "dataCentre")), State: rapid.SampledFrom([]sheet.State{sheet.StateOut, sheet.StateInService}).Draw(t, "state")}},
+			Routes:      []sheet.Route{{Database: fleet.GroupID(ids.Draw(t, "route")), OpenToAll: rapid.Bool().Draw(t, "open")}},
+			Servers:     []sheet.Server{{Server: fleet.ServerID(ids.Draw(t, "server")), State: rapid.SampledFrom([]sheet.State{sheet.StateLeaving, sheet.StateInService}).Draw(t, "serverState")}},
+			Workspaces: []sheet.Workspace{{
+				Burst: 2, Databases: []fleet.GroupID{fleet.GroupID(ids.Draw(t, "database"))}, Rate: 3, Weight: 4, Workspace: fleet.WorkspaceID(ids.Draw(t, "workspace")),
+				Keys: []sheet.Key{{KeyID: ids.Draw(t, "key"), NotAfter: times.Draw(t, "notAfter")}},
+			}},
+		}
+		now := time.Date(2026, 3, 2, 11, 0, rapid.IntRange(0, 2*3600).Draw(t, "now"), 0, time.UTC)
+		index := sheet.NewIndex(s)
+		wantLimits, wantKnown := s.Limits(fleet.WorkspaceID(id))
+		gotLimits, gotKnown := index.Limits(fleet.WorkspaceID(id))
+		want := []any{
+			s.AcceptsKey(fleet.WorkspaceID(id), "a", now), s.IsInService(fleet.DataCentre(id)), s.IsLeaving(fleet.ServerID(id)),
+			s.IsOpenToAll(fleet.GroupID(id)), s.MayUse(fleet.WorkspaceID(id), "b"), wantLimits, wantKnown,
+		}
+		got := []any{
+			index.AcceptsKey(fleet.WorkspaceID(id), "a", now), index.IsInService(fleet.DataCentre(id)), index.IsLeaving(fleet.ServerID(id)),
+			index.IsOpenToAll(fleet.GroupID(id)), index.MayUse(fleet.WorkspaceID(id), "b"), gotLimits, gotKnown,
+		}
+		if diff := gocmp.Diff(want, got); diff != "" {
+			t.Fatalf("answers (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestLookup guards against expired keys that are accepted, placement that
 // ignores the sheet, and databases used without a grant.
 func TestLookup(t *testing.T) {
@@ -210,7 +244,7 @@
 // mistake, and against keys and verifiers in its report.
 func TestParseReportsAllProblems(t *testing.T) {
 	content := strings.NewReplacer(
-		`"Rate": 200`, `"Rate": -1`, `"Weight": 4`, `"Wieght": 4`, `"KeyID": "k2"`, `"KeyID": "k1"`, `"StoredKey": "AAAA"`, `"StoredKey": "secret!"`,
+		`"Rate": 200`, `"Rate": -1`, `"Weight": 4`, `"Wieght": 4`, `"KeyID": "k2"`, `"KeyID": "k1"`, `"StoredKey": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`, `"StoredKey": "secret!"`,
 		`"school-supply"`, `"npk_ab12_s3cr3t!"`, `"Leaving"`, `"Gone"`, `"Burst": 5`, `"Burst": 0.5`,
 	).Replace(example(t))
 	_, err := sheet.Parse("f", []byte(content))
@@ -221,7 +255,7 @@
 	want := []string{
 		"f:6:37: Workspaces[0].Rate: out of range, found -1, accepted: 0 to 10000000",
 		"f:6:54: Workspaces[0].Wieght: unknown key, did you mean Weight?",
-		"f:9:34: Workspaces[0].Keys[0].StoredKey: value is not accepted, accepted: base64",
+		"f:9:34: Workspaces[0].Keys[0].StoredKey: value is not accepted, accepted: base64 of 32 bytes",
 		"f:10:15: Workspaces[0].Keys[1].KeyID: key of workspace die-room k1 is listed twice",
 		`f:15:17: Workspaces[1].Workspace: value is not accepted, found "npk_[redacted]!", accepted: 1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit`,
 		"f:15:18: this looks like a key; only its verifier belongs in a sheet",
@@ -288,7 +322,7 @@
 	}}
 	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-9", "State": "Out"}, {"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
 		`{"Server": "orders-3"`, `{"Server": "order-2", "State": "Leaving"}, {"Server": "orders-3"`,
-		`"KeyID": "k1", "StoredKey": "EEEE"`, `"KeyID": "k9", "StoredKey": "GGGG"`, `"die-room"`, `"dye-room"`).Replace(content)
+		`"KeyID": "k1", "StoredKey": "EEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEA="`, `"KeyID": "k9", "StoredKey": "GGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGA="`, `"die-room"`, `"dye-room"`).Replace(content)
 	want := []sheet.Risk{
 		{Kind: sheet.RiskAllDataCentresOut},
 		{Kind: sheet.RiskNoServerLeft, Subject: "orders"},
