--- a/peer/ledger.go
+++ b/peer/ledger.go
@@ -21,9 +21,10 @@
 // after the same wait.
 type Ledger struct {
 	added      map[string]bool
-	barred     map[transferKey]bool
+	barred     map[transferKey]fleet.RosterGeneration
 	demands    map[fleet.WorkspaceID]*demand
 	generation *transition
+	floors     map[Member]TransferID
 	guestGifts bool
 	lease      time.Duration
 	lastID     TransferID
@@ -32,9 +33,9 @@
 	needsReset bool
 	pending    map[TransferID]*Transfer
 	permits    map[fleet.ServerID]*permitState
+	priorGifts bool
 	roster     Roster
-	rules      rules
-	seen       map[transferKey]bool
+	seen       map[transferKey]fleet.RosterGeneration
 	self       Member
 	version    *transition
 }
@@ -46,48 +47,19 @@
 	waiting int
 }
 
-// rules are the steps that keep the sums inside the limits. Tests replace
-// them one by one to show that the property test notices.
-type rules struct {
-	joint      func(old, full workspace.Share) workspace.Share
-	jointCount func(old, full int) int
-	remains    func(before, kept workspace.Share) workspace.Share
-	raised     func(held, full workspace.Share) workspace.Share
-	repeated   func(seen bool) bool
-	complete   func(complete bool) bool
-	skipped    func(old workspace.Share) workspace.Share
-	barred     func(barred bool) bool
-}
-
-func defaultRules() rules {
-	return rules{
-		joint:      workspace.Minimum,
-		jointCount: func(old, full int) int { return min(old, full) },
-		remains:    func(_, kept workspace.Share) workspace.Share { return kept },
-		raised: func(held, full workspace.Share) workspace.Share {
-			full.Level = min(held.Level, full.Capacity)
-			return full
-		},
-		repeated: func(seen bool) bool { return seen },
-		complete: func(complete bool) bool { return complete },
-		skipped:  func(workspace.Share) workspace.Share { return workspace.Share{} },
-		barred:   func(barred bool) bool { return barred },
-	}
-}
-
 // NewLedger returns a ledger without shares.
 func NewLedger(self Member, lease time.Duration) *Ledger {
 	return &Ledger{
 		added:      make(map[string]bool),
-		barred:     make(map[transferKey]bool),
+		barred:     make(map[transferKey]fleet.RosterGeneration),
 		demands:    make(map[fleet.WorkspaceID]*demand),
+		floors:     make(map[Member]TransferID),
 		generation: newTransition(nil),
 		lease:      lease,
 		limiter:    workspace.NewLimiter(),
 		pending:    make(map[TransferID]*Transfer),
 		permits:    make(map[fleet.ServerID]*permitState),
-		rules:      defaultRules(),
-		seen:       make(map[transferKey]bool),
+		seen:       make(map[transferKey]fleet.RosterGeneration),
 		self:       self,
 		version:    newTransition(nil),
 	}
@@ -98,13 +70,16 @@
 // can never be accepted later, because both only grow.
 func (l *Ledger) Accept(now time.Time, transfer Transfer) bool {
 	key := transferKey{transfer.Giver, transfer.ID}
-	if l.rules.repeated(l.seen[key]) {
+	if l.seen[key] > 0 {
 		return true
 	}
-	if transfer.Receiver != l.self || l.rules.barred(l.barred[key]) || !l.settled() || transfer.Versions != l.Versions() {
+	if transfer.Receiver != l.self || l.barred[key] > 0 || transfer.ID < l.floors[transfer.Giver] {
 		return false
 	}
-	l.seen[key] = true
+	if !l.settled() || transfer.Versions != l.Versions() {
+		return false
+	}
+	l.seen[key] = l.roster.Generation
 	l.merge(now, transfer.Rates, transfer.Permits)
 	return true
 }
@@ -119,6 +94,9 @@
 	l.added = make(map[string]bool)
 	if old.Version == 0 {
 		l.grantFirst(now)
+		if l.roster.Generation > 1 && l.generation.completed {
+			l.raise(now, func(string) bool { return true })
+		}
 		return
 	}
 	consecutive := limits.Version == old.Version+1
@@ -149,13 +127,14 @@
 	}
 	last := l.roster.Generation
 	l.roster = roster
+	l.priorGifts = l.guestGifts
 	l.guestGifts = false
 	l.needsReset = false
 	clear(l.pending)
-	clear(l.seen)
-	clear(l.barred)
+	l.forgetTransfers()
 	l.generation = newTransition(roster.Previous)
 	l.generation.holding[l.self] = true
+	l.generation.guests = l.priorGifts
 	if last == 0 {
 		l.grantFirst(now)
 		return
@@ -165,9 +144,9 @@
 		if roster.Generation > last+1 {
 			// The others have already taken the shares of a generation that
 			// this instance skipped, so what it holds is counted twice.
-			held = l.rules.skipped(held)
+			held = workspace.Share{}
 		}
-		l.limiter.Set(now, rate.Workspace, l.rules.joint(held, l.fullRate(rate)))
+		l.limiter.Set(now, rate.Workspace, workspace.Minimum(held, l.fullRate(rate)))
 	}
 	for _, limit := range l.limits.Permits {
 		state := l.permitState(limit.Server)
@@ -175,7 +154,7 @@
 		if roster.Generation > last+1 {
 			held = 0
 		}
-		state.held = l.rules.jointCount(held, l.fullPermits(limit))
+		state.held = min(held, l.fullPermits(limit))
 	}
 }
 
@@ -196,18 +175,24 @@
 // whether shares grew. StoreRead is the time from which the newest read of the
 // head row counts.
 func (l *Ledger) Advance(now, storeRead time.Time) bool {
-	grew := false
-	if !l.generation.completed && l.rules.complete(l.generation.complete(now, storeRead, l.lease)) {
-		l.generation.completed = true
-		l.raise(now, func(string) bool { return true })
-		grew = true
-	}
-	if !l.version.completed && l.version.complete(now, storeRead, l.lease) {
-		l.version.completed = true
+	hadGeneration, hadVersion := l.generation.completed, l.version.completed
+	l.confirmSelf()
+	l.generation.completed = hadGeneration || l.generation.complete(now, storeRead, l.lease)
+	l.version.completed = hadVersion || l.version.complete(now, storeRead, l.lease)
+	switch {
+	case !l.generation.completed || hadGeneration && hadVersion:
+		return false
+	case !hadGeneration:
+		l.raise(now, func(name string) bool {
+			_, waits := l.added[name]
+			return l.version.completed || !waits
+		})
+		return true
+	case l.version.completed:
 		l.raise(now, func(name string) bool { return l.added[name] })
-		grew = true
+		return true
 	}
-	return grew
+	return false
 }
 
 // Confirm ends a transfer that this instance gave.
@@ -251,12 +236,6 @@
 	return transfer
 }
 
-// GuestGifts reports whether this instance gave shares of this generation to
-// an instance outside the roster.
-func (l *Ledger) GuestGifts() bool {
-	return l.guestGifts
-}
-
 // IsFull reports whether the joint phase of the generation is over.
 func (l *Ledger) IsFull() bool {
 	return l.generation.completed
@@ -277,7 +256,7 @@
 // NeedsGeneration reports whether shares were lost that only a new generation
 // brings back.
 func (l *Ledger) NeedsGeneration() bool {
-	return l.needsReset
+	return l.needsReset || l.guestGifts
 }
 
 // Pending returns the given transfers whose fate is not known, oldest first.
@@ -303,10 +282,10 @@
 // no bars the transfer for good.
 func (l *Ledger) Query(giver Member, id TransferID) bool {
 	key := transferKey{giver, id}
-	if l.seen[key] {
+	if l.seen[key] > 0 {
 		return true
 	}
-	l.barred[key] = true
+	l.barred[key] = l.roster.Generation + 1
 	return false
 }
 
@@ -321,16 +300,19 @@
 	l.merge(now, transfer.Rates, transfer.Permits)
 }
 
-// Report is what a peer says of itself that matters for the joint phase.
-type Report struct {
-	// Full is the newest generation whose joint phase is over, as known there.
-	Full fleet.RosterGeneration
-	// GuestGifts is true when the peer gave shares of the generation that it
-	// holds to an instance outside the roster.
-	GuestGifts bool
-	Held       Versions
-	// Joint is the newest generation for which the peer holds the smaller share.
-	Joint fleet.RosterGeneration
+// Report returns what this instance tells its peers of itself.
+func (l *Ledger) Report() Report {
+	report := Report{
+		GuestGifts: l.guestGifts,
+		Held:       l.Versions(),
+		Joint:      l.JointGeneration(),
+		NeedsReset: l.NeedsGeneration(),
+		PriorGifts: l.priorGifts,
+	}
+	if l.IsFull() {
+		report.Full = l.roster.Generation
+	}
+	return report
 }
 
 // RecordEnded records that a member's process is gone for certain.
@@ -340,28 +322,24 @@
 }
 
 // RecordReport records what a peer said of itself. Reports that name versions
-// that are not held here must not be recorded before those are held.
+// that are not held here are ignored, because the peer may know of a sheet
+// that this instance would otherwise miss.
 func (l *Ledger) RecordReport(from Member, report Report) {
 	if !l.Versions().Covers(report.Held) {
 		return
 	}
-	if report.Held.Generation >= l.roster.Generation {
+	if report.Held.Generation == l.roster.Generation {
 		l.generation.holding[from] = true
+		l.generation.guests = l.generation.guests || report.PriorGifts
 	}
-	// Gifts of the generation before are reported until the peer moves on.
-	l.generation.guests = l.generation.guests || report.GuestGifts
-	l.version.guests = l.version.guests || report.GuestGifts
-	if report.Joint >= l.roster.Generation {
+	l.version.guests = l.version.guests || report.GuestGifts || report.PriorGifts
+	if report.Joint == l.roster.Generation {
 		l.generation.confirmed[from] = true
 	}
-	if report.Full >= l.roster.Generation && l.roster.Generation > 0 {
-		l.generation.guests = false
-		for _, member := range l.generation.required {
-			l.generation.confirmed[member] = true
-			l.generation.holding[member] = true
-		}
+	if report.Full == l.roster.Generation && report.Full > 0 {
+		l.generation.completeByReport()
 	}
-	if report.Held.Sheet >= l.limits.Version {
+	if report.Held.Sheet == l.limits.Version {
 		l.version.confirmed[from] = true
 		l.version.holding[from] = true
 	}
@@ -388,6 +366,29 @@
 	return l.roster
 }
 
+// Settle drops the records of transfers below the given id, which the giver
+// has ended. None of them is accepted later.
+func (l *Ledger) Settle(giver Member, below TransferID) {
+	l.floors[giver] = max(l.floors[giver], below)
+	for _, records := range []map[transferKey]fleet.RosterGeneration{l.seen, l.barred} {
+		for key := range records {
+			if key.giver == giver && key.id < below {
+				delete(records, key)
+			}
+		}
+	}
+}
+
+// SettledBelow returns the id below which this instance has ended all of its
+// transfers.
+func (l *Ledger) SettledBelow() TransferID {
+	below := l.lastID + 1
+	for id := range l.pending {
+		below = min(below, id)
+	}
+	return below
+}
+
 // Share returns the share of a workspace that is held now.
 func (l *Ledger) Share(now time.Time, id fleet.WorkspaceID) workspace.Share {
 	return l.limiter.Share(now, id)
@@ -423,6 +424,25 @@
 	return wanted
 }
 
+func (l *Ledger) confirmSelf() {
+	if l.JointGeneration() == l.roster.Generation {
+		l.generation.confirmed[l.self] = true
+	}
+}
+
+// forgetTransfers drops the records of transfers that no giver asks for any
+// more. A giver that still holds the generation before may ask for those of
+// that generation.
+func (l *Ledger) forgetTransfers() {
+	for _, records := range []map[transferKey]fleet.RosterGeneration{l.seen, l.barred} {
+		for key, generation := range records {
+			if generation+1 < l.roster.Generation {
+				delete(records, key)
+			}
+		}
+	}
+}
+
 func (l *Ledger) fullPermits(limit PermitLimit) int {
 	index := slices.Index(l.roster.Members, l.self)
 	if index < 0 {
@@ -457,7 +477,7 @@
 	if given.Rate <= 0 && given.Level <= 0 {
 		return RateAmount{}, false
 	}
-	l.limiter.Set(now, want.Workspace, l.rules.remains(share, kept))
+	l.limiter.Set(now, want.Workspace, kept)
 	return RateAmount{Share: given, Workspace: want.Workspace}, true
 }
 
@@ -468,9 +488,6 @@
 	if l.roster.Generation != 1 || l.limits.Version == 0 || len(l.roster.Previous) != 0 {
 		return
 	}
-	l.version = newTransition(l.roster.Members)
-	l.version.confirmed[l.self] = true
-	l.version.holding[l.self] = true
 	for _, rate := range l.limits.Rates {
 		l.limiter.Set(now, rate.Workspace, l.fullRate(rate))
 	}
@@ -503,8 +520,10 @@
 func (l *Ledger) raise(now time.Time, filter func(name string) bool) {
 	for _, rate := range l.limits.Rates {
 		if filter(string(rate.Workspace)) {
-			held := l.limiter.Share(now, rate.Workspace)
-			l.limiter.Set(now, rate.Workspace, l.rules.raised(held, l.fullRate(rate)))
+			full := l.fullRate(rate)
+			// The level stays, so that a new generation grants no second burst.
+			full.Level = l.limiter.Share(now, rate.Workspace).Level
+			l.limiter.Set(now, rate.Workspace, full)
 		}
 	}
 	for _, limit := range l.limits.Permits {
@@ -518,3 +537,15 @@
 func (l *Ledger) settled() bool {
 	return l.generation.completed && l.version.completed
 }
+
+// Quorums returns the groups of members of which a majority each is needed to
+// vouch or to accept. In the joint phase the generation before counts too.
+func (l *Ledger) Quorums() [][]Member {
+	if l.roster.Generation == 0 {
+		return nil
+	}
+	if l.IsFull() || len(l.roster.Previous) == 0 {
+		return [][]Member{l.roster.Members}
+	}
+	return [][]Member{l.roster.Previous, l.roster.Members}
+}
--- a/peer/scale.go
+++ b/peer/scale.go
@@ -43,7 +43,10 @@
 			state.held = 0
 		case budget != limit.Budget:
 			l.needsReset = true
-			state.held = state.held * limit.Budget / max(budget, 1)
+			// Members that are still in the joint phase take an equal share of
+			// the new budget. The rounding of scaled and equal shares differs,
+			// so more than an equal share could be one permit too many.
+			state.held = min(state.held*limit.Budget/max(budget, 1), l.fullPermits(limit))
 		}
 		if !consecutive {
 			state.held = min(state.held, l.fullPermits(limit))
--- /dev/null
+++ b/peer/service.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	v1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
+	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
+)
+
+var _ nutmegpierv1connect.PeerServiceHandler = &Controller{}
+
+// ConfirmTransfer ends a transfer that this instance gave.
+func (c *Controller) ConfirmTransfer(_ context.Context, request *connect.Request[v1.ConfirmTransferRequest]) (*connect.Response[v1.ConfirmTransferResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fleet.Epoch(request.Msg.GetGiverEpoch()) == c.self.Epoch {
+		c.ledger.Confirm(fromSender(request.Msg.GetSender()), TransferID(request.Msg.GetTransferId()))
+	}
+	return connect.NewResponse(&v1.ConfirmTransferResponse{
+		Sender:       toSender(c.self),
+		SettledBelow: uint64(c.ledger.SettledBelow()),
+	}), nil
+}
+
+// Exchange takes in the periodic message of a peer and answers with the same.
+func (c *Controller) Exchange(_ context.Context, request *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	message := request.Msg
+	from := fromSender(message.GetSender())
+	now := c.config.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record(from, fromVersions(message.GetVersions()), message.GetLeaving(), message.GetLiveness(), message.GetSuspicions())
+	response := &v1.ExchangeResponse{
+		Leaving:    c.leaving,
+		Liveness:   toLiveness(c.membership.Report(now)),
+		Sender:     toSender(c.self),
+		Suspicions: c.ownSuspicions(),
+		Versions:   c.versionsMessage(),
+	}
+	if message.GetWantVoucher() {
+		response.VoucherMs = uint64(c.validity.Give(now, from).Milliseconds())
+	}
+	return connect.NewResponse(response), nil
+}
+
+// FetchRoster returns the newest roster.
+func (c *Controller) FetchRoster(_ context.Context, request *connect.Request[v1.FetchRosterRequest]) (*connect.Response[v1.FetchRosterResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	roster := c.ledger.Roster()
+	response := &v1.FetchRosterResponse{Generation: request.Msg.GetGeneration()}
+	if roster.Generation > 0 && generationOf(request.Msg.GetGeneration(), roster.Generation) == roster.Generation {
+		content, err := encode(roster)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		response.Content = content
+		response.Generation = uint64(roster.Generation)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// FetchSheet returns the newest sheet.
+func (c *Controller) FetchSheet(_ context.Context, request *connect.Request[v1.FetchSheetRequest]) (*connect.Response[v1.FetchSheetResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.ledger.Versions().Sheet
+	asked := fleet.SheetVersion(request.Msg.GetVersion())
+	response := &v1.FetchSheetResponse{Version: uint64(asked)}
+	if asked == 0 || asked == held {
+		response.Content = c.sheet
+		response.Version = uint64(held)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ForwardCancel passes a cancel request to a session of this instance.
+func (c *Controller) ForwardCancel(_ context.Context, request *connect.Request[v1.ForwardCancelRequest]) (*connect.Response[v1.ForwardCancelResponse], error) {
+	found := c.config.ForwardCancel != nil && c.config.ForwardCancel(request.Msg.GetProcessId(), request.Msg.GetSecretKey())
+	return connect.NewResponse(&v1.ForwardCancelResponse{Found: found}), nil
+}
+
+// QueryTransfer tells the giver whether a transfer was accepted here.
+func (c *Controller) QueryTransfer(_ context.Context, request *connect.Request[v1.QueryTransferRequest]) (*connect.Response[v1.QueryTransferResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accepted := c.ledger.Query(fromSender(request.Msg.GetSender()), TransferID(request.Msg.GetTransferId()))
+	return connect.NewResponse(&v1.QueryTransferResponse{Accepted: accepted, Sender: toSender(c.self)}), nil
+}
+
+// TransferShares gives a peer what the own demand leaves over.
+func (c *Controller) TransferShares(_ context.Context, request *connect.Request[v1.TransferSharesRequest]) (*connect.Response[v1.TransferSharesResponse], error) {
+	message := request.Msg
+	wanted := Wanted{
+		Permits:  fromPermits(message.GetPermits()),
+		Rates:    fromRates(message.GetRates()),
+		Receiver: fromSender(message.GetSender()),
+		Versions: Versions{
+			Generation: fleet.RosterGeneration(message.GetRosterGeneration()),
+			Sheet:      fleet.SheetVersion(message.GetSheetVersion()),
+		},
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	transfer := c.ledger.Give(c.config.Clock.Now(), wanted)
+	return connect.NewResponse(&v1.TransferSharesResponse{
+		Permits:          toPermits(transfer.Permits),
+		Rates:            toRates(transfer.Rates),
+		RosterGeneration: uint64(transfer.Versions.Generation),
+		Sender:           toSender(c.self),
+		SheetVersion:     uint64(transfer.Versions.Sheet),
+		TransferId:       uint64(transfer.ID),
+	}), nil
+}
--- a/peer/transition.go
+++ b/peer/transition.go
@@ -63,3 +63,12 @@
 	}
 	return t.completed
 }
+
+// completeByReport records that another instance found the transition complete.
+func (t *transition) completeByReport() {
+	t.guests = false
+	for _, member := range t.required {
+		t.confirmed[member] = true
+		t.holding[member] = true
+	}
+}
