feat: connect instances through the peer controller

Cause: instances ran on fixed limits and sheets. Change: peers give validity, shares, permits and sheets; permits move under the lock of the controller, so that none is given away that the pool uses.

--- a/demo/sheet.go
+++ b/demo/sheet.go
@@ -56,7 +56,7 @@
 
 // publish publishes the first sheet through the administration API.
 func (d *Demo) publish(ctx context.Context, client *operator.Client, content string) error {
-	publication, err := client.PublishSheet(ctx, sheet.PublishRequest{Comment: "first sheet of the demo", Content: content})
+	publication, err := client.Publish(ctx, sheet.PublishRequest{Comment: "first sheet of the demo", Content: content})
 	if err != nil {
 		return &Error{Op: "publish", Kind: KindStart, Err: err}
 	}
--- a/instance/admin.go
+++ b/instance/admin.go
@@ -40,6 +40,6 @@
 func (i *Instance) ready(now time.Time) bool {
 	inForce := i.board.Sheet.Load().Sheet
 	return i.board.Lifecycle.Load() == LifecycleServing &&
-		i.config.Limits.Valid(now) &&
+		i.limits.Valid(now) &&
 		inForce.IsInService(i.config.Settings.DataCentre)
 }
--- a/instance/error.go
+++ b/instance/error.go
@@ -11,6 +11,8 @@
 	KindSettings Kind = "Settings"
 	// KindStop means that a planned stop could not finish in time.
 	KindStop Kind = "Stop"
+	// KindUnknownSession means that no instance has the session.
+	KindUnknownSession Kind = "UnknownSession"
 )
 
 // Error is the error type of this package.
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -16,7 +16,7 @@
 	// Permits returns the number of connections that may be open to a server.
 	Permits(server fleet.ServerID) int
 	// Share returns the share of a workspace's limit that is held now.
-	Share(now time.Time, id fleet.WorkspaceID) workspace.Share
+	Share(id fleet.WorkspaceID) workspace.Share
 	// Valid reports whether the instance may serve at this time.
 	Valid(now time.Time) bool
 }
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -49,7 +49,7 @@
 		Events:    i.recorder,
 		Group:     configured.Group,
 		Instance:  i.config.Settings.Instance,
-		Peers:     i.config.GroupPeers,
+		Peers:     &groupPeers{now: i.config.Now, peers: i.peers, self: i.config.Settings.Instance},
 		Placement: i.placement,
 		Random:    rand.New(rand.NewPCG(seed, uint64(i.config.Epoch))),
 		Section:   section.Section,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,8 +7,11 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegpier/nutmegpier/backend"
@@ -16,13 +19,20 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/group"
+	"github.com/nutmegpier/nutmegpier/operator"
+	"github.com/nutmegpier/nutmegpier/peer"
+	"github.com/nutmegpier/nutmegpier/platform"
 	"github.com/nutmegpier/nutmegpier/settings"
+	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
 // mockSecretBytes is the length of the secret behind the mock salts of unknown
 // workspaces.
 const mockSecretBytes = 32
 
+// leaveBound bounds the hand-over of shares at a planned stop.
+const leaveBound = 3 * time.Second
+
 // Listeners are the open listeners of an instance.
 type Listeners struct {
 	Admin   net.Listener
@@ -30,6 +40,12 @@
 	Peers   net.Listener
 }
 
+// Platform is what an instance needs of the platform.
+type Platform interface {
+	platform.InstanceList
+	platform.Table
+}
+
 // Config holds what an instance depends on. All fields must be set.
 type Config struct {
 	// BackendPassword is the proxy's own password for backend servers.
@@ -37,14 +53,13 @@
 	// Dial opens connections to backend servers.
 	Dial backend.Dial
 	// Epoch tells the runs of the instance apart.
-	Epoch  fleet.Epoch
-	Events *event.Recorder
-	// GroupPeers is what group controllers learn from other instances.
-	GroupPeers group.Peers
-	Listeners  Listeners
-	// Limits holds the shares of this instance.
-	Limits limits
-	Now    func() time.Time
+	Epoch     fleet.Epoch
+	Events    *event.Recorder
+	Listeners Listeners
+	Now       func() time.Time
+	// PeerHTTP is the HTTP client for calls to other instances.
+	PeerHTTP connect.HTTPClient
+	Platform Platform
 	// Random seeds the random sources of the controllers.
 	Random   *rand.Rand
 	Settings settings.Settings
@@ -55,11 +70,20 @@
 	board    *Board
 	callers  *caller.Server
 	config   Config
-	metrics  *metrics
 	groups   []*groupController
+	kill     chan struct{}
+	killOnce sync.Once
+	limits   limits
+	metrics  *metrics
+	peers    *peer.Controller
 	pool     *backend.Pool
 	recorder *recorder
 	router   *router
+	starved  chan struct{}
+
+	randomMu sync.Mutex
+	// adoptMu makes the section of the sheet grow only.
+	adoptMu sync.Mutex
 }
 
 // clock is the clock of group controllers.
@@ -72,13 +96,22 @@
 
 // New builds an instance. Nothing runs before Run.
 func New(config Config) (*Instance, error) {
-	i := &Instance{config: config, metrics: newMetrics(), recorder: &recorder{events: config.Events}}
+	i := &Instance{
+		config:   config,
+		kill:     make(chan struct{}),
+		metrics:  newMetrics(),
+		recorder: &recorder{events: config.Events},
+		starved:  make(chan struct{}, 1),
+	}
 	i.board = newBoard(groupIDs(config.Settings))
 	i.pool = backend.NewPool(backend.PoolConfig{
 		Connect:    i.connect,
 		MaxOpening: config.Settings.Backend.MaxOpenings,
 		Now:        config.Now,
+		Starved:    i.noteStarved,
 	})
+	i.peers = i.newPeers()
+	i.limits = &shares{peers: i.peers}
 	for number, configured := range config.Settings.Groups {
 		controller, err := i.newGroupController(configured, i.board.Groups[number], config.Random.Uint64())
 		if err != nil {
@@ -101,27 +134,40 @@
 	return i.recorder.Promotions()
 }
 
+// AwaitReady waits until the instance takes callers.
+func (i *Instance) AwaitReady(ctx context.Context) error {
+	for !i.ready(i.config.Now()) {
+		if err := pause(ctx, keepInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill makes Run return without a drain, as if the process had died.
+func (i *Instance) Kill() {
+	i.killOnce.Do(func() { close(i.kill) })
+}
+
 // Run serves until the context ends, and then drains for at most the stop
 // bound. It returns an error if sessions had to be cut off.
 func (i *Instance) Run(ctx context.Context) error {
 	i.config.Events.Record(event.InstanceStarted, event.Fields{Text: string(i.config.Settings.Instance)})
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var tasks errgroup.Group
-	for _, controller := range i.groups {
-		tasks.Go(func() error {
-			controller.Run(running)
-			controller.close()
-			return nil
-		})
-	}
-	tasks.Go(func() error { return i.keepPool(running) })
-	tasks.Go(func() error { return i.callers.Serve(i.config.Listeners.Callers) })
+	tasks := i.start(running)
 	i.board.Lifecycle.Store(LifecycleServing)
 	i.config.Events.Record(event.InstanceServing, event.Fields{})
 
-	<-ctx.Done()
-	err := i.drain()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = i.drain(running)
+	case <-i.kill:
+		expired, cancel := context.WithCancel(running)
+		cancel()
+		_ = i.callers.Drain(expired)
+	}
 	stop()
 	i.pool.Close()
 	err = errors.Join(err, tasks.Wait())
@@ -130,18 +176,122 @@
 	return err
 }
 
-// drain lets running transactions finish and closes idle sessions.
-func (i *Instance) drain() error {
+// start starts all controllers and servers. They run until the context ends.
+func (i *Instance) start(ctx context.Context) *errgroup.Group {
+	tasks := &errgroup.Group{}
+	for _, controller := range i.groups {
+		tasks.Go(func() error {
+			controller.Run(ctx)
+			controller.close()
+			return nil
+		})
+	}
+	tasks.Go(func() error { return serveHTTP(ctx, i.peerServer(), i.config.Listeners.Peers) })
+	tasks.Go(func() error { return serveHTTP(ctx, i.adminServer(i.newOperator()), i.config.Listeners.Admin) })
+	tasks.Go(func() error {
+		_ = i.peers.Run(ctx)
+		return nil
+	})
+	tasks.Go(func() error { return i.keepPool(ctx) })
+	tasks.Go(func() error { return i.watchValidity(ctx) })
+	tasks.Go(func() error { return i.callers.Serve(i.config.Listeners.Callers) })
+	return tasks
+}
+
+// drain lets running transactions finish, closes idle sessions, and hands the
+// shares of the instance to its peers.
+func (i *Instance) drain(running context.Context) error {
 	i.board.Lifecycle.Store(LifecycleDraining)
 	i.config.Events.Record(event.InstanceDraining, event.Fields{})
-	ctx, cancel := context.WithTimeout(context.Background(), i.config.Settings.Timeouts.StopBound)
+	ctx, cancel := context.WithTimeout(running, i.config.Settings.Timeouts.StopBound)
 	defer cancel()
 	if err := i.callers.Drain(ctx); err != nil {
 		return &Error{Op: "drain", Kind: KindStop, Err: err}
 	}
+	leaving, cancelLeave := context.WithTimeout(running, leaveBound)
+	defer cancelLeave()
+	// Without an answer in time, the peers take the shares back by eviction.
+	_ = i.peers.Leave(leaving)
 	return nil
 }
 
+// watchValidity closes idle sessions when the validity lease has lapsed.
+func (i *Instance) watchValidity(ctx context.Context) error {
+	valid := false
+	for {
+		now := i.limits.Valid(i.config.Now())
+		if now != valid {
+			valid = now
+			i.noteValidity(valid)
+		}
+		if err := pause(ctx, keepInterval); err != nil {
+			return nil
+		}
+	}
+}
+
+func (i *Instance) noteValidity(valid bool) {
+	if valid {
+		i.config.Events.Record(event.ValidityGained, event.Fields{})
+		return
+	}
+	i.config.Events.Record(event.ValidityLost, event.Fields{})
+	i.callers.StopIdle("the instance cannot prove that its configuration is in force")
+}
+
+// serveHTTP serves until the context ends.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// newOperator returns the administration API.
+func (i *Instance) newOperator() *operator.Server {
+	published := &publisher{
+		holders: i.peers,
+		now:     i.config.Now,
+		table:   i.config.Platform,
+		usage:   i.usage,
+	}
+	return operator.New(operator.Parts{
+		Publisher: published,
+		Recorder:  i.config.Events,
+		Sheets:    published,
+		Status:    i,
+		Timeline:  i.config.Events,
+		Tokens:    func() []settings.Token { return i.config.Settings.Admin.Tokens },
+	})
+}
+
+// randomNumber returns a random number. It is safe for concurrent use.
+func (i *Instance) randomNumber() uint64 {
+	i.randomMu.Lock()
+	defer i.randomMu.Unlock()
+	return i.config.Random.Uint64()
+}
+
+// usage returns what this instance knows of the deployment.
+func (i *Instance) usage() sheet.Usage {
+	usage := sheet.Usage{
+		Busy:        i.metrics.busy(),
+		DataCentres: []fleet.DataCentre{i.config.Settings.DataCentre},
+	}
+	for _, configured := range i.config.Settings.Groups {
+		for _, server := range configured.Servers {
+			usage.Servers = append(usage.Servers, sheet.ServerPlace{
+				DataCentre: server.DataCentre,
+				Group:      configured.Group,
+				Server:     server.Server,
+			})
+		}
+	}
+	return usage
+}
+
 func (i *Instance) connect(ctx context.Context, server fleet.ServerID, address string) (*backend.Conn, error) {
 	configured := i.config.Settings.Backend
 	return backend.Connect(ctx, backend.ConnConfig{
@@ -199,20 +349,21 @@
 		secret = append(secret, byte(i.config.Random.Uint32()))
 	}
 	return caller.Config{
-		AllowCleartext: configured.TLS.AllowCleartextKeys,
-		Barrier:        i.router,
-		Committer:      i.router,
-		Credentials:    &credentials{now: i.config.Now, sheet: i.board.Sheet},
-		Events:         i.recorder,
-		Gate:           &gate{lifecycle: i.board.Lifecycle, limits: i.config.Limits, metrics: i.metrics},
-		IdleTimeout:    configured.Timeouts.Idle,
-		MaxMessage:     configured.Limits.MaxMessageBytes,
-		MockSecret:     secret,
-		Now:            i.config.Now,
-		RequestTimeout: configured.Limits.QueueTimeout,
-		Router:         i.router,
-		StartupTimeout: configured.Timeouts.Startup,
-		StopBound:      configured.Timeouts.StopBound,
+		AllowCleartext:  configured.TLS.AllowCleartextKeys,
+		Barrier:         i.router,
+		CancelForwarder: i,
+		Committer:       i.router,
+		Credentials:     &credentials{now: i.config.Now, sheet: i.board.Sheet},
+		Events:          i.recorder,
+		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics},
+		IdleTimeout:     configured.Timeouts.Idle,
+		MaxMessage:      configured.Limits.MaxMessageBytes,
+		MockSecret:      secret,
+		Now:             i.config.Now,
+		RequestTimeout:  configured.Limits.QueueTimeout,
+		Router:          i.router,
+		StartupTimeout:  configured.Timeouts.Startup,
+		StopBound:       configured.Timeouts.StopBound,
 	}
 }
 
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -15,12 +17,12 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
-	"github.com/nutmegpier/nutmegpier/group"
 	"github.com/nutmegpier/nutmegpier/instance"
+	"github.com/nutmegpier/nutmegpier/peer"
+	"github.com/nutmegpier/nutmegpier/platform"
 	"github.com/nutmegpier/nutmegpier/settings"
 	"github.com/nutmegpier/nutmegpier/sheet"
 	"github.com/nutmegpier/nutmegpier/standin"
-	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -29,40 +31,6 @@
 	testTimeout   = 20 * time.Second
 )
 
-// fixedLimits admits everything and grants a fixed number of permits.
-type fixedLimits struct {
-	permits int
-}
-
-func (fixedLimits) Admit(time.Time, fleet.WorkspaceID) workspace.Decision {
-	return workspace.Decision{Admitted: true}
-}
-
-func (l fixedLimits) Permits(fleet.ServerID) int {
-	return l.permits
-}
-
-func (fixedLimits) Share(time.Time, fleet.WorkspaceID) workspace.Share {
-	return workspace.Share{Rate: 1000}
-}
-
-func (fixedLimits) Valid(time.Time) bool {
-	return true
-}
-
-// onePeer is the view of an instance that has no peers.
-type onePeer struct {
-	self fleet.InstanceID
-}
-
-func (p onePeer) Live() []fleet.InstanceID {
-	return []fleet.InstanceID{p.self}
-}
-
-func (onePeer) Suspicions(fleet.GroupID) []group.SuspicionReport {
-	return nil
-}
-
 type fixture struct {
 	group *standin.Group
 	urls  []string
@@ -100,19 +68,44 @@
 		Workspace:  testWorkspace,
 	}}}
 	f := &fixture{group: servers}
+	service := standin.NewPlatform()
+	platformURL, stop, err := service.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	store := platform.NewClient(&http.Client{}, platformURL)
+	publishFirst(ctx, t, store, published)
 	for number := range instances {
-		address := startInstance(t, servers, fleet.InstanceID(fmt.Sprintf("i%d", number+1)), published)
+		address := f.startInstance(ctx, t, fleet.InstanceID(fmt.Sprintf("i%d", number+1)), service, store)
 		f.urls = append(f.urls, fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", testWorkspace, key.Key, address, testDatabase))
 	}
 	return f
 }
 
-func startInstance(t *testing.T, servers *standin.Group, id fleet.InstanceID, published sheet.Sheet) string {
+// publishFirst writes the first sheet and the head row as the publisher does.
+func publishFirst(ctx context.Context, t *testing.T, store *platform.Client, published sheet.Sheet) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	content, err := json.Marshal(published)
 	if err != nil {
 		t.Fatal(err)
 	}
+	record, err := sheet.Record{Content: string(content), Publication: "first"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, err := json.Marshal(peer.Head{SheetVersion: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	applied, _, err := store.Write(ctx, nil, []platform.Row{{Key: peer.HeadKey, Value: head}, {Key: peer.SheetKey(1), Value: record}})
+	if err != nil || !applied {
+		t.Fatalf("Write = %t, %v, want the rows to be written", applied, err)
+	}
+}
+
+func (f *fixture) startInstance(ctx context.Context, t *testing.T, id fleet.InstanceID, service *standin.Platform, store *platform.Client) string {
+	t.Helper()
 	configured := settings.Settings{
 		Backend:    settings.Backend{User: "proxy"},
 		DataCentre: "gt-1",
@@ -124,41 +117,60 @@
 		Groups:   []settings.Group{{Connections: 20, Group: testDatabase, Slots: 3}},
 		Instance: id,
 		Limits:   settings.Limits{QueueTimeout: 10 * time.Second},
-		Timeouts: settings.Timeouts{CommitBound: 5 * time.Second, FreshWait: 5 * time.Millisecond, StopBound: 5 * time.Second},
+		Listen:   settings.Listen{Admin: "127.0.0.1:0", Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+		Platform: settings.Platform{Timeout: time.Second},
+		Timeouts: settings.Timeouts{
+			CommitBound:   5 * time.Second,
+			FreshWait:     5 * time.Millisecond,
+			StopBound:     5 * time.Second,
+			ValidityLease: 3 * time.Second,
+		},
 	}
-	for _, server := range servers.Servers() {
+	for _, server := range f.group.Servers() {
 		configured.Groups[0].Servers = append(configured.Groups[0].Servers, settings.Server{
 			Address:    server.Addr(),
 			DataCentre: "gt-1",
 			Server:     server.ID(),
 		})
 	}
+	listeners, err := instance.Listen(configured.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	service.AddInstance(platform.Instance{
+		DataCentre:  "gt-1",
+		ID:          id,
+		PeerAddress: listeners.Peers.Addr().String(),
+		State:       platform.InstanceLive,
+	})
 	epoch := fleet.Epoch(1)
 	running, err := instance.New(instance.Config{
-		Dial:       (&net.Dialer{}).DialContext,
-		Epoch:      epoch,
-		Events:     event.New(id, epoch, time.Now, event.NewLogger(io.Discard, "text", event.LevelInfo), 100),
-		GroupPeers: onePeer{self: id},
-		Limits:     fixedLimits{permits: 4},
-		Listeners:  instance.Listeners{Callers: listener},
-		Now:        time.Now,
-		Random:     rand.New(rand.NewPCG(1, 2)),
-		Settings:   configured,
+		Dial:      (&net.Dialer{}).DialContext,
+		Epoch:     epoch,
+		Events:    event.New(id, epoch, time.Now, event.NewLogger(io.Discard, "text", event.LevelInfo), 100),
+		Listeners: listeners,
+		Now:       time.Now,
+		PeerHTTP:  &http.Client{},
+		Platform:  store,
+		Random:    rand.New(rand.NewPCG(1, uint64(len(f.urls)))),
+		Settings:  configured,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	running.Board().Sheet.Store(instance.SheetInForce{Sheet: published, Version: 1})
-	ctx, cancel := context.WithCancel(context.Background())
+	runCtx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- running.Run(ctx) }()
+	go func() { done <- running.Run(runCtx) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Errorf("Run: %v", err)
 		}
 	})
-	return listener.Addr().String()
+	if err := running.AwaitReady(ctx); err != nil {
+		t.Fatalf("AwaitReady: %v", err)
+	}
+	return listeners.Callers.Addr().String()
 }
 
 func connect(ctx context.Context, t *testing.T, url string) *pgx.Conn {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -56,6 +58,13 @@
 	return found
 }
 
+// busy returns the workspaces that have sent requests to this instance.
+func (m *metrics) busy() []fleet.WorkspaceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.workspaces))
+}
+
 // workspaceValue is the exported form of workspaceMetrics.
 type workspaceValue struct {
 	Admitted int64
--- a/instance/poolkeeper.go
+++ b/instance/poolkeeper.go
@@ -5,36 +5,73 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/peer"
+	"github.com/nutmegpier/nutmegpier/settings"
 )
 
 // keepInterval is the longest time after which the pool follows a change of
 // the permits held.
 const keepInterval = 100 * time.Millisecond
 
-// keepPool makes the pool follow the permits that the instance holds and the
-// placement of the sheet.
+// keepPool makes the pool follow the permits that the instance holds, and asks
+// peers for permits when requests wait for them.
 func (i *Instance) keepPool(ctx context.Context) error {
 	ticker := time.NewTicker(keepInterval)
 	defer ticker.Stop()
 	for {
-		i.adjustPool()
-		_, sheetChanged := i.board.Sheet.Watch()
+		i.applyPermits()
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-sheetChanged:
+		case <-i.starved:
+			i.applyPermits()
+			_ = i.peers.AskShares(ctx)
 		case <-ticker.C:
 		}
 	}
 }
 
-func (i *Instance) adjustPool() {
-	for _, controller := range i.groups {
-		for _, server := range controller.settings.Servers {
-			i.pool.SetServer(server.Server, server.Address, backend.Limits{
-				Permits: i.config.Limits.Permits(server.Server),
-				Slots:   controller.settings.Slots,
-			})
+func (i *Instance) applyPermits() {
+	i.peers.ApplyPermits(func(id fleet.ServerID, permits int) peer.PermitUse {
+		configured, server, found := i.serverSettings(id)
+		if !found {
+			return peer.PermitUse{}
+		}
+		i.pool.SetServer(id, server.Address, backend.Limits{Permits: permits, Slots: configured.Slots})
+		return i.permitUse(id)
+	})
+}
+
+// releasePermits gives up as many of the wanted permits as are not in use.
+func (i *Instance) releasePermits(server fleet.ServerID, wanted int) peer.PermitUse {
+	for range wanted {
+		if !i.pool.GivePermit(server) {
+			break
+		}
+	}
+	return i.permitUse(server)
+}
+
+func (i *Instance) permitUse(server fleet.ServerID) peer.PermitUse {
+	return peer.PermitUse{InEffect: i.pool.Held(server), Waiting: i.pool.Counts(server).Waiting}
+}
+
+// noteStarved wakes the keeper of the pool. It does not block.
+func (i *Instance) noteStarved(fleet.ServerID) {
+	select {
+	case i.starved <- struct{}{}:
+	default:
+	}
+}
+
+func (i *Instance) serverSettings(id fleet.ServerID) (settings.Group, settings.Server, bool) {
+	for _, configured := range i.config.Settings.Groups {
+		for _, server := range configured.Servers {
+			if server.Server == id {
+				return configured, server, true
+			}
 		}
 	}
+	return settings.Group{}, settings.Server{}, false
 }
--- a/instance/publisher.go
+++ b/instance/publisher.go
@@ -26,7 +26,7 @@
 	// AwaitMajority waits until a majority of the roster holds the version.
 	AwaitMajority(ctx context.Context, version fleet.SheetVersion) error
 	// OfferSheet takes in a version that this instance has published.
-	OfferSheet(version fleet.SheetVersion, content []byte)
+	OfferSheet(version fleet.SheetVersion, content []byte) error
 }
 
 // publisher publishes sheets to the table and reads the published ones.
@@ -189,7 +189,9 @@
 	if err != nil {
 		return sheet.OutcomeStored
 	}
-	p.holders.OfferSheet(version, encoded)
+	if err := p.holders.OfferSheet(version, encoded); err != nil {
+		return sheet.OutcomeStored
+	}
 	ctx, cancel := context.WithTimeout(ctx, acceptWait)
 	defer cancel()
 	if err := p.holders.AwaitMajority(ctx, version); err != nil {
--- a/instance/status.go
+++ b/instance/status.go
@@ -23,8 +23,8 @@
 		Instance:     i.config.Settings.Instance,
 		Lifecycle:    string(i.board.Lifecycle.Load()),
 		SheetVersion: inForce.Version,
-		Valid:        i.config.Limits.Valid(now),
-		Workspaces:   i.workspaceStatus(now, inForce.Sheet),
+		Valid:        i.limits.Valid(now),
+		Workspaces:   i.workspaceStatus(inForce.Sheet),
 	}
 	for number, controller := range i.groups {
 		view := i.board.Groups[number].Section.Load()
@@ -42,7 +42,7 @@
 			Busy:    counts.InUse,
 			Idle:    counts.Idle,
 			Opening: counts.Opening,
-			Permits: i.config.Limits.Permits(server.Server),
+			Permits: i.limits.Permits(server.Server),
 			Server:  server.Server,
 			Waiting: counts.Waiting,
 		})
@@ -50,7 +50,7 @@
 	return pools
 }
 
-func (i *Instance) workspaceStatus(now time.Time, inForce sheet.Sheet) []operator.WorkspaceStatus {
+func (i *Instance) workspaceStatus(inForce sheet.Sheet) []operator.WorkspaceStatus {
 	var workspaces []operator.WorkspaceStatus
 	for _, workspace := range inForce.Workspaces {
 		counts := i.metrics.workspace(workspace.Workspace)
@@ -58,7 +58,7 @@
 			Admitted:  uint64(counts.admitted.Value()),
 			Rate:      workspace.Rate,
 			Refused:   uint64(counts.refused.Value()),
-			Share:     i.config.Limits.Share(now, workspace.Workspace).Rate,
+			Share:     i.limits.Share(workspace.Workspace).Rate,
 			Workspace: workspace.Workspace,
 		})
 	}
--- a/peer/config.go
+++ b/peer/config.go
@@ -55,7 +55,7 @@
 type SheetLimits func(content []byte) (Limits, error)
 
 // Config is what a controller depends on. All fields are required, but for
-// Events, ForwardCancel, Lease, Seeds, SheetChanged and Suspicions.
+// Events, ForwardCancel, Lease, ReleasePermits, Seeds, SheetChanged and Suspicions.
 type Config struct {
 	// Client returns the client for the peer at an address.
 	Client func(address string) nutmegpierv1connect.PeerServiceClient
@@ -70,6 +70,11 @@
 	Limits        SheetLimits
 	// Random returns a number that is unique for each proposal.
 	Random func() uint64
+	// ReleasePermits lets the pool give up as many of the wanted permits as it
+	// does not need, and returns how it uses the rest. The connections of the
+	// permits given up are closed when it returns. It must not call the
+	// controller.
+	ReleasePermits func(server fleet.ServerID, wanted int) PermitUse
 	// Seeds are peers from the settings, used while the list is not available.
 	Seeds []Listed
 	Self  fleet.InstanceID
--- a/peer/ledger.go
+++ b/peer/ledger.go
@@ -269,6 +269,11 @@
 	return transfers
 }
 
+// PermitLimits returns the budgets of the sheet version held.
+func (l *Ledger) PermitLimits() []PermitLimit {
+	return l.limits.Permits
+}
+
 // Permits returns the number of connections that may be open to a server.
 func (l *Ledger) Permits(now time.Time, server fleet.ServerID) int {
 	state := l.permits[server]
--- a/peer/service.go
+++ b/peer/service.go
@@ -105,6 +105,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releasePermits(wanted.Permits)
 	transfer := c.ledger.Give(c.config.Clock.Now(), wanted)
 	return connect.NewResponse(&v1.TransferSharesResponse{
 		Permits:          toPermits(transfer.Permits),
