fix: repeat a drain on the version that the conflict names

An instance whose sheet in force lagged the head read the same old sheet after a conflict, so each repeat conflicted again. A test with a lag of two versions guards against it. Lists without entries in the status are [] in JSON.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -30,9 +30,11 @@
 	beforePublish func()
 	err           error
 	history       []operator.SheetSummary
-	mu            sync.Mutex
-	outcome       sheet.Outcome
-	sheets        []operator.SheetVersion
+	// lag is the number of versions by which the sheet in force lags the head.
+	lag     int
+	mu      sync.Mutex
+	outcome sheet.Outcome
+	sheets  []operator.SheetVersion
 }
 
 func (s *store) List(_ context.Context, limit int) ([]operator.SheetSummary, error) {
@@ -69,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version == 0 {
-		return s.sheets[len(s.sheets)-1], nil
+		return s.sheets[max(len(s.sheets)-1-s.lag, 0)], nil
 	}
 	if int(version) >= len(s.sheets) {
 		return operator.SheetVersion{}, operator.ErrNoSheet
@@ -87,7 +89,10 @@
 	Groups: []operator.GroupStatus{{Group: "orders", Servers: []operator.ServerStatus{{
 		Applied: fleet.Position{Term: 2, Log: 9}, ConnectionLimit: 20, Connections: 3, Lag: 1, Log: fleet.Position{Term: 2, Log: 10}, Role: "Replica", Server: "orders-1", Term: 2,
 	}}}},
-	Instance: "pier-1", Lifecycle: "Serving", SheetVersion: 1, Valid: true,
+	Drains:    []operator.DrainStatus{{Kind: "DataCentre", Name: "gt-2", Remaining: 1}},
+	Instances: []operator.InstanceStatus{{Address: "127.0.0.2:6433", DataCentre: "gt-2", Epoch: 7, Instance: "pier-2", RosterGeneration: 3, SheetVersion: 1, SilenceMs: 250, State: "Live"}},
+	Pools:     []operator.PoolStatus{{Busy: 1, Idle: 2, Permits: 4, Server: "orders-1"}},
+	Instance:  "pier-1", Lifecycle: "Serving", SheetVersion: 1, Valid: true,
 	Workspaces: []operator.WorkspaceStatus{{Admitted: 70, Rate: 200, Refused: 2, Share: 25, Workspace: "die-room"}},
 }
 
@@ -180,6 +185,23 @@
 	}
 }
 
+// TestDrainOnLaggingInstance guards against a drain that repeats its conflict
+// because the instance has not the newest sheet in force yet.
+func TestDrainOnLaggingInstance(t *testing.T) {
+	d := deploy(t)
+	for base := range fleet.SheetVersion(3) {
+		if _, err := d.client(settings.RolePublish).Publish(t.Context(), sheet.PublishRequest{Base: base, Content: `{"Format": 1}`}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.store.lag = 2
+	got, err := d.client(settings.RoleOperate).DrainServer(t.Context(), "s-1", false)
+	want := operator.Publication{Changes: []string{"+ Servers[s-1].State: Leaving"}, Outcome: sheet.OutcomeAccepted, Version: 4}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("publication, error %v (-want +got):\n%s", err, diff)
+	}
+}
+
 // TestErrorsSayWhetherItTookEffect guards against a lost answer that is
 // reported as a failure, and a certain failure that is reported as unknown.
 func TestErrorsSayWhetherItTookEffect(t *testing.T) {
@@ -273,11 +295,20 @@
 	}
 	want := `Instance pier-1, data centre , Serving, valid true, sheet 1, roster 0
 
+INSTANCE  DATA CENTRE  STATE  SHEET  ROSTER  SILENCE  ADDRESS
+pier-2    gt-2         Live   1      3       250 ms   127.0.0.2:6433
+
 DATABASE  SERVER    DATA CENTRE  ROLE     TERM  LOG   APPLIED  LAG  CONNECTIONS  SILENCE
 orders    orders-1               Replica  2     2/10  2/9      1    3/20         0 ms
 
+POOL      BUSY  IDLE  OPENING  PINNED  PERMITS  WAITING
+orders-1  1     2     0        0       4        0
+
 WORKSPACE  RATE     SHARE   ADMITTED  REFUSED  REFUSED IN RATE
 die-room   200.0/s  25.0/s  70        2        0
+
+OUT OF SERVICE  NAME  REMAINING
+DataCentre      gt-2  1
 `
 	if diff := cmp.Diff(want, out.String()); diff != "" {
 		t.Errorf("tables (-want +got):\n%s", diff)
--- a/operator/placement.go
+++ b/operator/placement.go
@@ -16,6 +16,9 @@
 // emptySheet is edited when no sheet has been published yet.
 const emptySheet = `{"Format": 1}`
 
+// inForce asks for the sheet in force.
+const inForce fleet.SheetVersion = 0
+
 // placement names a data centre or a backend server.
 type placement struct {
 	dataCentre fleet.DataCentre
@@ -54,7 +57,8 @@
 
 // place edits the sheet in force and publishes it against the version that was
 // read. A conflict means that another operator was faster; the edit is then
-// repeated on the newer sheet. It publishes also when the sheet in force reads
+// repeated on the version that the conflict names, which this instance may not
+// hold in force yet. It publishes also when the sheet in force reads
 // as wanted, because only a publication proves that it is the newest one.
 func (s *Server) place(ctx context.Context, target placement, inService, force bool) (*nutmegpierv1.PublishSheetResponse, error) {
 	if err := target.check(); err != nil {
@@ -67,8 +71,9 @@
 	s.recorder.Record(number, target.fields(ctx))
 	comment += cmp.Or(string(target.dataCentre), string(target.server))
 	var response *nutmegpierv1.PublishSheetResponse
+	version := inForce
 	for range maxDrainAttempts {
-		current, err := s.sheets.Sheet(ctx, 0)
+		current, err := s.sheets.Sheet(ctx, version)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeAborted, errors.New("nothing was changed: "+sheet.Redact(err.Error())))
 		}
@@ -80,6 +85,7 @@
 		if err != nil || response.GetOutcome() != string(sheet.OutcomeConflict) {
 			return response, err
 		}
+		version = fleet.SheetVersion(response.GetVersion())
 	}
 	return response, nil
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -51,7 +51,7 @@
 type Publisher interface {
 	// Publish publishes against the base version of the request. An error means
 	// that nothing was changed; a change that may have taken effect is
-	// sheet.OutcomeUnknown.
+	// sheet.OutcomeUnknown. A conflict states the version of the head row.
 	Publish(ctx context.Context, request sheet.PublishRequest) (Publication, error)
 }
 
@@ -83,7 +83,8 @@
 	List(ctx context.Context, limit int) ([]SheetSummary, error)
 	// Sheet returns a version; zero means the one in force. Before the first
 	// publication that is version zero with no content. The error is ErrNoSheet
-	// when the version does not exist.
+	// when the version does not exist. A version that the instance does not
+	// hold is read from the table.
 	Sheet(ctx context.Context, version fleet.SheetVersion) (SheetVersion, error)
 }
 
--- a/operator/status.go
+++ b/operator/status.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -120,6 +121,18 @@
 	return err
 }
 
+// MarshalJSON returns the JSON form, in which lists without entries are [].
+func (s Status) MarshalJSON() ([]byte, error) {
+	type plain Status
+	p := plain(s)
+	p.Drains = append([]DrainStatus{}, s.Drains...)
+	p.Groups = append([]GroupStatus{}, s.Groups...)
+	p.Instances = append([]InstanceStatus{}, s.Instances...)
+	p.Pools = append([]PoolStatus{}, s.Pools...)
+	p.Workspaces = append([]WorkspaceStatus{}, s.Workspaces...)
+	return json.Marshal(p)
+}
+
 type groupRow struct {
 	group  fleet.GroupID
 	server ServerStatus
