fix: report a superseded publication as stored, not as a conflict

A write that seemed lost could take effect after it was read back, and be followed by another publication before the repeat. The repeat then found a newer head and reported a conflict. PublishState.AfterBase carries the row after the base version, by which the decision tells the two apart.

--- a/sheet/publish.go
+++ b/sheet/publish.go
@@ -52,6 +52,10 @@
 
 // PublishState is what is known when a publication is decided.
 type PublishState struct {
+	// AfterBase is the row of the version after the request's base. It is
+	// needed when the head has passed the base: a write that seemed lost may
+	// have taken effect before another publication followed.
+	AfterBase ReadBack
 	Current Sheet
 	// Head is the version in force.
 	Head fleet.SheetVersion
@@ -79,7 +83,7 @@
 // effect is stored, never written twice.
 func DecidePublish(state PublishState, request PublishRequest) Decision {
 	decision := Decision{Version: state.Head}
-	if request.Publication != "" && request.Publication == state.HeadPublication {
+	if tookEffect(state, request) {
 		decision.Outcome = OutcomeStored
 		return decision
 	}
@@ -100,6 +104,15 @@
 	return decideWrite(decision, request)
 }
 
+// tookEffect reports whether an earlier write of the request took effect.
+func tookEffect(state PublishState, request PublishRequest) bool {
+	if request.Publication == "" {
+		return false
+	}
+	after := state.AfterBase
+	return request.Publication == state.HeadPublication || (after.Found && after.Publication == request.Publication)
+}
+
 func decideWrite(decision Decision, request PublishRequest) Decision {
 	switch {
 	case len(decision.Problems) > 0 && !request.Force:
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -38,13 +38,14 @@
 }
 
 // TestDecidePublish guards against a lost update between racing operators, a
-// second write of one publication, and unsafe sheets that nobody forced.
+// second write of one publication, a conflict reported for one that took
+// effect before another, and unsafe sheets that nobody forced.
 func TestDecidePublish(t *testing.T) {
 	content := example(t)
 	current := parse(t, content)
 	stopped := strings.Replace(content, `"Rate": 200`, `"Rate": 0`, 1)
 	usage := sheet.Usage{Busy: []fleet.WorkspaceID{"die-room"}}
-	state := sheet.PublishState{Current: current, Head: 7, HeadPublication: "p7", Usage: usage}
+	state := sheet.PublishState{AfterBase: sheet.ReadBack{Found: true, Publication: "p6"}, Current: current, Head: 7, HeadPublication: "p7", Usage: usage}
 	for _, tc := range []struct {
 		name    string
 		request sheet.PublishRequest
@@ -60,6 +61,7 @@
 			Outcome: sheet.OutcomeInvalid, Problems: []string{"sheet:1:12: Format: out of range, found 2, accepted: 1 to 1"}, Version: 7,
 		}},
 		{"Repeated", sheet.PublishRequest{Base: 6, Content: content, Publication: "p7"}, sheet.Decision{Outcome: sheet.OutcomeStored, Version: 7}},
+		{"Superseded", sheet.PublishRequest{Base: 5, Content: content, Publication: "p6"}, sheet.Decision{Outcome: sheet.OutcomeStored, Version: 7}},
 		{"Unsafe", sheet.PublishRequest{Base: 7, Content: stopped, Publication: "p8"}, sheet.Decision{
 			Changes: []string{"~ Workspaces[die-room].Rate: 200 -> 0"}, Outcome: sheet.OutcomeUnsafe,
 			Problems: []string{"workspace die-room has traffic and a rate of 0"}, Version: 7,
