--- a/sheet/publish.go
+++ b/sheet/publish.go
@@ -56,7 +56,7 @@
 	// needed when the head has passed the base: a write that seemed lost may
 	// have taken effect before another publication followed.
 	AfterBase ReadBack
-	Current Sheet
+	Current   Sheet
 	// Head is the version in force.
 	Head fleet.SheetVersion
 	// HeadPublication is the publication that made the head version.
