feat: rerun refused writes with backoff and bound stopped sessions

A write refused with 25006 is rerun until the request's deadline within the retry budget; a last refusal is reported with Outcome: NotRun. Sessions that are stopped are cut off at their bound.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -319,6 +319,11 @@
 	return c.txStatus
 }
 
+// Unsynced reports whether messages were sent whose Sync is missing.
+func (c *Conn) Unsynced() bool {
+	return c.unsynced
+}
+
 func (c *Conn) authenticate() error {
 	body, err := c.Body()
 	if err != nil {
--- a/backend/state.go
+++ b/backend/state.go
@@ -52,6 +52,11 @@
 	return len(c.prepared)
 }
 
+// Retire keeps the connection from being reused.
+func (c *Conn) Retire() {
+	c.broken = true
+}
+
 // SetPrepared notes whether the connection holds the named statement.
 func (c *Conn) SetPrepared(name string, held bool) {
 	if held {
--- a/caller/check.go
+++ b/caller/check.go
@@ -85,7 +85,7 @@
 	if r.touches {
 		conn.Touch()
 	}
-	s.settleAtOnce(conn)
+	s.settleAtOnce(result, conn)
 	if s.tx != backend.TxIdle {
 		return
 	}
@@ -97,7 +97,7 @@
 }
 
 // settleAtOnce takes the changes that don't wait for a commit.
-func (s *session) settleAtOnce(conn *backend.Conn) {
+func (s *session) settleAtOnce(result answer, conn *backend.Conn) {
 	for _, change := range s.changes {
 		switch change.verb {
 		case verbPin:
@@ -108,20 +108,25 @@
 			if len(s.changes) > 1 {
 				s.pin(conn)
 			}
-		case VerbDeallocate:
+		case VerbDeallocate, VerbDiscard:
 			if change.name == "all" {
-				clear(s.prepared)
-				conn.Forget()
-			}
-		case VerbDiscard:
-			if change.name == "all" {
-				clear(s.prepared)
-				conn.Forget()
+				s.forgetPrepared(result, conn)
 			}
 		}
 	}
 }
 
+// forgetPrepared takes the effect of DEALLOCATE ALL or DISCARD ALL. After an
+// error it isn't known whether they ran, so the connection isn't used again.
+func (s *session) forgetPrepared(result answer, conn *backend.Conn) {
+	if result.code != "" {
+		conn.Retire()
+		return
+	}
+	clear(s.prepared)
+	conn.Forget()
+}
+
 func (s *session) settleCommitted(conn *backend.Conn) {
 	reset := false
 	changed := false
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -73,7 +73,7 @@
 
 // flushOpen reports whether messages were sent with Flush whose Sync is missing.
 func (s *session) flushOpen() bool {
-	return s.lease != nil && !s.pinned && s.tx == backend.TxIdle
+	return s.lease != nil && s.lease.Conn().Unsynced()
 }
 
 // include finds out what the messages of the batch ask for.
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -220,6 +220,7 @@
 	session := &session{
 		arrivedAt: s.config.Now(),
 		conn:      conn,
+		output:    callerWriter{conn: conn, timeout: s.config.WriteTimeout},
 		prepared:  make(map[string]*preparedStatement),
 		reader:    backend.NewFrameReader(conn, readBufferSize, s.config.MaxMessage),
 		server:    s,
--- a/caller/request.go
+++ b/caller/request.go
@@ -10,8 +10,12 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
-// maxReruns bounds how often one request is rerun.
-const maxReruns = 3
+// Waits before reruns of one request. The first rerun doesn't wait, since the
+// answer of a replica says at once that the primary is needed.
+const (
+	firstRerunWait = 10 * time.Millisecond
+	maxRerunWait   = 100 * time.Millisecond
+)
 
 // codeReadOnly is the SQLSTATE with which a replica or a fenced primary
 // refuses a write. It proves that nothing ran.
@@ -37,6 +41,8 @@
 	code string
 	// err says that the backend connection failed.
 	err error
+	// failure is the error that wasn't passed on because of rerun.
+	failure *pgproto3.ErrorResponse
 	// rerun says that the server proved that nothing ran, and that nothing
 	// was passed on to the caller.
 	rerun bool
@@ -121,13 +127,8 @@
 		if result.err != nil {
 			s.server.record(Event{Group: s.group, Name: EventBackendLost, Server: server, Workspace: s.workspace})
 		}
-		if attempt < maxReruns && fresh && s.mayRerun(r, result) && s.server.retries.spend() {
-			s.server.record(Event{Group: s.group, Name: EventRetry, Server: server, Workspace: s.workspace})
-			s.release(result.err == nil)
-			s.writer.Reset(callerWriter{conn: s.conn, timeout: s.server.config.WriteTimeout})
-			if result.code == codeReadOnly {
-				r.access = AccessWrite
-			}
+		if fresh && s.mayRerun(r, result) && s.server.retries.spend() {
+			s.prepareRerun(r, result, attempt)
 			exclude = server
 			continue
 		}
@@ -138,6 +139,33 @@
 	}
 }
 
+// prepareRerun puts the session into the state before the request, and waits.
+func (s *session) prepareRerun(r *request, result answer, attempt int) {
+	s.server.record(Event{Group: s.group, Name: EventRetry, Server: s.lease.Server(), Workspace: s.workspace})
+	s.release(result.err == nil)
+	s.writer.Reset(&s.output)
+	if result.code == codeReadOnly {
+		r.access = AccessWrite
+	}
+	ctx, done := s.waitContext()
+	defer done()
+	timer := time.NewTimer(rerunWait(attempt, s.server.config.Jitter()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// rerunWait returns the wait before a rerun. Jitter is in [0, 1).
+func rerunWait(attempt int, jitter float64) time.Duration {
+	if attempt == 0 {
+		return 0
+	}
+	bound := min(maxRerunWait, firstRerunWait<<min(attempt-1, 10))
+	return bound/2 + time.Duration(jitter*float64(bound/2))
+}
+
 // admit checks the session's key and the workspace's rate. A transaction is
 // one request, so its statements after the first aren't checked again.
 func (s *session) admit(*request) error {
@@ -216,7 +244,8 @@
 
 // mayRerun reports whether a request can be run again on another server.
 func (s *session) mayRerun(r *request, result answer) bool {
-	if s.writer.Flushed() || r.control || s.stoppedNow() {
+	config := &s.server.config
+	if s.writer.Flushed() || r.control || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
 		return false
 	}
 	if result.rerun {
@@ -233,6 +262,10 @@
 	if !r.synced {
 		return s.finishFlush()
 	}
+	if result.rerun {
+		result.failure.Detail = OutcomeNotRun.detail()
+		_ = s.writer.Message(result.failure)
+	}
 	s.tx = conn.TxStatus()
 	s.settle(r, result, conn)
 	if s.tx != backend.TxIdle {
--- a/caller/server.go
+++ b/caller/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/subtle"
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -51,6 +51,9 @@
 	Gate Gate
 	// IdleTimeout closes a session that sends nothing. Zero means one hour.
 	IdleTimeout time.Duration
+	// Jitter returns a random number in [0, 1) for waits before reruns. Nil
+	// means that of math/rand.
+	Jitter func() float64
 	// MaxMessage bounds one message, and all messages up to a Sync, in bytes.
 	// Zero means 64 MiB. COPY data is bounded by message only.
 	MaxMessage int
@@ -262,6 +265,9 @@
 	c.StartupTimeout = orDefault(c.StartupTimeout, defaultStartupTimeout)
 	c.StopBound = orDefault(c.StopBound, defaultStopBound)
 	c.WriteTimeout = orDefault(c.WriteTimeout, defaultWriteTimeout)
+	if c.Jitter == nil {
+		c.Jitter = rand.Float64
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -297,9 +303,7 @@
 }
 
 func randomUint32() uint32 {
-	var raw [4]byte
-	_, _ = rand.Read(raw[:])
-	return binary.BigEndian.Uint32(raw[:])
+	return binary.BigEndian.Uint32(randomBytes(4))
 }
 
 // workspaceEvent returns an event of a session.
--- a/caller/session.go
+++ b/caller/session.go
@@ -36,6 +36,7 @@
 	lost       bool
 	maxAge     time.Duration
 	operation  []operation
+	output     callerWriter
 	pinned     bool
 	prepared   map[string]*preparedStatement
 	processID  uint32
@@ -57,17 +58,22 @@
 	idle      bool
 	lease     Lease
 	stopAt    time.Time
+	stopTimer *time.Timer
 	stopped   string
 	// stopWaiting ends the wait for a connection while waiting is set.
 	stopWaiting context.CancelFunc
 	waiting     bool
 }
 
-// abort cuts the session off.
+// abort ends the session without waiting for its statement or transaction.
 func (s *session) abort() {
-	_ = s.conn.SetDeadline(longAgo)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped == "" {
+		s.stopped = "the session was cut off"
+	}
+	s.stopAt = longAgo
+	_ = s.conn.SetReadDeadline(longAgo)
 	if s.waiting {
 		s.stopWaiting()
 	}
@@ -119,6 +125,7 @@
 		return
 	}
 	s.stopped, s.stopAt = reason, at
+	s.stopTimer = time.AfterFunc(at.Sub(s.server.config.Now()), s.abort)
 	if s.idle {
 		_ = s.conn.SetReadDeadline(s.readDeadline())
 	}
@@ -145,9 +152,6 @@
 func (s *session) waitContext() (context.Context, func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ctx.Err() != nil {
-		s.ctx, s.stopWaiting = context.WithCancel(context.Background())
-	}
 	s.waiting = true
 	return s.ctx, s.endWait
 }
@@ -156,6 +160,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting = false
+	if s.ctx.Err() != nil {
+		s.ctx, s.stopWaiting = context.WithCancel(context.Background())
+	}
 }
 
 // waitError returns the error of a wait, which may have been cancelled.
@@ -182,6 +189,9 @@
 	s.stopWaiting()
 	s.mu.Lock()
 	held := s.lease
+	if s.stopTimer != nil {
+		s.stopTimer.Stop()
+	}
 	s.mu.Unlock()
 	if held == nil {
 		return
@@ -308,7 +318,7 @@
 func (s *session) takeWriter() *backend.FrameWriter {
 	if s.writer == nil {
 		s.writer = s.server.writers.Get().(*backend.FrameWriter)
-		s.writer.Reset(callerWriter{conn: s.conn, timeout: s.server.config.WriteTimeout})
+		s.writer.Reset(&s.output)
 	}
 	return s.writer
 }
@@ -321,7 +331,7 @@
 }
 
 // Write writes p within the timeout.
-func (w callerWriter) Write(p []byte) (int, error) {
+func (w *callerWriter) Write(p []byte) (int, error) {
 	_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
 	return w.conn.Write(p)
 }
