--- a/caller/error.go
+++ b/caller/error.go
@@ -23,6 +23,8 @@
 	KindCancelled Kind = "Cancelled"
 	// KindClosed means that the session ends by shutdown or a withdrawn key.
 	KindClosed Kind = "Closed"
+	// KindForbidden means that the workspace has no such access to the database.
+	KindForbidden Kind = "Forbidden"
 	// KindNotServing means that the instance takes no new work.
 	KindNotServing Kind = "NotServing"
 	// KindPositionLost means that no server can satisfy the session's position.
@@ -37,6 +39,8 @@
 	KindToken Kind = "Token"
 	// KindUnknown means that the outcome of a write isn't known.
 	KindUnknown Kind = "Unknown"
+	// KindUnknownDatabase means that there is no such database.
+	KindUnknownDatabase Kind = "UnknownDatabase"
 	// KindUnsupported means that the statement can't be carried over shared connections.
 	KindUnsupported Kind = "Unsupported"
 )
@@ -78,6 +82,8 @@
 		return "57014"
 	case KindClosed:
 		return "57P01"
+	case KindForbidden:
+		return "42501"
 	case KindNotServing:
 		return "57P03"
 	case KindProtocol:
@@ -90,6 +96,8 @@
 		return "22023"
 	case KindUnknown:
 		return "40003"
+	case KindUnknownDatabase:
+		return "3D000"
 	case KindUnsupported:
 		return "0A000"
 	default:
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"errors"
 	"math/rand/v2"
@@ -10,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 	"github.com/xdg-go/scram"
 	"pgregory.net/rapid"
 
@@ -66,7 +67,7 @@
 		{"Write", sheet.PublishRequest{Base: 7, Content: content, Publication: "p8"}, sheet.Decision{Version: 8, Write: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if diff := cmp.Diff(tc.want, sheet.DecidePublish(state, tc.request)); diff != "" {
+			if diff := gocmp.Diff(tc.want, sheet.DecidePublish(state, tc.request)); diff != "" {
 				t.Errorf("decision (-want +got):\n%s", diff)
 			}
 		})
@@ -106,13 +107,13 @@
 		"~ DataCentres[gt-2].State: Out -> InService",
 		"~ Workspaces[die-room].Burst: 40 -> 50",
 		"- Workspaces[die-room].Keys[k2].NotAfter: 2026-03-02T12:00:00Z",
-		"- Workspaces[die-room].Keys[k2].ServerKey: DDDD",
-		"- Workspaces[die-room].Keys[k2].StoredKey: CCCC",
+		"- Workspaces[die-room].Keys[k2].ServerKey: DDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDA=",
+		"- Workspaces[die-room].Keys[k2].StoredKey: CCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCA=",
 		"+ Workspaces[die-room].Keys[k3].NotAfter: 2026-03-02T12:00:00Z",
-		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDD",
-		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCC",
+		"+ Workspaces[die-room].Keys[k3].ServerKey: DDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDDA=",
+		"+ Workspaces[die-room].Keys[k3].StoredKey: CCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCCA=",
 	}
-	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
+	if diff := gocmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, after))); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
@@ -184,6 +185,40 @@
 	return err
 }
 
+// TestIndexAgreesWithSheet guards against an index that answers otherwise than
+// the sheet that it was built from.
+func TestIndexAgreesWithSheet(t *testing.T) {
+	ids := rapid.SampledFrom([]string{"a", "b", "c"})
+	times := rapid.SampledFrom([]string{"", "bad", "2026-03-02T12:00:00Z", "2026-03-02T12:00:01+01:00"})
+	rapid.Check(t, func(t *rapid.T) {
+		id := ids.Draw(t, "id")
+		s := sheet.Sheet{
+			DataCentres: []sheet.DataCentre{{DataCentre: fleet.DataCentre(ids.Draw(t, "dataCentre")), State: rapid.SampledFrom([]sheet.State{sheet.StateOut, sheet.StateInService}).Draw(t, "state")}},
+			Routes:      []sheet.Route{{Database: fleet.GroupID(ids.Draw(t, "route")), OpenToAll: rapid.Bool().Draw(t, "open")}},
+			Servers:     []sheet.Server{{Server: fleet.ServerID(ids.Draw(t, "server")), State: rapid.SampledFrom([]sheet.State{sheet.StateLeaving, sheet.StateInService}).Draw(t, "serverState")}},
+			Workspaces: []sheet.Workspace{{
+				Burst: 2, Databases: []fleet.GroupID{fleet.GroupID(ids.Draw(t, "database"))}, Rate: 3, Weight: 4, Workspace: fleet.WorkspaceID(ids.Draw(t, "workspace")),
+				Keys: []sheet.Key{{KeyID: ids.Draw(t, "key"), NotAfter: times.Draw(t, "notAfter")}},
+			}},
+		}
+		now := time.Date(2026, 3, 2, 11, 0, rapid.IntRange(0, 2*3600).Draw(t, "now"), 0, time.UTC)
+		index := sheet.NewIndex(s)
+		wantLimits, wantKnown := s.Limits(fleet.WorkspaceID(id))
+		gotLimits, gotKnown := index.Limits(fleet.WorkspaceID(id))
+		want := []any{
+			s.AcceptsKey(fleet.WorkspaceID(id), "a", now), s.IsInService(fleet.DataCentre(id)), s.IsLeaving(fleet.ServerID(id)),
+			s.IsOpenToAll(fleet.GroupID(id)), s.MayUse(fleet.WorkspaceID(id), "b"), wantLimits, wantKnown,
+		}
+		got := []any{
+			index.AcceptsKey(fleet.WorkspaceID(id), "a", now), index.IsInService(fleet.DataCentre(id)), index.IsLeaving(fleet.ServerID(id)),
+			index.IsOpenToAll(fleet.GroupID(id)), index.MayUse(fleet.WorkspaceID(id), "b"), gotLimits, gotKnown,
+		}
+		if diff := gocmp.Diff(want, got); diff != "" {
+			t.Fatalf("answers (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestLookup guards against expired keys that are accepted, placement that
 // ignores the sheet, and databases used without a grant.
 func TestLookup(t *testing.T) {
@@ -200,7 +235,7 @@
 		s.IsOpenToAll("shelf"), s.IsOpenToAll("orders"),
 		s.MayUse("die-room", "orders"), s.MayUse("die-room", "stock"), limits,
 	}
-	if diff := cmp.Diff(want, got); diff != "" {
+	if diff := gocmp.Diff(want, got); diff != "" {
 		t.Errorf("lookups (-want +got):\n%s", diff)
 	}
 }
@@ -209,7 +244,7 @@
 // mistake, and against keys and verifiers in its report.
 func TestParseReportsAllProblems(t *testing.T) {
 	content := strings.NewReplacer(
-		`"Rate": 200`, `"Rate": -1`, `"Weight": 4`, `"Wieght": 4`, `"KeyID": "k2"`, `"KeyID": "k1"`, `"StoredKey": "AAAA"`, `"StoredKey": "secret!"`,
+		`"Rate": 200`, `"Rate": -1`, `"Weight": 4`, `"Wieght": 4`, `"KeyID": "k2"`, `"KeyID": "k1"`, `"StoredKey": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`, `"StoredKey": "secret!"`,
 		`"school-supply"`, `"npk_ab12_s3cr3t!"`, `"Leaving"`, `"Gone"`, `"Burst": 5`, `"Burst": 0.5`,
 	).Replace(example(t))
 	_, err := sheet.Parse("f", []byte(content))
@@ -220,14 +255,14 @@
 	want := []string{
 		"f:6:37: Workspaces[0].Rate: out of range, found -1, accepted: 0 to 10000000",
 		"f:6:54: Workspaces[0].Wieght: unknown key, did you mean Weight?",
-		"f:9:34: Workspaces[0].Keys[0].StoredKey: value is not accepted, accepted: base64",
+		"f:9:34: Workspaces[0].Keys[0].StoredKey: value is not accepted, accepted: base64 of 32 bytes",
 		"f:10:15: Workspaces[0].Keys[1].KeyID: key of workspace die-room k1 is listed twice",
 		`f:15:17: Workspaces[1].Workspace: value is not accepted, found "npk_[redacted]!", accepted: 1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit`,
 		"f:15:18: this looks like a key; only its verifier belongs in a sheet",
 		"f:15:58: Workspaces[1].Burst: burst below 1 with a rate above 0 admits no request",
 		`f:23:46: Servers[0].State: value is not accepted, found "Gone", accepted: InService, Leaving`,
 	}
-	if diff := cmp.Diff(want, invalid.Lines()); diff != "" {
+	if diff := gocmp.Diff(want, invalid.Lines()); diff != "" {
 		t.Errorf("problems (-want +got):\n%s", diff)
 	}
 }
@@ -244,7 +279,7 @@
 		t.Fatal(err)
 	}
 	want := []string{"+ DataCentres[gt-1].State: Out", "~ Servers[orders-3].State: Leaving -> InService"}
-	if diff := cmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, content))); diff != "" {
+	if diff := gocmp.Diff(want, sheet.DiffLines(parse(t, before), parse(t, content))); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 	if !strings.Contains(content, "// The die room has") {
@@ -255,6 +290,27 @@
 	}
 }
 
+// TestReferencePage guards against a page that lacks a key of the sheet or
+// states other accepted values.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/sheet.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, rule := range sheet.Rules() {
+		line := "| `" + rule.Path + "` | " + cmp.Or(rule.Accepted(false), "-") + " | "
+		switch {
+		case rule.Required:
+			line += "required"
+		default:
+			line += cmp.Or(rule.Default, "-")
+		}
+		if !strings.Contains(string(page), line+" | ") {
+			t.Errorf("docs/sheet.md lacks %q", line)
+		}
+	}
+}
+
 // TestUnsafe guards against sheets that stop service and that nobody is asked
 // about, and against old risks that block a repair.
 func TestUnsafe(t *testing.T) {
@@ -264,15 +320,18 @@
 		{DataCentre: "gt-1", Group: "orders", Server: "orders-2"},
 		{DataCentre: "gt-2", Group: "stock", Server: "stock-1"},
 	}}
-	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
-		`"KeyID": "k1", "StoredKey": "EEEE"`, `"KeyID": "k9", "StoredKey": "GGGG"`, `"die-room"`, `"dye-room"`).Replace(content)
+	worse := strings.NewReplacer(`{"DataCentre": "gt-2"`, `{"DataCentre": "gt-9", "State": "Out"}, {"DataCentre": "gt-1", "State": "Out"}, {"DataCentre": "gt-2"`,
+		`{"Server": "orders-3"`, `{"Server": "order-2", "State": "Leaving"}, {"Server": "orders-3"`,
+		`"KeyID": "k1", "StoredKey": "EEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEEA="`, `"KeyID": "k9", "StoredKey": "GGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGGA="`, `"die-room"`, `"dye-room"`).Replace(content)
 	want := []sheet.Risk{
 		{Kind: sheet.RiskAllDataCentresOut},
 		{Kind: sheet.RiskNoServerLeft, Subject: "orders"},
+		{Kind: sheet.RiskUnknownDataCentre, Subject: "gt-9"},
+		{Kind: sheet.RiskUnknownServer, Subject: "order-2"},
 		{Kind: sheet.RiskWorkspaceRemoved, Subject: "die-room"},
 		{Kind: sheet.RiskKeysWithdrawn, Subject: "school-supply"},
 	}
-	if diff := cmp.Diff(want, sheet.Unsafe(parse(t, content), parse(t, worse), usage)); diff != "" {
+	if diff := gocmp.Diff(want, sheet.Unsafe(parse(t, content), parse(t, worse), usage)); diff != "" {
 		t.Errorf("risks (-want +got):\n%s", diff)
 	}
 }
