--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -195,7 +195,7 @@
 		c.fail(r.code)
 		return true
 	}
-	switch strings.ToUpper(sql) {
+	switch verb, _, _ := strings.Cut(strings.ToUpper(sql), " "); verb {
 	case "BEGIN":
 		c.tx = 'T'
 	case "COMMIT", "ROLLBACK":
