--- a/group/config.go
+++ b/group/config.go
@@ -62,6 +62,9 @@
 	BackoffMax time.Duration
 	// BackoffMin is the wait of a promoter that lost once.
 	BackoffMin time.Duration
+	// CatchUpTimeout bounds the wait of a handover for the target's log. Writes
+	// wait meanwhile, so it is short.
+	CatchUpTimeout time.Duration
 	// CommitWait bounds one wait call for the evidence of commits.
 	CommitWait time.Duration
 	// DetectTime is the silence after which a primary has failed.
@@ -96,12 +99,13 @@
 	return Settings{
 		BackoffMax:       1600 * time.Millisecond,
 		BackoffMin:       100 * time.Millisecond,
+		CatchUpTimeout:   200 * time.Millisecond,
 		CommitWait:       time.Second,
 		DetectTime:       900 * time.Millisecond,
 		EstablishTimeout: 2 * time.Second,
 		HandoverDrain:    time.Second,
 		HandoverLag:      time.Second,
-		HandoverRetry:    5 * time.Second,
+		HandoverRetry:    2 * time.Second,
 		PollInterval:     250 * time.Millisecond,
 		PollTimeout:      400 * time.Millisecond,
 		RankDelay:        150 * time.Millisecond,
--- a/group/controller.go
+++ b/group/controller.go
@@ -145,7 +145,9 @@
 
 // ObserveApplied notes the position that a server reported on a session.
 func (c *Controller) ObserveApplied(server fleet.ServerID, applied fleet.Position) {
-	c.update(func(v View) View { return v.ObserveApplied(server, applied) })
+	if c.config.Section.Load().advances(server, applied) {
+		c.update(func(v View) View { return v.ObserveApplied(server, applied) })
+	}
 }
 
 // ReportFailure notes that a connection to a server failed, and asks all
--- a/group/freshness.go
+++ b/group/freshness.go
@@ -20,16 +20,20 @@
 // The server's applied log must be part of the group's history, so that a
 // server that was cut off does not serve entries that are lost.
 func Fresh(view View, server fleet.ServerID, positions ...fleet.Position) bool {
-	known, found := view.Server(server)
-	if !found || known.Answered.IsZero() {
+	i := view.index(server)
+	return i >= 0 && fresh(&view, &view.Servers[i], positions...)
+}
+
+func fresh(view *View, server *ServerView, positions ...fleet.Position) bool {
+	if server.Answered.IsZero() {
 		return false
 	}
 	for _, position := range positions {
-		if !covers(view, known, position) {
+		if !covers(view, server, position) {
 			return false
 		}
 	}
-	return server == view.Primary || view.History.Contains(known.Status.Applied)
+	return server.Server == view.Primary || view.History.Contains(server.Status.Applied)
 }
 
 // IsLost reports whether a position is certainly not part of the group's
@@ -56,7 +60,7 @@
 
 // covers reports whether a server is known to have applied a position of the
 // group's history. The primary has applied all of its own term.
-func covers(view View, server ServerView, p fleet.Position) bool {
+func covers(view *View, server *ServerView, p fleet.Position) bool {
 	if !view.History.Contains(p) || p.Term > view.Term {
 		return false
 	}
@@ -68,7 +72,7 @@
 
 // coversAge reports whether a server is known to have applied a sample that
 // began at or after since.
-func coversAge(view View, server ServerView, since time.Time) bool {
+func coversAge(view *View, server *ServerView, since time.Time) bool {
 	for i := range view.Samples {
 		sample := view.Samples[len(view.Samples)-1-i]
 		if sample.Begun.Before(since) {
--- a/group/promoter.go
+++ b/group/promoter.go
@@ -365,9 +365,9 @@
 
 // catchUp waits until the target has the log that the old primary ended with.
 func (p *Promoter) catchUp(in PromoterInput, end fleet.Position, out *PromoterOutput) {
-	p.phase, p.deadline = PhaseCatchUp, in.Now.Add(p.settings.StepTimeout)
+	p.phase, p.deadline = PhaseCatchUp, in.Now.Add(p.settings.CatchUpTimeout)
 	out.Calls = append(out.Calls, Call{
-		Kind: CallWait, Position: end, Server: p.chosen, Term: p.term, Timeout: p.settings.StepTimeout,
+		Kind: CallWait, Position: end, Server: p.chosen, Term: p.term, Timeout: p.settings.CatchUpTimeout,
 	})
 }
 
--- a/group/strategy.go
+++ b/group/strategy.go
@@ -9,6 +9,9 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
+// usualServers is the group size up to which a choice allocates its result only.
+const usualServers = 8
+
 // Strategy orders the replicas that are fresh enough for a read.
 type Strategy string
 
@@ -54,14 +57,16 @@
 // no server is known to see enough.
 func ReadCandidates(now time.Time, view View, need Requirement, choice Choice) []fleet.ServerID {
 	seen := CutBack(view, need.Seen)
-	var replicas []ServerView
-	var primary []fleet.ServerID
-	for _, server := range view.Servers {
-		if !Fresh(view, server.Server, need.Written, seen) || !youngEnough(now, view, server, need) {
+	var buffer [usualServers]*ServerView
+	replicas := buffer[:0]
+	primary := false
+	for i := range view.Servers {
+		server := &view.Servers[i]
+		if !fresh(&view, server, need.Written, seen) || !youngEnough(now, &view, server, need) {
 			continue
 		}
 		if server.Server == view.Primary {
-			primary = append(primary, server.Server)
+			primary = true
 		} else if server.Reachable() && choice.Placement.IsTarget(server.Member) {
 			replicas = append(replicas, server)
 		}
@@ -71,17 +76,20 @@
 	for _, replica := range replicas {
 		ids = append(ids, replica.Server)
 	}
-	return append(ids, primary...)
+	if primary {
+		ids = append(ids, view.Primary)
+	}
+	return ids
 }
 
-func youngEnough(now time.Time, view View, server ServerView, need Requirement) bool {
+func youngEnough(now time.Time, view *View, server *ServerView, need Requirement) bool {
 	return need.MaxAge <= 0 || coversAge(view, server, now.Add(-need.MaxAge))
 }
 
 // sort orders replicas by the strategy.
-func (c Choice) sort(replicas []ServerView) {
+func (c Choice) sort(replicas []*ServerView) {
 	if c.Strategy == FreshnessDistance {
-		slices.SortStableFunc(replicas, func(a, b ServerView) int {
+		slices.SortStableFunc(replicas, func(a, b *ServerView) int {
 			return cmp.Or(c.compareLoad(a, b), c.compareDistance(a, b))
 		})
 		return
@@ -95,12 +103,12 @@
 	}
 }
 
-func (c Choice) compareLoad(a, b ServerView) int {
+func (c Choice) compareLoad(a, b *ServerView) int {
 	return cmp.Compare(c.outstanding(a.Server), c.outstanding(b.Server))
 }
 
 // compareDistance prefers the own data centre, then the shorter round trip.
-func (c Choice) compareDistance(a, b ServerView) int {
+func (c Choice) compareDistance(a, b *ServerView) int {
 	if local := c.Placement.isLocal(a.Member); local != c.Placement.isLocal(b.Member) {
 		if local {
 			return -1
--- a/group/view.go
+++ b/group/view.go
@@ -186,13 +186,26 @@
 }
 
 // ObserveApplied returns the view after a server reported on a session that
-// reads see the position. It changes nothing if more is known already.
+// reads see the position. A report of another term than the one the server is
+// known to follow is ignored, because its log may have been cut back since.
 func (v View) ObserveApplied(server fleet.ServerID, applied fleet.Position) View {
-	known, found := v.Server(server)
-	if !found || known.Status.Applied.Compare(applied) >= 0 || known.Status.Log.Compare(applied) < 0 {
+	if !v.advances(server, applied) {
 		return v
 	}
-	return v.change(server, func(s *ServerView) { s.Status.Applied = applied })
+	return v.change(server, func(s *ServerView) {
+		s.Status.Applied = applied
+		s.Status.Log.Log = max(s.Status.Log.Log, applied.Log)
+	})
+}
+
+// advances reports whether a report on a session says more than is known.
+func (v View) advances(server fleet.ServerID, applied fleet.Position) bool {
+	i := v.index(server)
+	if i < 0 {
+		return false
+	}
+	status := &v.Servers[i].Status
+	return status.Term == applied.Term && status.Log.Term == applied.Term && status.Applied.Compare(applied) < 0
 }
 
 // ObserveWrite returns the view after the primary of the position's term
