test: run controllers against store outages, partitions, pauses and restarts

In-memory table, list and network under virtual time. A restart of an instance is taken only from the answer to an own call as proof that the earlier run ended, because a request of the earlier run may arrive late.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -143,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.validity.RecordVoucher(from, sent, milliseconds(answer.Msg.GetVoucherMs()), report.Held)
-	c.record(from, report, answer.Msg.GetLeaving(), answer.Msg.GetLiveness(), answer.Msg.GetSuspicions())
+	c.record(from, report, true, answer.Msg.GetLeaving(), answer.Msg.GetLiveness(), answer.Msg.GetSuspicions())
 }
 
 func (c *Controller) exchangeAll(ctx context.Context) {
@@ -261,9 +261,9 @@
 }
 
 // record takes in what a peer said of itself. The lock is held.
-func (c *Controller) record(from Member, report Report, leaving bool, liveness []*v1.Liveness, suspicions []*v1.Suspicion) {
+func (c *Controller) record(from Member, report Report, answered, leaving bool, liveness []*v1.Liveness, suspicions []*v1.Suspicion) {
 	now := c.config.Clock.Now()
-	c.membership.RecordHeard(now, from, leaving, fromLiveness(liveness))
+	c.membership.RecordHeard(now, from, answered, leaving, fromLiveness(liveness))
 	c.ledger.RecordReport(from, report)
 	c.suspicions[from] = fromSuspicions(from, suspicions)
 	c.resets[from] = report.NeedsReset
--- /dev/null
+++ b/peer/fakes_test.go
@@ -0,0 +1,283 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	v1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
+	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
+	"github.com/nutmegpier/nutmegpier/peer"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+var errFault = errors.New("injected fault")
+
+// deployment is several controllers with a table, a list and a network in
+// memory. It runs inside a synctest bubble.
+type deployment struct {
+	t          *testing.T
+	mu         sync.Mutex
+	cut        map[fleet.InstanceID]bool // no calls from or to peers
+	down       bool
+	loseAnswer bool // writes take effect, their answers are lost
+	noStore    map[fleet.InstanceID]bool
+	running    map[string]*member
+	rows       map[string]peer.Row
+	slow       time.Duration
+}
+
+type member struct {
+	*peer.Controller
+	id   fleet.InstanceID
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func newDeployment(t *testing.T, ids ...string) *deployment {
+	d := &deployment{
+		t: t, cut: make(map[fleet.InstanceID]bool), noStore: make(map[fleet.InstanceID]bool),
+		running: make(map[string]*member), rows: make(map[string]peer.Row),
+	}
+	for i, id := range ids {
+		d.start(id, fleet.Epoch(i+1))
+	}
+	return d
+}
+
+// start runs an instance, in place of an earlier run with the same id.
+func (d *deployment) start(id string, epoch fleet.Epoch) *member {
+	d.halt(id)
+	m := &member{id: fleet.InstanceID(id), done: make(chan struct{})}
+	m.Controller = peer.New(peer.Config{
+		Client:    func(address string) nutmegpierv1connect.PeerServiceClient { return &client{d, m.id, address} },
+		Clock:     wall{},
+		Epoch:     epoch,
+		Instances: d,
+		Limits: func(content []byte) (peer.Limits, error) {
+			var limits peer.Limits
+			err := json.Unmarshal(content, &limits)
+			return limits, err
+		},
+		Random: func() uint64 { return uint64(epoch) },
+		Self:   m.id,
+		Table:  &table{d, m.id},
+	})
+	ctx, cancel := context.WithCancel(d.t.Context())
+	m.stop = cancel
+	d.mu.Lock()
+	d.running[id] = m
+	d.mu.Unlock()
+	go func() {
+		defer close(m.done)
+		_ = m.Run(ctx)
+	}()
+	return m
+}
+
+func (d *deployment) halt(id string) {
+	d.mu.Lock()
+	m := d.running[id]
+	delete(d.running, id)
+	d.mu.Unlock()
+	if m != nil {
+		m.stop()
+		<-m.done
+	}
+}
+
+func (d *deployment) haltAll() {
+	for _, id := range []string{"a", "b", "c", "g"} {
+		d.halt(id)
+	}
+}
+
+// set changes the faults.
+func (d *deployment) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+}
+
+// List implements peer.InstanceList. The list keeps instances that halted.
+func (d *deployment) List(context.Context) ([]peer.Listed, error) {
+	var listed []peer.Listed
+	for _, id := range []string{"a", "b", "c", "g"} {
+		listed = append(listed, peer.Listed{Address: id, Instance: fleet.InstanceID(id)})
+	}
+	return listed, nil
+}
+
+// publish writes a sheet and hands it to one instance.
+func (d *deployment) publish(by *member, version fleet.SheetVersion, limits peer.Limits) {
+	content, err := json.Marshal(limits)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.set(func() {
+		head := d.rows[peer.HeadKey]
+		var value peer.Head
+		if err := json.Unmarshal(head.Value, &value); err != nil {
+			d.t.Fatal(err)
+		}
+		value.SheetVersion = version
+		headContent, _ := json.Marshal(value)
+		d.rows[peer.HeadKey] = peer.Row{Key: peer.HeadKey, Revision: head.Revision + 1, Value: headContent}
+		d.rows[peer.SheetKey(version)] = peer.Row{Key: peer.SheetKey(version), Revision: 1, Value: content}
+	})
+	if err := by.OfferSheet(version, content); err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(d.t.Context(), 10*time.Second)
+	defer cancel()
+	if err := by.AwaitMajority(ctx, version); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// settle lets virtual time pass.
+func (d *deployment) settle(duration time.Duration) {
+	time.Sleep(duration)
+	synctest.Wait()
+}
+
+type wall struct{}
+
+func (wall) Now() time.Time { return time.Now() }
+
+type table struct {
+	d    *deployment
+	from fleet.InstanceID
+}
+
+var _ peer.Table = &table{}
+
+func (s *table) reach(ctx context.Context) error {
+	s.d.mu.Lock()
+	blocked, slow := s.d.down || s.d.noStore[s.from], s.d.slow
+	s.d.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(slow):
+	}
+	if blocked {
+		return errFault
+	}
+	return nil
+}
+
+func (s *table) Read(ctx context.Context, keys []string) ([]peer.Row, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, err
+	}
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	var rows []peer.Row
+	for _, key := range keys {
+		if row, ok := s.d.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (s *table) Write(ctx context.Context, conditions []peer.Condition, rows []peer.Row) (bool, []peer.Row, error) {
+	if err := s.reach(ctx); err != nil {
+		return false, nil, err
+	}
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	for _, condition := range conditions {
+		if s.d.rows[condition.Key].Revision != condition.Revision {
+			return false, nil, nil
+		}
+	}
+	for _, row := range rows {
+		row.Revision = s.d.rows[row.Key].Revision + 1
+		s.d.rows[row.Key] = row
+	}
+	if s.d.loseAnswer {
+		return false, nil, errFault
+	}
+	return true, rows, nil
+}
+
+// client calls the controller at an address directly.
+type client struct {
+	d    *deployment
+	from fleet.InstanceID
+	to   string
+}
+
+var _ nutmegpierv1connect.PeerServiceClient = &client{}
+
+func call[Q, A any](ctx context.Context, c *client, method func(*member) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), request *connect.Request[Q]) (*connect.Response[A], error) {
+	c.d.mu.Lock()
+	target, blocked := c.d.running[c.to], c.d.cut[c.from] || c.d.cut[fleet.InstanceID(c.to)]
+	c.d.mu.Unlock()
+	if target == nil || blocked {
+		return nil, errFault
+	}
+	time.Sleep(time.Millisecond)
+	answer, err := method(target)(ctx, request)
+	time.Sleep(time.Millisecond)
+	return answer, err
+}
+
+func (c *client) ConfirmTransfer(ctx context.Context, r *connect.Request[v1.ConfirmTransferRequest]) (*connect.Response[v1.ConfirmTransferResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.ConfirmTransferRequest]) (*connect.Response[v1.ConfirmTransferResponse], error) {
+		return m.ConfirmTransfer
+	}, r)
+}
+
+func (c *client) Exchange(ctx context.Context, r *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+		return m.Exchange
+	}, r)
+}
+
+func (c *client) FetchRoster(ctx context.Context, r *connect.Request[v1.FetchRosterRequest]) (*connect.Response[v1.FetchRosterResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.FetchRosterRequest]) (*connect.Response[v1.FetchRosterResponse], error) {
+		return m.FetchRoster
+	}, r)
+}
+
+func (c *client) FetchSheet(ctx context.Context, r *connect.Request[v1.FetchSheetRequest]) (*connect.Response[v1.FetchSheetResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.FetchSheetRequest]) (*connect.Response[v1.FetchSheetResponse], error) {
+		return m.FetchSheet
+	}, r)
+}
+
+func (c *client) ForwardCancel(ctx context.Context, r *connect.Request[v1.ForwardCancelRequest]) (*connect.Response[v1.ForwardCancelResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.ForwardCancelRequest]) (*connect.Response[v1.ForwardCancelResponse], error) {
+		return m.ForwardCancel
+	}, r)
+}
+
+func (c *client) QueryTransfer(ctx context.Context, r *connect.Request[v1.QueryTransferRequest]) (*connect.Response[v1.QueryTransferResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.QueryTransferRequest]) (*connect.Response[v1.QueryTransferResponse], error) {
+		return m.QueryTransfer
+	}, r)
+}
+
+func (c *client) TransferShares(ctx context.Context, r *connect.Request[v1.TransferSharesRequest]) (*connect.Response[v1.TransferSharesResponse], error) {
+	return call(ctx, c, func(m *member) func(context.Context, *connect.Request[v1.TransferSharesRequest]) (*connect.Response[v1.TransferSharesResponse], error) {
+		return m.TransferShares
+	}, r)
+}
+
+func testLimits(version fleet.SheetVersion) peer.Limits {
+	return peer.Limits{
+		Permits: []peer.PermitLimit{{Budget: 7, Server: "s"}},
+		Rates:   []workspace.Limit{{Burst: 60, Rate: 30, Workspace: "w"}},
+		Version: version,
+	}
+}
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -134,14 +134,21 @@
 }
 
 // RecordHeard records a message of a member, with what it says about others.
-func (m *Membership) RecordHeard(now time.Time, member Member, leaving bool, liveness []Liveness) {
+// Answered means that it is the answer to a call of this instance. Only an
+// answer shows that another run of the same instance ended, because a request
+// of the earlier run may arrive late.
+func (m *Membership) RecordHeard(now time.Time, member Member, answered, leaving bool, liveness []Liveness) {
 	if m.replaced[member] || member.Instance == m.self.Instance {
 		return
 	}
 	for other := range m.heard {
-		if other.Instance == member.Instance && other != member {
-			m.replace(other)
+		if other.Instance != member.Instance || other == member {
+			continue
+		}
+		if !answered {
+			return
 		}
+		m.replace(other)
 	}
 	m.heard[member] = &contact{at: now, leaving: leaving}
 	m.reports[member] = make(map[Member]time.Time, len(liveness))
--- a/peer/service.go
+++ b/peer/service.go
@@ -32,7 +32,7 @@
 	now := c.config.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record(from, fromVersions(message.GetVersions()), message.GetLeaving(), message.GetLiveness(), message.GetSuspicions())
+	c.record(from, fromVersions(message.GetVersions()), false, message.GetLeaving(), message.GetLiveness(), message.GetSuspicions())
 	response := &v1.ExchangeResponse{
 		Leaving:    c.leaving,
 		Liveness:   toLiveness(c.membership.Report(now)),
