fix: start a roster beside a published sheet, and wait for shares

Cause: a table with a sheet but no roster was never given one, lists that were empty in Go became null in the sheet's JSON, and instances counted as ready before they held shares. Change: the first roster is written on the revision of the head row; empty lists are left out; AwaitReady waits for a sheet and for shares. Conclusion: instances run on shares, sheets and rosters from the table.

--- a/instance/admin.go
+++ b/instance/admin.go
@@ -35,11 +35,12 @@
 	http.Error(w, "not ready: "+string(i.board.Lifecycle.Load()), http.StatusServiceUnavailable)
 }
 
-// ready reports whether the instance takes new callers: it serves, its
-// validity lease holds, and its data centre is in service.
+// ready reports whether the instance takes new callers: it serves, it holds a
+// sheet, its validity lease holds, and its data centre is in service.
 func (i *Instance) ready(now time.Time) bool {
-	inForce := i.board.Sheet.Load().Sheet
+	inForce := i.board.Sheet.Load()
 	return i.board.Lifecycle.Load() == LifecycleServing &&
+		inForce.Version > 0 &&
 		i.limits.Valid(now) &&
-		inForce.IsInService(i.config.Settings.DataCentre)
+		inForce.Sheet.IsInService(i.config.Settings.DataCentre)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -134,9 +134,10 @@
 	return i.recorder.Promotions()
 }
 
-// AwaitReady waits until the instance takes callers.
+// AwaitReady waits until the instance takes callers and holds a share of each
+// workspace's limit.
 func (i *Instance) AwaitReady(ctx context.Context) error {
-	for !i.ready(i.config.Now()) {
+	for !i.ready(i.config.Now()) || !i.holdsShares() {
 		if err := pause(ctx, keepInterval); err != nil {
 			return err
 		}
@@ -144,6 +145,17 @@
 	return nil
 }
 
+// holdsShares reports whether the instance holds a share of each limit. A new
+// workspace or instance gets one after a change of the roster is complete.
+func (i *Instance) holdsShares() bool {
+	for _, entry := range i.board.Sheet.Load().Sheet.Workspaces {
+		if entry.Rate > 0 && i.limits.Share(entry.Workspace).Rate == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Kill makes Run return without a drain, as if the process had died.
 func (i *Instance) Kill() {
 	i.killOnce.Do(func() { close(i.kill) })
--- a/peer/store.go
+++ b/peer/store.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if len(rows) == 0 {
-		c.createFirst(ctx)
+		c.createFirst(ctx, Head{}, 0)
 		return
 	}
 	head, err := decode[Head](rows[0])
@@ -41,6 +41,10 @@
 		c.event(err.Error())
 		return
 	}
+	if head.RosterGeneration == 0 {
+		c.createFirst(ctx, head, rows[0].Revision)
+		return
+	}
 	if err := c.fetchRows(ctx, head); err != nil {
 		c.event(err.Error())
 	}
@@ -52,9 +56,9 @@
 	c.propose(ctx, head, rows[0].Revision)
 }
 
-// createFirst writes generation 1 into an empty table. A lost answer or a lost
-// race shows in the next read.
-func (c *Controller) createFirst(ctx context.Context) {
+// createFirst writes generation 1 into a table without a roster. A sheet can be
+// there already. A lost answer or a lost race shows in the next read.
+func (c *Controller) createFirst(ctx context.Context, head Head, revision uint64) {
 	c.mu.Lock()
 	held := c.ledger.Versions()
 	c.mu.Unlock()
@@ -63,7 +67,8 @@
 		return
 	}
 	roster := Roster{Generation: 1, Members: []Member{c.self}, Proposal: c.proposalID()}
-	c.writeRoster(ctx, Head{RosterGeneration: 1}, 0, roster)
+	head.RosterGeneration = 1
+	c.writeRoster(ctx, head, revision, roster)
 }
 
 // fetchRows reads the rows that the head names and that are not held.
--- a/sheet/sheet.go
+++ b/sheet/sheet.go
@@ -22,12 +22,12 @@
 
 // Sheet is the configuration that operators publish.
 type Sheet struct {
-	DataCentres []DataCentre
-	Databases   []Database
+	DataCentres []DataCentre `json:",omitempty"`
+	Databases   []Database   `json:",omitempty"`
 	Format      int
-	Routes      []Route
-	Servers     []Server
-	Workspaces  []Workspace
+	Routes      []Route     `json:",omitempty"`
+	Servers     []Server    `json:",omitempty"`
+	Workspaces  []Workspace `json:",omitempty"`
 }
 
 // DataCentre says whether a data centre is in service. Data centres that are
@@ -64,10 +64,10 @@
 	// Burst is the number of requests above the rate that are admitted at once.
 	Burst float64
 	// Databases lists the databases that the workspace may use.
-	Databases []fleet.GroupID
+	Databases []fleet.GroupID `json:",omitempty"`
 	// Iterations is the SCRAM iteration count of all keys.
 	Iterations int
-	Keys       []Key
+	Keys       []Key `json:",omitempty"`
 	// Rate is in requests a second.
 	Rate float64
 	// Salt is the SCRAM salt of all keys, in base64.
