--- a/standin/platform.go
+++ b/standin/platform.go
@@ -150,7 +150,9 @@
 }
 
 // SetOutage starts or ends an outage of the table and the objects. A hanging
-// call is answered when the outage ends before the caller's deadline.
+// call goes on when the outage ends before the deadline that came with the
+// call. That deadline counts from the receipt, so a hanging write can take
+// effect although its caller has just given up.
 func (p *Platform) SetOutage(outage Outage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,6 +186,9 @@
 		p.mu.Unlock()
 		switch current {
 		case OutageNone:
+			if err := ctx.Err(); err != nil {
+				return connect.NewError(connect.CodeDeadlineExceeded, err)
+			}
 			return nil
 		case OutageFail:
 			return connect.NewError(connect.CodeUnavailable, errors.New("the service is down"))
