--- a/caller/session.go
+++ b/caller/session.go
@@ -26,6 +26,7 @@
 	commitTag  bool
 	conn       net.Conn
 	ctx        context.Context
+	endWait    func()
 	group      fleet.GroupID
 	hasToken   bool
 	held       []byte
@@ -35,6 +36,7 @@
 	lost       bool
 	maxAge     time.Duration
 	operation  []operation
+	output     callerWriter
 	pinned     bool
 	prepared   map[string]*preparedStatement
 	processID  uint32
@@ -56,14 +58,25 @@
 	idle      bool
 	lease     Lease
 	stopAt    time.Time
+	stopTimer *time.Timer
 	stopped   string
+	// stopWaiting ends the wait for a connection while waiting is set.
+	stopWaiting context.CancelFunc
+	waiting     bool
 }
 
-// abort cuts the session off.
+// abort ends the session without waiting for its statement or transaction.
 func (s *session) abort() {
-	_ = s.conn.SetDeadline(longAgo)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped == "" {
+		s.stopped = "the session was cut off"
+	}
+	s.stopAt = longAgo
+	_ = s.conn.SetReadDeadline(longAgo)
+	if s.waiting {
+		s.stopWaiting()
+	}
 	if s.lease != nil {
 		_ = s.lease.Conn().Close()
 	}
@@ -75,6 +88,10 @@
 func (s *session) cancel(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waiting {
+		s.stopWaiting()
+		return
+	}
 	if s.lease == nil {
 		return
 	}
@@ -85,6 +102,8 @@
 // run serves requests until the session ends.
 func (s *session) run() {
 	defer s.end()
+	s.ctx, s.stopWaiting = context.WithCancel(context.Background())
+	s.endWait = s.endWaiting
 	for {
 		frame, err := s.await()
 		if err == nil {
@@ -106,6 +125,7 @@
 		return
 	}
 	s.stopped, s.stopAt = reason, at
+	s.stopTimer = time.AfterFunc(at.Sub(s.server.config.Now()), s.abort)
 	if s.idle {
 		_ = s.conn.SetReadDeadline(s.readDeadline())
 	}
@@ -126,6 +146,33 @@
 	return frame, err
 }
 
+// waitContext returns the context of the session for a wait that a cancel
+// request ends, and a function that ends the wait. The context is kept for
+// later waits, since making one for each costs allocations.
+func (s *session) waitContext() (context.Context, func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = true
+	return s.ctx, s.endWait
+}
+
+func (s *session) endWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+	if s.ctx.Err() != nil {
+		s.ctx, s.stopWaiting = context.WithCancel(context.Background())
+	}
+}
+
+// waitError returns the error of a wait, which may have been cancelled.
+func (s *session) waitError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return &Error{Op: "acquire", Kind: KindCancelled, Err: errors.New("canceling statement due to user request")}
+	}
+	return acquireError(err)
+}
+
 // closeReason says why this side closes the session. The caller holds mu.
 func (s *session) closeReason() error {
 	reason := s.stopped
@@ -139,8 +186,12 @@
 // rolled back by closing its connection.
 func (s *session) end() {
 	s.giveWriter()
+	s.stopWaiting()
 	s.mu.Lock()
 	held := s.lease
+	if s.stopTimer != nil {
+		s.stopTimer.Stop()
+	}
 	s.mu.Unlock()
 	if held == nil {
 		return
@@ -267,7 +318,7 @@
 func (s *session) takeWriter() *backend.FrameWriter {
 	if s.writer == nil {
 		s.writer = s.server.writers.Get().(*backend.FrameWriter)
-		s.writer.Reset(callerWriter{conn: s.conn, timeout: s.server.config.WriteTimeout})
+		s.writer.Reset(&s.output)
 	}
 	return s.writer
 }
@@ -280,7 +331,7 @@
 }
 
 // Write writes p within the timeout.
-func (w callerWriter) Write(p []byte) (int, error) {
+func (w *callerWriter) Write(p []byte) (int, error) {
 	_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
 	return w.conn.Write(p)
 }
