fix: read answers while a long pipeline is sent

A batch above the socket buffers blocked for ever when the server waited for its answers to be read.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -250,6 +250,27 @@
 	return nil
 }
 
+// FlushAsync sends what was written since Hold while the caller reads the
+// answers. The result is sent on the channel; until then nothing else may be
+// written.
+func (c *Conn) FlushAsync() <-chan error {
+	sent := make(chan error, 1)
+	data := c.writer.take(writeBufferSize)
+	_ = c.net.SetWriteDeadline(time.Now().Add(c.config.AnswerTimeout))
+	go func() {
+		_, err := c.net.Write(data)
+		sent <- err
+	}()
+	return sent
+}
+
+// Hold keeps what is written in memory until FlushAsync. Without it, a server
+// that waits for its answers to be read would block the sender of a long
+// pipeline for ever.
+func (c *Conn) Hold() {
+	c.writer.grows = true
+}
+
 // Moved reports whether the server reported a position since Begin, and which.
 func (c *Conn) Moved() (fleet.Position, bool) {
 	return c.position, c.moved
--- a/backend/frame.go
+++ b/backend/frame.go
@@ -152,6 +152,8 @@
 	destination io.Writer
 	failed      error
 	flushed     bool
+	// grows makes Raw keep all bytes until Flush.
+	grows bool
 }
 
 // NewFrameWriter returns a writer with a buffer of the given size in bytes.
@@ -200,6 +202,10 @@
 
 // Raw appends bytes and flushes as often as the buffer is full.
 func (w *FrameWriter) Raw(p []byte) error {
+	if w.grows {
+		w.buf = append(w.buf, p...)
+		return nil
+	}
 	for len(p) > 0 {
 		n := min(len(p), cap(w.buf)-len(w.buf))
 		w.buf = append(w.buf, p[:n]...)
@@ -214,6 +220,14 @@
 	return nil
 }
 
+// take returns the buffered bytes and leaves an empty buffer of the given size.
+func (w *FrameWriter) take(size int) []byte {
+	taken := w.buf
+	w.buf = make([]byte, 0, size)
+	w.grows = false
+	return taken
+}
+
 // Reset drops buffered bytes and sets another destination.
 func (w *FrameWriter) Reset(destination io.Writer) {
 	w.buf = w.buf[:0]
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -153,3 +154,36 @@
 	}
 	return hijack(b, conn)
 }
+
+// BenchmarkIdleSession measures the memory of an idle session without TLS,
+// with that of the caller's socket in the same process.
+func BenchmarkIdleSession(b *testing.B) {
+	d := deploy(b, writes, nil)
+	const sessions = 500
+	for b.Loop() {
+		before := memoryInUse()
+		conns := make([]net.Conn, 0, sessions)
+		for range sessions {
+			client, err := d.tryConnect()
+			if err != nil {
+				b.Fatal(err)
+			}
+			conn := hijack(b, client.PgConn())
+			exchange(b, conn, backend.NewFrameReader(conn, 4096, 1<<20), encode(&pgproto3.Query{String: "select 1"}))
+			conns = append(conns, conn)
+		}
+		b.ReportMetric((memoryInUse()-before)/sessions, "B/session")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+// memoryInUse returns the bytes of live heap and of stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -13,6 +13,10 @@
 // maxHeld bounds the messages that are held until a commit is durable, in bytes.
 const maxHeld = 1 << 20
 
+// maxUnread is the size of a batch, in bytes, that is sent before its answers
+// are read. It is well below the socket buffers on the way.
+const maxUnread = 32 << 10
+
 // relayState is the state of one relayed answer.
 type relayState struct {
 	answer  answer
@@ -34,6 +38,9 @@
 	} else {
 		conn.BeginUnsynced()
 	}
+	if !r.simple && len(s.batch.data) > maxUnread {
+		return s.attemptLong(r, conn)
+	}
 	if err := s.send(r, conn); err != nil {
 		return answer{err: err}, nil
 	}
@@ -43,6 +50,34 @@
 	return s.relay(r, conn)
 }
 
+// attemptLong sends a long batch while the answers are relayed.
+func (s *session) attemptLong(r *request, conn *backend.Conn) (answer, error) {
+	conn.Hold()
+	if err := s.send(r, conn); err != nil {
+		return answer{err: err}, nil
+	}
+	s.sending = conn.FlushAsync()
+	result, err := s.relay(r, conn)
+	if result.err == nil && err == nil {
+		result.err = s.awaitSent()
+	}
+	s.sending = nil
+	return result, err
+}
+
+// awaitSent waits until a long batch was sent.
+func (s *session) awaitSent() error {
+	if s.sending == nil {
+		return nil
+	}
+	err := <-s.sending
+	s.sending = nil
+	if err != nil {
+		return &backend.Error{Op: "write", Kind: backend.KindConnection, Err: err}
+	}
+	return nil
+}
+
 // relay passes the server's messages on until the answer is complete.
 func (s *session) relay(r *request, conn *backend.Conn) (answer, error) {
 	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle}
@@ -223,6 +258,9 @@
 	if err := s.writer.Flush(); err != nil {
 		return err
 	}
+	if err := s.awaitSent(); err != nil {
+		return err
+	}
 	_ = s.conn.SetReadDeadline(s.server.config.Now().Add(s.server.config.IdleTimeout))
 	for {
 		frame, err := s.reader.Next()
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -314,3 +314,27 @@
 		}
 	}
 }
+
+// TestLongPipeline guards against a pipeline that blocks because neither side
+// reads: the fake's connections have no buffers at all.
+func TestLongPipeline(t *testing.T) {
+	script := func(sql string) reply {
+		return reply{rows: []string{strings.Repeat("y", 1000)}, tag: "SELECT 1"}
+	}
+	d := deploy(t, script, nil, func(config *caller.Config) { config.WriteTimeout = 5 * time.Second })
+	conn := d.connect(t, func(config *pgx.ConnConfig) { config.DefaultQueryExecMode = pgx.QueryExecModeExec })
+	batch := &pgx.Batch{}
+	const statements = 1000
+	for range statements {
+		batch.Queue("select '" + strings.Repeat("x", 100) + "'")
+	}
+	results := conn.SendBatch(context.Background(), batch)
+	for range statements {
+		if _, err := results.Exec(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := results.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/caller/session.go
+++ b/caller/session.go
@@ -44,6 +44,7 @@
 	reader     *backend.FrameReader
 	rolledBack bool
 	secret     [4]byte
+	sending    <-chan error
 	server     *Server
 	settings   []setting
 	skipping   bool
