fix: don't send an error after a part of a row

A backend server that died inside a message left the caller taking the error for the rest of the row. Small messages are now read whole before they are passed on; after a part of a large one the session ends. Callers are told the settings that they asked for at start-up.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -29,6 +29,8 @@
 	defaultMaxMessage     = 1 << 30
 	readBufferSize        = 16 << 10
 	writeBufferSize       = 16 << 10
+	// wholeBodySize is the size up to which a body is read before it is passed on.
+	wholeBodySize = 8 << 10
 )
 
 // positionParameter is the parameter in which a server reports its position.
@@ -198,8 +200,14 @@
 }
 
 // CopyTo writes the current message to w. After an error, w.Failed tells
-// whether the destination or the connection failed.
+// whether the destination or the connection failed, and Truncated whether a
+// part of the message was written.
 func (c *Conn) CopyTo(w *FrameWriter) error {
+	if !c.bodyRead && c.frame.Size <= wholeBodySize {
+		if _, err := c.Body(); err != nil {
+			return err
+		}
+	}
 	if !c.bodyRead {
 		err := c.reader.CopyTo(w)
 		if err != nil && w.Failed() == nil {
@@ -335,6 +343,12 @@
 	return c.config.Server
 }
 
+// Truncated reports whether CopyTo failed after it wrote a part of the current
+// message. What follows it can't be understood any more.
+func (c *Conn) Truncated() bool {
+	return c.broken && !c.bodyRead && c.frame.Size > wholeBodySize
+}
+
 // TxStatus returns the transaction state that the server last reported.
 func (c *Conn) TxStatus() byte {
 	return c.txStatus
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -62,6 +62,7 @@
 	address string
 	id      fleet.ServerID
 	idle    []*Conn
+	lastErr error
 	next    WaiterID
 	retry   *time.Timer
 	state   *PoolState
@@ -307,6 +308,7 @@
 	if err == nil {
 		s.idle = append(s.idle, conn)
 	}
+	s.lastErr = err
 	p.perform(s, s.state.Opened(p.config.Now(), err == nil))
 	if err != nil {
 		p.retryLater(s)
@@ -329,7 +331,7 @@
 		case ActionOpen:
 			go p.open(s, s.address)
 		case ActionRefuse:
-			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindUnavailable, Err: errors.New("the server can't be reached")}})
+			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindUnavailable, Err: s.lastErr}})
 		case ActionStarved:
 			if p.config.Starved != nil {
 				p.config.Starved(s.id)
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -27,6 +27,7 @@
 type reply struct {
 	code     string
 	hangUp   bool
+	partial  int
 	position string
 	rows     []string
 	tag      string
@@ -88,7 +89,7 @@
 	if b.Flush() != nil {
 		return
 	}
-	c := &fakeConn{backend: b, parsed: make(map[string]string), server: f, tx: 'I'}
+	c := &fakeConn{backend: b, conn: conn, parsed: make(map[string]string), server: f, tx: 'I'}
 	c.run()
 }
 
@@ -96,6 +97,7 @@
 type fakeConn struct {
 	backend  *pgproto3.Backend
 	bound    string
+	conn     net.Conn
 	copied   []byte
 	failed   bool
 	parsed   map[string]string
@@ -188,7 +190,13 @@
 	c.server.log = append(c.server.log, sql)
 	c.server.mu.Unlock()
 	r := c.server.script(sql)
-	if r.hangUp {
+	if r.partial > 0 {
+		whole := encode(&pgproto3.DataRow{Values: [][]byte{make([]byte, r.partial)}})
+		c.backend.Send(rowDescription())
+		_ = c.backend.Flush()
+		_, _ = c.conn.Write(whole[:len(whole)-1])
+	}
+	if r.hangUp || r.partial > 0 {
 		return false
 	}
 	if r.code != "" {
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -125,7 +125,7 @@
 	defer s.giveWriter()
 	_ = w.Message(&pgproto3.AuthenticationOk{})
 	for _, parameter := range s.server.config.Parameters {
-		_ = w.Message(&pgproto3.ParameterStatus{Name: parameter.Name, Value: parameter.Value})
+		_ = w.Message(&pgproto3.ParameterStatus{Name: parameter.Name, Value: s.reported(parameter)})
 	}
 	if s.hasToken {
 		_ = w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: s.token.String()})
@@ -135,6 +135,18 @@
 	return w.Flush()
 }
 
+// reported returns the value of a parameter that the caller is told of: the one
+// it asked for at start-up, if it did.
+func (s *session) reported(parameter Parameter) string {
+	value := parameter.Value
+	for _, setting := range s.initial {
+		if strings.EqualFold(setting.name, parameter.Name) {
+			value = setting.value
+		}
+	}
+	return value
+}
+
 // negotiate reads start-up messages until one that starts a session. The
 // connection returned is the TLS one if TLS was negotiated.
 func (s *Server) negotiate(conn net.Conn) (net.Conn, Startup, error) {
@@ -266,6 +278,6 @@
 		return &Error{Op: "start up", Kind: KindUnsupported, Err: fmt.Errorf("setting %s isn't supported over shared connections", name)}
 	}
 	text := "SET " + name + " TO '" + strings.ReplaceAll(parameter.Value, "'", "''") + "'"
-	s.initial = append(s.initial, setting{name: name, text: text})
+	s.initial = append(s.initial, setting{name: name, text: text, value: parameter.Value})
 	return nil
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -17,6 +17,10 @@
 // are read. It is well below the socket buffers on the way.
 const maxUnread = 32 << 10
 
+// errTruncated ends a session to which a part of a message was sent, since an
+// error message after it would be taken for the rest of it.
+var errTruncated = errors.New("the backend server was lost inside a message")
+
 // relayState is the state of one relayed answer.
 type relayState struct {
 	answer  answer
@@ -147,6 +151,9 @@
 		s.held = s.held[:0]
 	}
 	if err := conn.CopyTo(s.writer); err != nil {
+		if conn.Truncated() {
+			return errTruncated
+		}
 		return err
 	}
 	switch frame.Type {
--- a/caller/session_test.go
+++ b/caller/session_test.go
@@ -236,3 +236,119 @@
 		t.Errorf("SQLSTATE (-want +got):\n%s", diff)
 	}
 }
+
+// TestBackendLostInsideRow guards against an error message that is taken for
+// the rest of a row, and against a row that is cut short.
+func TestBackendLostInsideRow(t *testing.T) {
+	for _, size := range []int{100, 100000} {
+		d := deploy(t, func(string) reply { return reply{partial: size} }, nil)
+		conn := d.connect(t, simpleMode)
+		rows, err := conn.Query(context.Background(), "select 1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rows.Next() {
+			t.Errorf("size %d: got a row", size)
+		}
+		var known *pgconn.PgError
+		isAnswered := errors.As(rows.Err(), &known) && known.Code == "40003"
+		if diff := cmp.Diff(size == 100, isAnswered); rows.Err() == nil || diff != "" {
+			t.Errorf("size %d: error %v (-want +got):\n%s", size, rows.Err(), diff)
+		}
+	}
+}
+
+// TestMalformedMessages guards against messages that crash a session or are
+// passed on to the backend server.
+func TestMalformedMessages(t *testing.T) {
+	d := deploy(t, writes, nil)
+	for name, input := range map[string]string{
+		"BindWithoutName": "B\x00\x00\x00\x05xS\x00\x00\x00\x04",
+		"CloseBadKind":    "C\x00\x00\x00\x06x\x00S\x00\x00\x00\x04",
+		"NegativeSize":    "Q\x00\x00\x00\x03",
+		"ParseShort":      "P\x00\x00\x00\x06a\x00S\x00\x00\x00\x04",
+		"QueryUnended":    "Q\x00\x00\x00\x05x",
+		"UnknownType":     "?\x00\x00\x00\x04",
+	} {
+		t.Run(name, func(t *testing.T) {
+			hijacked, err := d.connect(t).PgConn().Hijack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer hijacked.Conn.Close()
+			if _, err := hijacked.Conn.Write([]byte(input)); err != nil {
+				t.Fatal(err)
+			}
+			_ = hijacked.Conn.(*net.TCPConn).CloseWrite()
+			_ = hijacked.Conn.SetDeadline(time.Now().Add(10 * time.Second))
+			output, _ := io.ReadAll(hijacked.Conn)
+			if diff := cmp.Diff("08P01", fatalCode(output)); diff != "" {
+				t.Errorf("SQLSTATE (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if diff := cmp.Diff(0, len(d.primary.statements())); diff != "" {
+		t.Errorf("statements on the backend server (-want +got):\n%s", diff)
+	}
+}
+
+// TestNewerProtocol guards against a caller of a newer minor version, or with
+// protocol options, taking the server to support them.
+func TestNewerProtocol(t *testing.T) {
+	d := deploy(t, writes, nil)
+	conn, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	start := encode(&pgproto3.StartupMessage{ProtocolVersion: 3<<16 | 2, Parameters: map[string]string{"user": testWorkspace, "_pq_.x": "1"}})
+	if _, err := conn.Write(start); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	message, err := pgproto3.NewFrontend(conn, conn).Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 3 << 16, UnrecognizedOptions: []string{"_pq_.x"}}
+	if diff := cmp.Diff(pgproto3.BackendMessage(want), message); diff != "" {
+		t.Errorf("first message (-want +got):\n%s", diff)
+	}
+}
+
+// TestStartupSettings guards against settings of the start-up that don't take
+// effect or that the caller isn't told of, and against its application name
+// reaching the backend server.
+func TestStartupSettings(t *testing.T) {
+	d := deploy(t, writes, nil)
+	conn := d.connect(t, simpleMode, func(config *pgx.ConnConfig) {
+		config.RuntimeParams["TimeZone"] = "Europe/Madrid"
+		config.RuntimeParams["application_name"] = "secret name"
+		config.RuntimeParams["options"] = "-c work_mem=1MB"
+	})
+	mustExec(t, conn, "set application_name = 'secret name'")
+	mustExec(t, conn, "select 1")
+	want := []string{"SET work_mem TO '1MB'", "SET timezone TO 'Europe/Madrid'", "SET application_name TO 'nutmegpier'", "select 1"}
+	if diff := cmp.Diff(want, d.primary.statements()); diff != "" {
+		t.Errorf("statements on the backend server (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff("Europe/Madrid", conn.PgConn().ParameterStatus("TimeZone")); diff != "" {
+		t.Errorf("reported time zone (-want +got):\n%s", diff)
+	}
+}
+
+// TestDrainBound guards against a transaction that holds up a shutdown for
+// longer than its bound.
+func TestDrainBound(t *testing.T) {
+	d := deploy(t, writes, nil)
+	conn := d.connect(t)
+	mustExec(t, conn, "begin")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := d.server.Drain(ctx); err == nil {
+		t.Error("Drain reports no error although a session was cut off")
+	}
+	if diff := cmp.Diff("57P01", awaitFatal(t, conn)); diff != "" {
+		t.Errorf("session in a transaction (-want +got):\n%s", diff)
+	}
+}
--- a/caller/setting.go
+++ b/caller/setting.go
@@ -19,8 +19,9 @@
 
 // setting is one SET that is replayed on each connection of the session.
 type setting struct {
-	name string
-	text string
+	name  string
+	text  string
+	value string
 }
 
 // isRefusedSetting reports whether a setting would break the relay or the
