fix: check decided writes against established terms in the evidence model

A promoter with old promises can still promote a server in term 5, but a majority has promised term 6, so term 5 is never established. The check asked for more than holds. Change: each decision is checked against promotions above the term that decided it, and, new and as strict, against each established history that any view learns. ReadCandidates leaves out servers that do not answer. Tests for a write on a cut-off primary and for a promoter that aborts.

--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -285,3 +285,29 @@
 		})
 	})
 }
+
+// TestControllerWriteOnCutOffPrimary guards against a write on a cut-off
+// primary that is acknowledged, or left open once a later term is established.
+func TestControllerWriteOnCutOffPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 3, 2)
+		defer d.stop(t)
+		d.group.with(func() { d.group.cut["a"] = true })
+		position, _ := d.group.write("a")
+		short, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		decision, err := d.instances[0].AwaitCommit(short, position)
+		var failed *group.Error
+		if decision != group.Pending || !errors.As(err, &failed) || failed.Kind != group.KindUnknown {
+			t.Errorf("decision %s, error %v before a later term, want %s and %s", decision, err, group.Pending, group.KindUnknown)
+		}
+		decision, err = d.instances[0].AwaitCommit(t.Context(), position)
+		if decision != group.NotRun || err != nil {
+			t.Errorf("decision %s, error %v after a later term, want %s", decision, err, group.NotRun)
+		}
+		need := group.Requirement{Written: position}
+		if _, err = d.instances[0].AwaitFresh(t.Context(), need, group.Choice{}, time.Second); !errors.As(err, &failed) || failed.Kind != group.KindLost {
+			t.Errorf("read after a lost write: %v, want %s", err, group.KindLost)
+		}
+	})
+}
--- a/group/evidence_test.go
+++ b/group/evidence_test.go
@@ -31,7 +31,10 @@
 
 // evidenceModel runs servers, promoters and observers in arbitrary order.
 type evidenceModel struct {
-	committed map[fleet.Position]bool
+	// committed holds the term whose evidence decided. Primaries of later terms
+	// must contain the entry; one of an earlier term can still be promoted, but
+	// never established.
+	committed map[fleet.Position]fleet.Term
 	delayed   []group.Observation
 	entries   map[fleet.LogPosition]fleet.Term
 	notRun    map[fleet.Position]fleet.Term
@@ -46,7 +49,7 @@
 
 func newEvidenceModel(size int, r rules, pick func(n int) int) *evidenceModel {
 	m := &evidenceModel{
-		committed: map[fleet.Position]bool{}, entries: map[fleet.LogPosition]fleet.Term{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
+		committed: map[fleet.Position]fleet.Term{}, entries: map[fleet.LogPosition]fleet.Term{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
 		pick: pick, promoters: make([]modelPromoter, 3), rules: r, servers: newModelGroup(size),
 	}
 	var members []group.Member
@@ -147,8 +150,8 @@
 }
 
 func (m *evidenceModel) checkPromoted(s *modelServer) error {
-	for p := range m.committed {
-		if s.term > p.Term && !s.contains(p) {
+	for p, decided := range m.committed {
+		if s.term > decided && !s.contains(p) {
 			return fmt.Errorf("committed %v is missing on the primary of term %d", p, s.term)
 		}
 	}
@@ -165,7 +168,7 @@
 	for _, p := range m.written {
 		switch m.rules.decide(m.views[i], p) {
 		case group.Committed:
-			if err := m.commit(p); err != nil {
+			if err := m.commit(p, decidedBy(m.views[i], p)); err != nil {
 				return err
 			}
 		case group.NotRun:
@@ -173,16 +176,49 @@
 				m.notRun[p] = max(m.views[i].Settled.LastTerm(), p.Term)
 			}
 		}
-		if _, lost := m.notRun[p]; lost && m.committed[p] {
+		if _, lost := m.notRun[p]; lost && m.committed[p] > 0 {
 			return fmt.Errorf("%v was decided both committed and not run", p)
 		}
 	}
+	return m.checkSettled(m.views[i].Settled)
+}
+
+// checkSettled checks the history of an established term against all decisions.
+func (m *evidenceModel) checkSettled(settled fleet.History) error {
+	for p := range m.committed {
+		if p.Term < settled.LastTerm() && !settled.Contains(p) {
+			return fmt.Errorf("committed %v is missing in the established history %v", p, settled)
+		}
+	}
+	for p := range m.notRun {
+		if p.Term < settled.LastTerm() && settled.Contains(p) {
+			return fmt.Errorf("%v was decided not run but is in the established history %v", p, settled)
+		}
+	}
 	return nil
 }
 
+// decidedBy returns the term whose evidence shows that a position is committed.
+func decidedBy(view group.View, p fleet.Position) fleet.Term {
+	n := 0
+	for _, s := range view.Servers {
+		for _, r := range s.Receipts {
+			if r.Position.Term == p.Term && r.Position.Log >= p.Log {
+				n++
+			}
+		}
+	}
+	if n >= view.Majority() {
+		return p.Term
+	}
+	return max(p.Term, view.Settled.LastTerm())
+}
+
 // commit notes a decision and looks for another entry at the same place.
-func (m *evidenceModel) commit(p fleet.Position) error {
-	m.committed[p] = true
+func (m *evidenceModel) commit(p fleet.Position, decided fleet.Term) error {
+	if known, found := m.committed[p]; !found || decided < known {
+		m.committed[p] = decided
+	}
 	if term, found := m.entries[p.Log]; found && term != p.Term {
 		return fmt.Errorf("%v and %d/%d were both decided committed", p, term, p.Log)
 	}
--- a/group/promoter_test.go
+++ b/group/promoter_test.go
@@ -318,3 +318,29 @@
 		}
 	}
 }
+
+// TestPromoterAbortsOnRecovery guards against a promotion of a primary that
+// came back while a candidate waited for its turn.
+func TestPromoterAbortsOnRecovery(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := group.DefaultSettings()
+	in := group.PromoterInput{
+		Detection: group.Detection{Health: group.Failed, Reason: group.ReasonReplicas}, Now: now, Rank: 2,
+		View: healthyView(now, map[fleet.ServerID]fleet.LogPosition{"a": 1, "b": 1, "c": 1}),
+	}
+	promoter := group.NewPromoter("g", settings)
+	out := promoter.Step(in, nil)
+	if want := now.Add(2 * settings.RankDelay); len(out.Calls) > 0 || !out.Wake.Equal(want) {
+		t.Errorf("%d calls, wake %v, want none and %v", len(out.Calls), out.Wake, want)
+	}
+	in.Now = out.Wake
+	in.Detection.Health = group.Healthy
+	if out = promoter.Step(in, nil); len(out.Calls) > 0 || promoter.Phase() != group.PhaseIdle {
+		t.Errorf("%d calls in phase %s after the primary recovered", len(out.Calls), promoter.Phase())
+	}
+	in.Detection.Health = group.Failed
+	in.Rank = 0
+	if out = promoter.Step(in, nil); len(out.Calls) != 3 {
+		t.Errorf("%d calls at rank 0, want a fence of 3 servers", len(out.Calls))
+	}
+}
--- a/group/strategy.go
+++ b/group/strategy.go
@@ -52,8 +52,8 @@
 }
 
 // ReadCandidates returns the servers that may serve a read at the time now, in
-// the order in which to try them. Replicas that are not targets by placement
-// are excluded. The primary comes last if it qualifies. The result is empty if
+// the order in which to try them. Servers that do not answer and replicas that
+// are not targets by placement are excluded. The primary comes last if it qualifies. The result is empty if
 // no server is known to see enough.
 func ReadCandidates(now time.Time, view View, need Requirement, choice Choice) []fleet.ServerID {
 	seen := CutBack(view, need.Seen)
@@ -62,12 +62,15 @@
 	primary := false
 	for i := range view.Servers {
 		server := &view.Servers[i]
+		if !server.Reachable() {
+			continue
+		}
 		if !fresh(&view, server, need.Written, seen) || !youngEnough(now, &view, server, need) {
 			continue
 		}
 		if server.Server == view.Primary {
 			primary = true
-		} else if server.Reachable() && choice.Placement.IsTarget(server.Member) {
+		} else if choice.Placement.IsTarget(server.Member) {
 			replicas = append(replicas, server)
 		}
 	}
