--- a/peer/controller.go
+++ b/peer/controller.go
@@ -22,7 +22,7 @@
 	mu           sync.Mutex
 	acceptances  map[fleet.SheetVersion]*Acceptance
 	changed      chan struct{}
-	emptyUntil   map[Member]time.Time
+	emptyUntil   map[donorKey]time.Time
 	head         Head
 	headRevision uint64
 	ledger       *Ledger
@@ -35,6 +35,12 @@
 	validity     *Validity
 }
 
+// donorKey is one limit of one peer. The name is a workspace or a server.
+type donorKey struct {
+	donor Member
+	name  string
+}
+
 // New returns a controller that holds nothing and is not valid.
 func New(config Config) *Controller {
 	if config.Lease == 0 {
@@ -46,7 +52,7 @@
 		asking:      make(chan struct{}, 1),
 		changed:     make(chan struct{}),
 		config:      config,
-		emptyUntil:  make(map[Member]time.Time),
+		emptyUntil:  make(map[donorKey]time.Time),
 		ledger:      NewLedger(self, config.Lease),
 		membership:  NewMembership(config.Clock.Now(), self),
 		pendingSeen: make(map[TransferID]bool),
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -16,11 +16,9 @@
 )
 
 const (
-	// donorBackoff is the time for which a peer that gave nothing is not asked.
+	// donorBackoff is the time for which a peer is not asked again for a limit
+	// of which it gave nothing. It bounds the calls of an overload.
 	donorBackoff = 250 * time.Millisecond
-	// donorsAsked bounds the peers asked for one shortage, so that a refusal
-	// waits for few round trips.
-	donorsAsked = 3
 	// sharePeriod is the time between two looks at the own demand.
 	sharePeriod = 100 * time.Millisecond
 )
@@ -38,15 +36,14 @@
 	return slices.DeleteFunc(peers, func(l Listed) bool { return l.Instance == c.self.Instance })
 }
 
-// ask requests shares from one peer and takes what it gives.
+// ask requests shares from one peer and takes what it gives. Limits of which
+// the peer lately had nothing left are not asked for.
 func (c *Controller) ask(ctx context.Context, donor Member) error {
 	client, ok := c.clientOf(donor)
 	if !ok {
 		return &Error{Err: errors.New(string(donor.Instance)), Kind: KindUnavailable, Op: "ask"}
 	}
-	c.mu.Lock()
-	wanted := c.ledger.Wanted(c.config.Clock.Now())
-	c.mu.Unlock()
+	wanted := c.wantedFrom(donor)
 	if wanted.IsEmpty() {
 		return nil
 	}
@@ -60,6 +57,7 @@
 		SheetVersion:     uint64(wanted.Versions.Sheet),
 	}))
 	if err != nil {
+		c.backOff(donor, wanted, Transfer{})
 		return &Error{Err: err, Kind: KindUnavailable, Op: "ask"}
 	}
 	transfer := Transfer{
@@ -73,8 +71,9 @@
 			Sheet:      fleet.SheetVersion(answer.Msg.GetSheetVersion()),
 		},
 	}
+	c.backOff(donor, wanted, transfer)
 	if transfer.Giver != donor || transfer.IsEmpty() {
-		return &Error{Err: errors.New("nothing was given"), Kind: KindUnavailable, Op: "ask"}
+		return nil
 	}
 	c.mu.Lock()
 	accepted := c.ledger.Accept(c.config.Clock.Now(), transfer)
@@ -85,6 +84,23 @@
 	return nil
 }
 
+// backOff notes which wanted limits a donor gave nothing of.
+func (c *Controller) backOff(donor Member, wanted Wanted, transfer Transfer) {
+	until := c.config.Clock.Now().Add(donorBackoff)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, want := range wanted.Rates {
+		if !slices.ContainsFunc(transfer.Rates, func(r RateAmount) bool { return r.Workspace == want.Workspace }) {
+			c.emptyUntil[donorKey{donor, string(want.Workspace)}] = until
+		}
+	}
+	for _, want := range wanted.Permits {
+		if !slices.ContainsFunc(transfer.Permits, func(p PermitAmount) bool { return p.Server == want.Server }) {
+			c.emptyUntil[donorKey{donor, string(want.Server)}] = until
+		}
+	}
+}
+
 // clientOf returns the client for the address of a run's instance.
 func (c *Controller) clientOf(member Member) (nutmegpierv1connect.PeerServiceClient, bool) {
 	for _, listed := range c.addresses() {
@@ -110,17 +126,18 @@
 	c.ledger.Settle(transfer.Giver, TransferID(answer.Msg.GetSettledBelow()))
 }
 
-// donors returns the live peers that may have something to give.
+// donors returns the live peers, the one after this instance first, so that
+// the instances do not all ask the same peer.
 func (c *Controller) donors() []Member {
-	now := c.config.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	live := slices.DeleteFunc(c.membership.Live(now), func(m Member) bool {
-		return m == c.self || now.Before(c.emptyUntil[m])
-	})
-	// The peer that was asked the longest time ago comes first.
-	slices.SortStableFunc(live, func(a, b Member) int { return c.emptyUntil[a].Compare(c.emptyUntil[b]) })
-	return live[:min(len(live), donorsAsked)]
+	live := c.membership.Live(c.config.Clock.Now())
+	at := slices.IndexFunc(live, func(m Member) bool { return compareMembers(m, c.self) >= 0 })
+	if at < 0 {
+		at = 0
+	}
+	donors := slices.Concat(live[at:], live[:at])
+	return slices.DeleteFunc(donors, func(m Member) bool { return m == c.self })
 }
 
 // exchange sends the periodic message to one peer. What the answer names is
@@ -200,16 +217,8 @@
 	}
 	defer func() { <-c.asking }()
 	for _, donor := range c.donors() {
-		c.mu.Lock()
-		satisfied := c.ledger.Wanted(c.config.Clock.Now()).IsEmpty()
-		c.mu.Unlock()
-		if satisfied {
-			return nil
-		}
-		if err := c.ask(ctx, donor); err != nil {
-			c.mu.Lock()
-			c.emptyUntil[donor] = c.config.Clock.Now().Add(donorBackoff)
-			c.mu.Unlock()
+		if err := c.ask(ctx, donor); err != nil && ctx.Err() != nil {
+			return err
 		}
 	}
 	return nil
@@ -282,3 +291,18 @@
 	}
 	return message
 }
+
+// wantedFrom returns what to ask a donor for.
+func (c *Controller) wantedFrom(donor Member) Wanted {
+	now := c.config.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted := c.ledger.Wanted(now)
+	wanted.Rates = slices.DeleteFunc(wanted.Rates, func(r RateAmount) bool {
+		return now.Before(c.emptyUntil[donorKey{donor, string(r.Workspace)}])
+	})
+	wanted.Permits = slices.DeleteFunc(wanted.Permits, func(p PermitAmount) bool {
+		return now.Before(c.emptyUntil[donorKey{donor, string(p.Server)}])
+	})
+	return wanted
+}
--- a/peer/ledger.go
+++ b/peer/ledger.go
@@ -22,7 +22,7 @@
 type Ledger struct {
 	added      map[string]bool
 	barred     map[transferKey]fleet.RosterGeneration
-	demands    map[fleet.WorkspaceID]*demand
+	demands    map[fleet.WorkspaceID]*workspace.Demand
 	generation *transition
 	floors     map[Member]TransferID
 	guestGifts bool
@@ -52,7 +52,7 @@
 	return &Ledger{
 		added:      make(map[string]bool),
 		barred:     make(map[transferKey]fleet.RosterGeneration),
-		demands:    make(map[fleet.WorkspaceID]*demand),
+		demands:    make(map[fleet.WorkspaceID]*workspace.Demand),
 		floors:     make(map[Member]TransferID),
 		generation: newTransition(nil),
 		lease:      lease,
@@ -165,9 +165,9 @@
 		return decision
 	}
 	if l.demands[id] == nil {
-		l.demands[id] = &demand{at: now}
+		l.demands[id] = workspace.NewDemand(now)
 	}
-	l.demands[id].record(now, decision.Admitted)
+	l.demands[id].Record(now, decision.Admitted)
 	return decision
 }
 
@@ -407,11 +407,11 @@
 	}
 	for _, rate := range l.limits.Rates {
 		d := l.demands[rate.Workspace]
-		if d == nil || d.rate(now) < 1e-3 {
+		if d == nil || d.Rate(now) < 1e-3 {
 			continue
 		}
 		share := l.limiter.Share(now, rate.Workspace)
-		if amount := d.wanted(now, share); d.starved || amount.Level > 0 || amount.Rate > 0 {
+		if amount := d.Wanted(now, share); d.Starved() || amount.Level > 0 || amount.Rate > 0 {
 			wanted.Rates = append(wanted.Rates, RateAmount{Share: amount, Workspace: rate.Workspace})
 		}
 	}
@@ -471,10 +471,10 @@
 	share := l.limiter.Share(now, want.Workspace)
 	d := l.demands[want.Workspace]
 	if d == nil {
-		d = &demand{at: now}
+		d = workspace.NewDemand(now)
 	}
-	given, kept := share.Split(d.spare(now, share, want.Share))
-	if given.Rate <= 0 && given.Level <= 0 {
+	given, kept := d.Spare(now, share, want.Share)
+	if given == (workspace.Share{}) {
 		return RateAmount{}, false
 	}
 	l.limiter.Set(now, want.Workspace, kept)
--- /dev/null
+++ b/workspace/limiter_test.go
@@ -0,0 +1,107 @@
+package workspace_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+var begin = time.Unix(1000, 0)
+
+// TestLimiterNeverExceedsItsShare guards against tokens that are minted by a
+// clock that jumps or goes back, outside the validity, or above the capacity.
+func TestLimiterNeverExceedsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := workspace.Share{
+			Capacity: rapid.Float64Range(0, 20).Draw(t, "capacity"),
+			Level:    rapid.Float64Range(0, 40).Draw(t, "level"),
+			Rate:     rapid.Float64Range(0, 10).Draw(t, "rate"),
+		}
+		limiter := workspace.NewLimiter()
+		limiter.Renew(begin, begin.Add(time.Minute))
+		limiter.Set(begin, "w", share)
+		now, newest, validUntil, minted, admitted := begin, begin, begin.Add(time.Minute), 0.0, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-3000, 5000).Draw(t, "step")) * time.Millisecond)
+			if now.After(newest) {
+				if end := minTime(now, validUntil); end.After(newest) {
+					minted += share.Rate * end.Sub(newest).Seconds()
+				}
+				newest = now
+			}
+			if rapid.IntRange(0, 9).Draw(t, "renew") == 0 {
+				validUntil = newest.Add(3 * time.Second)
+				limiter.Renew(newest, validUntil)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "requests") {
+				if limiter.Admit(now, "w").Admitted {
+					admitted++
+					if !now.Before(validUntil) {
+						t.Fatalf("admitted at %v, valid until %v", now, validUntil)
+					}
+				}
+			}
+			if held := limiter.Share(now, "w"); held.Level > held.Capacity {
+				t.Fatalf("level %v above the capacity %v", held.Level, held.Capacity)
+			}
+			if limit := share.Capacity + minted + 1e-6; float64(admitted) > limit {
+				t.Fatalf("%d admitted, limit %v", admitted, limit)
+			}
+		}
+	})
+}
+
+// TestRetryAfter guards against a refusal that names a time at which the next
+// request is refused again.
+func TestRetryAfter(t *testing.T) {
+	limiter := workspace.NewLimiter()
+	limiter.Renew(begin, begin.Add(time.Hour))
+	limiter.Set(begin, "w", workspace.Share{Capacity: 2, Level: 0.25, Rate: 3})
+	refused := limiter.Admit(begin, "w")
+	if diff := cmp.Diff(workspace.Decision{RetryAfter: 250 * time.Millisecond}, refused); diff != "" {
+		t.Errorf("decision (-want +got):\n%s", diff)
+	}
+	if !limiter.Admit(begin.Add(refused.RetryAfter), "w").Admitted {
+		t.Error("the retry at the named time is refused")
+	}
+}
+
+// TestShareArithmeticKeepsTheSum guards against splits, merges and scalings
+// that create or lose a part of a limit.
+func TestShareArithmeticKeepsTheSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := workspace.Limit{
+			Burst: rapid.Float64Range(0, 1000).Draw(t, "burst"),
+			Rate:  rapid.Float64Range(0, 1000).Draw(t, "rate"), Workspace: "w",
+		}
+		full := workspace.FullShare(limit)
+		given, kept := full.Split(rapid.Float64Range(-1, 2).Draw(t, "fraction"))
+		if sum := workspace.Merge(given, kept); !near(sum, full) {
+			t.Fatalf("%+v + %+v = %+v, want %+v", given, kept, sum, full)
+		}
+		to := workspace.Limit{Burst: limit.Burst * 2, Rate: limit.Rate / 2, Workspace: "w"}
+		sum := workspace.Merge(given.Scale(limit, to), kept.Scale(limit, to))
+		if want := (workspace.Share{Capacity: to.Burst, Level: limit.Burst, Rate: to.Rate}); !near(sum, want) {
+			t.Fatalf("scaled sum %+v, want %+v", sum, want)
+		}
+		if small := workspace.Minimum(given, kept); small.Level > small.Capacity || small.Rate > given.Rate {
+			t.Fatalf("minimum of %+v and %+v is %+v", given, kept, small)
+		}
+	})
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func near(a, b workspace.Share) bool {
+	return math.Abs(a.Capacity-b.Capacity) < 1e-6 && math.Abs(a.Level-b.Level) < 1e-6 && math.Abs(a.Rate-b.Rate) < 1e-6
+}
