--- a/peer/membership.go
+++ b/peer/membership.go
@@ -203,11 +203,15 @@
 	return ended
 }
 
-// Report returns what this instance tells its peers about the others.
+// Report returns what this instance tells its peers about the others. Only
+// silence is evidence, so members that answer are left out. This keeps the
+// periodic message small.
 func (m *Membership) Report(now time.Time) []Liveness {
-	report := make([]Liveness, 0, len(m.heard))
+	var report []Liveness
 	for member, c := range m.heard {
-		report = append(report, Liveness{Member: member, Silence: max(0, now.Sub(c.at))})
+		if silence := now.Sub(c.at); silence >= silentAfter {
+			report = append(report, Liveness{Member: member, Silence: silence})
+		}
 	}
 	slices.SortFunc(report, func(a, b Liveness) int { return compareMembers(a.Member, b.Member) })
 	return report
