--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -68,9 +68,11 @@
 	options := &globalOptions{}
 	root := newGroupCmd("nutmegpier", "PostgreSQL proxy with session consistency",
 		newConfigCmd(options),
+		newDemoCmd(options),
 		newDrainCmd(options),
 		newKeyCmd(options),
 		newRestoreCmd(options),
+		newServeCmd(options),
 		newSheetCmd(options),
 		newStatusCmd(options),
 		newTimelineCmd(options),
--- /dev/null
+++ b/cmd/democmd.go
@@ -0,0 +1,174 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/nutmegpier/nutmegpier/demo"
+)
+
+const (
+	// demoInstances is large enough to show a majority of instances.
+	demoInstances = 3
+	// demoStartTimeout bounds the start of a demo. The shares of the first
+	// sheet become usable after a validity lease.
+	demoStartTimeout = time.Minute
+)
+
+type demoOptions struct {
+	faults    []string
+	instances int
+	listen    string
+	logFile   string
+	tokenFile string
+}
+
+func newDemoCmd(options *globalOptions) *cobra.Command {
+	local := &demoOptions{}
+	command := &cobra.Command{
+		Args: exactArgs(),
+		Example: `  nutmegpier demo
+  nutmegpier demo --listen 127.0.0.1:6432 --instances 5
+  nutmegpier demo --listen 127.0.0.1:0 --fault '10s crash-primary quetzal_orders'`,
+		Long: `Run a complete deployment in one process: stand-ins for the platform and for
+the database groups of two firms, instances, and a published sheet.
+
+The first lines on standard output are connection URLs. The demo serves until
+it is interrupted. It reads these commands from standard input, one a line:
+
+` + demo.FaultHelp,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runDemoCmd(cmd, options, local) },
+		Short: "Run a complete deployment in one process",
+		Use:   "demo",
+	}
+	flags := command.Flags()
+	flags.StringArrayVar(&local.faults, "fault", nil, "a delay and a command, carried out after the start; can be repeated")
+	flags.IntVar(&local.instances, "instances", demoInstances, "number of instances")
+	flags.StringVar(&local.listen, "listen", "127.0.0.1:0", "address of the first instance; the others take the following ports; port 0 takes free ports")
+	flags.StringVar(&local.logFile, "log-file", "", "file for the log lines of all instances; empty means none")
+	flags.StringVar(&local.tokenFile, "write-token", "", "file to which the token of the administration API is written")
+	return command
+}
+
+// scheduledFault is a fault command with its time after the start.
+type scheduledFault struct {
+	after   time.Duration
+	command string
+}
+
+func runDemoCmd(cmd *cobra.Command, options *globalOptions, local *demoOptions) error {
+	faults, err := parseFaults(local.faults)
+	if err != nil {
+		return usageError(cmd, err)
+	}
+	if local.instances < 1 {
+		return usageError(cmd, fmt.Errorf("--instances %d: want at least 1", local.instances))
+	}
+	logOutput, closeLog, err := openLog(local.logFile)
+	if err != nil {
+		return inputError(cmd, err)
+	}
+	defer closeLog()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	starting, cancel := context.WithTimeout(ctx, demoStartTimeout)
+	defer cancel()
+	running, err := demo.Start(starting, demo.Options{
+		Deployments: demo.Deployments(),
+		Instances:   local.instances,
+		Listen:      local.listen,
+		LogFormat:   options.format,
+		LogOutput:   logOutput,
+	})
+	if err != nil {
+		return err
+	}
+	if err := announceDemo(cmd, running, local); err != nil {
+		return errors.Join(err, running.Close())
+	}
+	go readFaults(cmd, running)
+	for _, fault := range faults {
+		timer := time.AfterFunc(fault.after, func() { reportFault(cmd, running, fault.command) })
+		defer timer.Stop()
+	}
+	<-ctx.Done()
+	return running.Close()
+}
+
+// announceDemo prints the connection URLs, and then how to operate the demo.
+func announceDemo(cmd *cobra.Command, running *demo.Demo, local *demoOptions) error {
+	out := cmd.OutOrStdout()
+	for _, url := range running.URLs() {
+		fmt.Fprintln(out, url)
+	}
+	if local.tokenFile != "" {
+		if err := os.WriteFile(local.tokenFile, []byte(running.Token()+"\n"), 0o600); err != nil {
+			return inputError(cmd, err)
+		}
+	}
+	message := cmd.ErrOrStderr()
+	fmt.Fprintf(message, "administration API: %s\n", strings.Join(running.AdminURLs(), " "))
+	fmt.Fprintln(message, "serving until interrupted; type help for the fault commands")
+	return nil
+}
+
+// readFaults carries out the commands of standard input until its end.
+func readFaults(cmd *cobra.Command, running *demo.Demo) {
+	lines := bufio.NewScanner(cmd.InOrStdin())
+	for lines.Scan() {
+		reportFault(cmd, running, lines.Text())
+	}
+}
+
+func reportFault(cmd *cobra.Command, running *demo.Demo, command string) {
+	message := cmd.ErrOrStderr()
+	if strings.TrimSpace(command) == "help" {
+		fmt.Fprintln(message, demo.FaultHelp)
+		return
+	}
+	if err := running.Fault(command); err != nil {
+		fmt.Fprintln(message, err)
+		return
+	}
+	fmt.Fprintf(message, "done: %s\n", command)
+}
+
+// parseFaults parses values such as "10s crash-primary quetzal_orders".
+func parseFaults(texts []string) ([]scheduledFault, error) {
+	var faults []scheduledFault
+	for _, text := range texts {
+		delay, command, found := strings.Cut(strings.TrimSpace(text), " ")
+		if !found {
+			return nil, fmt.Errorf("--fault %q: want a delay and a command", text)
+		}
+		after, err := time.ParseDuration(delay)
+		if err != nil || after < 0 {
+			return nil, fmt.Errorf("--fault %q: %q is not a delay such as 10s", text, delay)
+		}
+		faults = append(faults, scheduledFault{after: after, command: command})
+	}
+	return faults, nil
+}
+
+// openLog opens a log file for appending. An empty name means no log.
+func openLog(name string) (out io.Writer, closeLog func(), err error) {
+	if name == "" {
+		return io.Discard, func() {}, nil
+	}
+	file, err := os.OpenFile(filepath.Clean(name), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	return file, func() { _ = file.Close() }, nil
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -81,6 +82,9 @@
 	router   *router
 	starved  chan struct{}
 
+	// settings holds the settings in force, which a reload replaces.
+	settings atomic.Pointer[settings.Settings]
+
 	randomMu sync.Mutex
 	// adoptMu makes the section of the sheet grow only.
 	adoptMu sync.Mutex
@@ -103,6 +107,7 @@
 		recorder: &recorder{events: config.Events},
 		starved:  make(chan struct{}, 1),
 	}
+	i.settings.Store(&config.Settings)
 	i.board = newBoard(groupIDs(config.Settings))
 	i.pool = backend.NewPool(backend.PoolConfig{
 		Connect:    i.connect,
@@ -215,7 +220,7 @@
 func (i *Instance) drain(running context.Context) error {
 	i.board.Lifecycle.Store(LifecycleDraining)
 	i.config.Events.Record(event.InstanceDraining, event.Fields{})
-	ctx, cancel := context.WithTimeout(running, i.config.Settings.Timeouts.StopBound)
+	ctx, cancel := context.WithTimeout(running, i.settings.Load().Timeouts.StopBound)
 	defer cancel()
 	if err := i.callers.Drain(ctx); err != nil {
 		return &Error{Op: "drain", Kind: KindStop, Err: err}
@@ -275,7 +280,7 @@
 		Sheets:    published,
 		Status:    i,
 		Timeline:  i.config.Events,
-		Tokens:    func() []settings.Token { return i.config.Settings.Admin.Tokens },
+		Tokens:    func() []settings.Token { return i.settings.Load().Admin.Tokens },
 	})
 }
 
@@ -305,7 +310,7 @@
 }
 
 func (i *Instance) connect(ctx context.Context, server fleet.ServerID, address string) (*backend.Conn, error) {
-	configured := i.config.Settings.Backend
+	configured := i.settings.Load().Backend
 	return backend.Connect(ctx, backend.ConnConfig{
 		Address:        address,
 		AnswerTimeout:  configured.AnswerTimeout,
@@ -331,14 +336,13 @@
 
 func (i *Instance) newRouter() *router {
 	r := &router{
-		commitBound: i.config.Settings.Timeouts.CommitBound,
-		freshWait:   i.config.Settings.Timeouts.FreshWait,
-		local:       i.config.Settings.DataCentre,
-		now:         i.config.Now,
-		pool:        i.pool,
-		random:      rand.New(rand.NewPCG(i.config.Random.Uint64(), 0)),
-		sheet:       i.board.Sheet,
-		strategy:    group.FreshnessDistance,
+		local:    i.config.Settings.DataCentre,
+		now:      i.config.Now,
+		pool:     i.pool,
+		random:   rand.New(rand.NewPCG(i.config.Random.Uint64(), 0)),
+		sheet:    i.board.Sheet,
+		strategy: group.FreshnessDistance,
+		timeouts: func() settings.Timeouts { return i.settings.Load().Timeouts },
 	}
 	for number, controller := range i.groups {
 		routed := routedGroup{
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -233,7 +233,7 @@
 	for _, entry := range parsed.Workspaces {
 		limits.Rates = append(limits.Rates, workspace.Limit{Burst: entry.Burst, Rate: entry.Rate, Workspace: entry.Workspace})
 	}
-	for _, configured := range i.config.Settings.Groups {
+	for _, configured := range i.settings.Load().Groups {
 		limits.Permits = append(limits.Permits, permitLimits(parsed, configured)...)
 	}
 	return limits, nil
--- a/instance/poolkeeper.go
+++ b/instance/poolkeeper.go
@@ -66,7 +66,7 @@
 }
 
 func (i *Instance) serverSettings(id fleet.ServerID) (settings.Group, settings.Server, bool) {
-	for _, configured := range i.config.Settings.Groups {
+	for _, configured := range i.settings.Load().Groups {
 		for _, server := range configured.Servers {
 			if server.Server == id {
 				return configured, server, true
--- a/instance/router.go
+++ b/instance/router.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegpier/nutmegpier/caller"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/group"
+	"github.com/nutmegpier/nutmegpier/settings"
 )
 
 // retryPause is the time between attempts while a group changes its primary.
@@ -51,14 +52,13 @@
 // router chooses servers by the view of their group and takes connections from
 // the pool.
 type router struct {
-	commitBound time.Duration
-	freshWait   time.Duration
-	groups      []routedGroup
-	local       fleet.DataCentre
-	now         func() time.Time
-	pool        pool
-	sheet       *blackboard.Section[SheetInForce]
-	strategy    group.Strategy
+	groups   []routedGroup
+	local    fleet.DataCentre
+	now      func() time.Time
+	pool     pool
+	sheet    *blackboard.Section[SheetInForce]
+	strategy group.Strategy
+	timeouts func() settings.Timeouts
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -93,7 +93,7 @@
 	if err != nil {
 		return caller.OutcomeUnknown, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.commitBound)
+	ctx, cancel := context.WithTimeout(ctx, r.timeouts().CommitBound)
 	defer cancel()
 	decision, err := routed.control.AwaitCommit(ctx, position)
 	switch decision {
@@ -127,7 +127,7 @@
 		Written: request.Token.Written,
 	}
 	for {
-		candidates, err := routed.control.AwaitFresh(ctx, need, r.choice(routed), r.freshWait)
+		candidates, err := routed.control.AwaitFresh(ctx, need, r.choice(routed), r.timeouts().FreshWait)
 		if err != nil {
 			return nil, routeError("choose replica", err)
 		}
