--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -54,7 +54,7 @@
 	}
 	want := []settings.Change{
 		{New: "(hidden)", Old: "(hidden)", Path: "Admin.Tokens[0].TokenSHA256"},
-		{New: "9", Old: "4", Path: "Backend.MaxOpenings"},
+		{New: "9s", Old: "30s", Path: "Backend.AnswerTimeout"},
 		{New: "127.0.0.1:6439", Old: "127.0.0.1:6432", Path: "Listen.Callers", Restart: true},
 	}
 	if diff := cmp.Diff(want, settings.Diff(before, after)); diff != "" {
