feat: bring back servers that promised a term to a promoter that gave up

Cause: such a server takes no entry of the present primary, for ever. With 30% lost calls one run of TestControllerFalseAlarm promoted a server: three calls of 400 ms lost in a row reached DetectTime. Change: a handover to the present primary at a higher term; calls time out after 150 ms; the loss in the test depends on server, instance and time instead of a generator shared by goroutines.

--- a/group/config.go
+++ b/group/config.go
@@ -80,7 +80,8 @@
 	HandoverLag time.Duration
 	// PollInterval is the time between status requests at rest.
 	PollInterval time.Duration
-	// PollTimeout bounds one control call.
+	// PollTimeout bounds one control call. It is a sixth of DetectTime, so that
+	// several lost calls in a row are needed before a server counts as silent.
 	PollTimeout time.Duration
 	// RankDelay is the wait of a candidate for each candidate ranked before it.
 	RankDelay time.Duration
@@ -107,7 +108,7 @@
 		HandoverLag:      time.Second,
 		HandoverRetry:    2 * time.Second,
 		PollInterval:     250 * time.Millisecond,
-		PollTimeout:      400 * time.Millisecond,
+		PollTimeout:      150 * time.Millisecond,
 		RankDelay:        150 * time.Millisecond,
 		RetryInterval:    50 * time.Millisecond,
 		StepTimeout:      500 * time.Millisecond,
--- a/group/controller.go
+++ b/group/controller.go
@@ -335,12 +335,16 @@
 
 // planHandover requests the handover that the placement calls for.
 func (c *Controller) planHandover(in PromoterInput) {
-	if c.promoter.Pending() || in.Now.Before(c.handoverNext) || !HandoverDue(in) {
+	if c.promoter.Pending() || in.Now.Before(c.handoverNext) {
+		return
+	}
+	target, due := HandoverDue(in, c.config.Settings.DetectTime)
+	if !due {
 		return
 	}
 	c.handoverNext = in.Now.Add(c.config.Settings.HandoverRetry)
 	c.promoter.Handover(HandoverRequest{
-		Deadline: c.handoverNext, Drain: c.config.Settings.HandoverDrain,
+		Deadline: c.handoverNext, Drain: c.config.Settings.HandoverDrain, Target: target,
 	})
 }
 
--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -178,9 +178,10 @@
 // TestControllerFalseAlarm guards against a promotion on lost polls alone.
 func TestControllerFalseAlarm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		random := rand.New(rand.NewPCG(3, 4))
 		d, _ := failover(t, 3, func(d *deployment) {
-			d.group.loss = func(fleet.InstanceID, fleet.ServerID) bool { return random.IntN(100) < 30 }
+			d.group.loss = func(i fleet.InstanceID, s fleet.ServerID) bool {
+				return rand.New(rand.NewPCG(uint64(i[0])<<8|uint64(s[0]), uint64(time.Now().UnixMicro()))).IntN(100) < 30
+			}
 		}, 10*time.Second)
 		defer d.stop(t)
 		if got := d.records(); len(got) > 0 {
@@ -311,3 +312,17 @@
 		}
 	})
 }
+
+// TestControllerHealsPromiseAhead guards against a replica that promised a
+// term to a promoter which gave up, and takes no entry ever after.
+func TestControllerHealsPromiseAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := failover(t, 3, func(d *deployment) { d.group.find("b").fence(5, "gone") }, 3*time.Second)
+		defer d.stop(t)
+		view := d.instances[0].section.Load()
+		server, _ := view.Server("b")
+		if view.Primary != "a" || server.Status.Term != view.Term || view.Term <= 5 {
+			t.Errorf("primary %s of term %d, b follows term %d", view.Primary, view.Term, server.Status.Term)
+		}
+	})
+}
--- a/group/detector.go
+++ b/group/detector.go
@@ -36,6 +36,9 @@
 	ReasonNoPrimary Reason = "NoPrimary"
 	// ReasonNoMajority means that too few servers answer this instance.
 	ReasonNoMajority Reason = "NoMajority"
+	// ReasonPromise means that a server promised a later term to a promoter
+	// that gave up. It takes no entry of the present primary any more.
+	ReasonPromise Reason = "PromiseAhead"
 	// ReasonReplicas means that a majority of servers lost the primary.
 	ReasonReplicas Reason = "ReplicasSilent"
 )
@@ -155,6 +158,8 @@
 		out.Health, out.Reason = Suspected, ReasonReplicas
 	case out.Silence >= d.suspectTime():
 		out.Health, out.Reason = Suspected, ReasonInstances
+	case d.promiseAhead(now, view):
+		out.Health, out.Reason = Suspected, ReasonPromise
 	}
 }
 
@@ -176,6 +181,17 @@
 	return n > live/2
 }
 
+// promiseAhead reports whether a server that answers promised a term above
+// that of the primary.
+func (d *Detector) promiseAhead(now time.Time, view View) bool {
+	for _, server := range view.Servers {
+		if server.Heard(d.recent(now)) && server.Status.PromisedTerm > view.Term {
+			return true
+		}
+	}
+	return false
+}
+
 // recent returns the time since which an answer must have been asked for to
 // be used as evidence.
 func (d *Detector) recent(now time.Time) time.Time {
--- a/group/promoter.go
+++ b/group/promoter.go
@@ -241,6 +241,10 @@
 		p.handover = nil
 		return
 	}
+	if p.handover.Target == in.View.Primary && in.View.Primary != "" {
+		p.drain(in, in.View.Primary, out)
+		return
+	}
 	if target := handoverTarget(in, *p.handover, p.settings.HandoverLag); target != "" {
 		p.drain(in, target, out)
 	}
@@ -581,14 +585,20 @@
 	return best.Server
 }
 
-// HandoverDue reports whether this instance has to hand the primary over: it
-// ranks first, and the primary is not a target by placement but a replica is.
-func HandoverDue(in PromoterInput) bool {
+// HandoverDue returns the handover that this instance has to order, if it
+// ranks first. One is due if the primary is not a target by placement but a
+// replica is. One to the primary itself is due if a server promised a later
+// term for delay: it follows again once the primary leads a higher term.
+func HandoverDue(in PromoterInput, delay time.Duration) (target fleet.ServerID, due bool) {
 	primary, found := in.View.Server(in.View.Primary)
-	if !found || in.Rank != 0 || !in.View.Established || in.Placement.IsTarget(primary.Member) {
-		return false
+	if !found || in.Rank != 0 || !in.View.Established {
+		return "", false
 	}
-	return slices.ContainsFunc(in.View.Servers, func(s ServerView) bool {
-		return s.Server != primary.Server && in.Placement.IsTarget(s.Member)
-	})
+	if !in.Placement.IsTarget(primary.Member) {
+		return "", slices.ContainsFunc(in.View.Servers, func(s ServerView) bool {
+			return s.Server != primary.Server && in.Placement.IsTarget(s.Member)
+		})
+	}
+	ahead := in.Detection.Reason == ReasonPromise && in.Now.Sub(in.Detection.Suspected) >= delay
+	return primary.Server, ahead
 }
