--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -28,6 +29,8 @@
 	defaultMaxMessage     = 1 << 30
 	readBufferSize        = 16 << 10
 	writeBufferSize       = 16 << 10
+	// wholeBodySize is the size up to which a body is read before it is passed on.
+	wholeBodySize = 8 << 10
 )
 
 // positionParameter is the parameter in which a server reports its position.
@@ -73,6 +76,9 @@
 	net      net.Conn
 	pid      uint32
 	position fleet.Position
+	peek     syscall.RawConn
+	peekErr  error
+	peekFunc func(fd uintptr) bool
 	prepared map[string]struct{}
 	profile  string
 	reader   *FrameReader
@@ -116,9 +122,23 @@
 	}
 	_ = netConn.SetDeadline(time.Time{})
 	c.ready = true
+	c.preparePeek()
 	return c, nil
 }
 
+// Alive reports whether an idle connection is still open, as far as this side
+// knows. It doesn't block. A server that closed the connection while it was
+// idle would otherwise make the outcome of the next write unknown.
+func (c *Conn) Alive() bool {
+	if c.peek == nil {
+		return true
+	}
+	if err := c.peek.Read(c.peekFunc); err != nil {
+		return false
+	}
+	return errors.Is(c.peekErr, syscall.EAGAIN)
+}
+
 // Begin says that a request that ends in one ReadyForQuery is about to be sent.
 func (c *Conn) Begin() {
 	c.inFlight++
@@ -180,8 +200,14 @@
 }
 
 // CopyTo writes the current message to w. After an error, w.Failed tells
-// whether the destination or the connection failed.
+// whether the destination or the connection failed, and Truncated whether a
+// part of the message was written.
 func (c *Conn) CopyTo(w *FrameWriter) error {
+	if !c.bodyRead && c.frame.Size <= wholeBodySize {
+		if _, err := c.Body(); err != nil {
+			return err
+		}
+	}
 	if !c.bodyRead {
 		err := c.reader.CopyTo(w)
 		if err != nil && w.Failed() == nil {
@@ -232,6 +258,27 @@
 	return nil
 }
 
+// FlushAsync sends what was written since Hold while the caller reads the
+// answers. The result is sent on the channel; until then nothing else may be
+// written.
+func (c *Conn) FlushAsync() <-chan error {
+	sent := make(chan error, 1)
+	data := c.writer.take(writeBufferSize)
+	_ = c.net.SetWriteDeadline(time.Now().Add(c.config.AnswerTimeout))
+	go func() {
+		_, err := c.net.Write(data)
+		sent <- err
+	}()
+	return sent
+}
+
+// Hold keeps what is written in memory until FlushAsync. Without it, a server
+// that waits for its answers to be read would block the sender of a long
+// pipeline for ever.
+func (c *Conn) Hold() {
+	c.writer.grows = true
+}
+
 // Moved reports whether the server reported a position since Begin, and which.
 func (c *Conn) Moved() (fleet.Position, bool) {
 	return c.position, c.moved
@@ -296,11 +343,22 @@
 	return c.config.Server
 }
 
+// Truncated reports whether CopyTo failed after it wrote a part of the current
+// message. What follows it can't be understood any more.
+func (c *Conn) Truncated() bool {
+	return c.broken && !c.bodyRead && c.frame.Size > wholeBodySize
+}
+
 // TxStatus returns the transaction state that the server last reported.
 func (c *Conn) TxStatus() byte {
 	return c.txStatus
 }
 
+// Unsynced reports whether messages were sent whose Sync is missing.
+func (c *Conn) Unsynced() bool {
+	return c.unsynced
+}
+
 func (c *Conn) authenticate() error {
 	body, err := c.Body()
 	if err != nil {
@@ -364,6 +422,24 @@
 	return &Error{Op: op, Kind: KindConnection, Err: err}
 }
 
+// preparePeek sets up what Alive needs, so that it doesn't allocate.
+func (c *Conn) preparePeek() {
+	raw, isSocket := c.net.(syscall.Conn)
+	if !isSocket {
+		return
+	}
+	peek, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.peek = peek
+	buffer := make([]byte, 1)
+	c.peekFunc = func(fd uintptr) bool {
+		_, _, c.peekErr = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}
+}
+
 func (c *Conn) saslAnswer(want uint32) (string, error) {
 	frame, err := c.Next()
 	if err != nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -62,6 +62,7 @@
 	address string
 	id      fleet.ServerID
 	idle    []*Conn
+	lastErr error
 	next    WaiterID
 	retry   *time.Timer
 	state   *PoolState
@@ -107,6 +108,17 @@
 // Acquire waits for a connection until the request's deadline. Errors are of
 // type *Error; all mean that nothing ran.
 func (p *Pool) Acquire(ctx context.Context, now time.Time, request PoolRequest) (*PoolLease, error) {
+	for {
+		lease, err := p.acquire(ctx, now, request)
+		if err != nil || lease.conn.Alive() {
+			return lease, err
+		}
+		lease.Release(false)
+	}
+}
+
+// acquire waits for a connection, which the server may have closed meanwhile.
+func (p *Pool) acquire(ctx context.Context, now time.Time, request PoolRequest) (*PoolLease, error) {
 	p.mu.Lock()
 	s := p.servers[request.Server]
 	if s == nil || s.state.Draining() {
@@ -296,6 +308,7 @@
 	if err == nil {
 		s.idle = append(s.idle, conn)
 	}
+	s.lastErr = err
 	p.perform(s, s.state.Opened(p.config.Now(), err == nil))
 	if err != nil {
 		p.retryLater(s)
@@ -318,7 +331,7 @@
 		case ActionOpen:
 			go p.open(s, s.address)
 		case ActionRefuse:
-			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindUnavailable, Err: errors.New("the server can't be reached")}})
+			s.resolve(action.Waiter, grant{err: &Error{Op: "acquire", Kind: KindUnavailable, Err: s.lastErr}})
 		case ActionStarved:
 			if p.config.Starved != nil {
 				p.config.Starved(s.id)
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -27,6 +27,7 @@
 type reply struct {
 	code     string
 	hangUp   bool
+	partial  int
 	position string
 	rows     []string
 	tag      string
@@ -88,7 +89,7 @@
 	if b.Flush() != nil {
 		return
 	}
-	c := &fakeConn{backend: b, parsed: make(map[string]string), server: f, tx: 'I'}
+	c := &fakeConn{backend: b, conn: conn, parsed: make(map[string]string), server: f, tx: 'I'}
 	c.run()
 }
 
@@ -96,6 +97,8 @@
 type fakeConn struct {
 	backend  *pgproto3.Backend
 	bound    string
+	conn     net.Conn
+	copied   []byte
 	failed   bool
 	parsed   map[string]string
 	position string
@@ -121,6 +124,9 @@
 func (c *fakeConn) handle(message pgproto3.FrontendMessage) bool {
 	switch m := message.(type) {
 	case *pgproto3.Query:
+		if strings.HasPrefix(m.String, "copy") {
+			return c.copy(m.String)
+		}
 		alive := true
 		for _, sql := range strings.Split(m.String, ";") {
 			if alive = c.execute(strings.TrimSpace(sql), true); !alive || c.failed {
@@ -157,6 +163,8 @@
 		return c.ready()
 	case *pgproto3.Flush:
 		return c.backend.Flush() == nil
+	case *pgproto3.CopyData:
+		c.copied = append(c.copied, m.Data...)
 	case *pgproto3.CopyDone:
 		c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1")})
 		return c.ready()
@@ -164,19 +172,38 @@
 	return true
 }
 
+// copy starts to take COPY data, or sends back what it took.
+func (c *fakeConn) copy(sql string) bool {
+	if strings.Contains(sql, "from") {
+		c.backend.Send(&pgproto3.CopyInResponse{})
+		return c.backend.Flush() == nil
+	}
+	c.backend.Send(&pgproto3.CopyOutResponse{})
+	c.backend.Send(&pgproto3.CopyData{Data: c.copied})
+	c.backend.Send(&pgproto3.CopyDone{})
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1")})
+	return c.ready()
+}
+
 func (c *fakeConn) execute(sql string, describe bool) bool {
 	c.server.mu.Lock()
 	c.server.log = append(c.server.log, sql)
 	c.server.mu.Unlock()
 	r := c.server.script(sql)
-	if r.hangUp {
+	if r.partial > 0 {
+		whole := encode(&pgproto3.DataRow{Values: [][]byte{make([]byte, r.partial)}})
+		c.backend.Send(rowDescription())
+		_ = c.backend.Flush()
+		_, _ = c.conn.Write(whole[:len(whole)-1])
+	}
+	if r.hangUp || r.partial > 0 {
 		return false
 	}
 	if r.code != "" {
 		c.fail(r.code)
 		return true
 	}
-	switch strings.ToUpper(sql) {
+	switch verb, _, _ := strings.Cut(strings.ToUpper(sql), " "); verb {
 	case "BEGIN":
 		c.tx = 'T'
 	case "COMMIT", "ROLLBACK":
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return nil, s.reject(conn, err)
 	}
+	if err := session.negotiateVersion(startup); err != nil {
+		return nil, err
+	}
 	if session.key, err = s.authenticate(session); err != nil {
 		s.record(workspaceEvent(EventAuthenticationFailed, session.workspace, session.group, ""))
 		return nil, s.reject(conn, err)
@@ -122,7 +125,7 @@
 	defer s.giveWriter()
 	_ = w.Message(&pgproto3.AuthenticationOk{})
 	for _, parameter := range s.server.config.Parameters {
-		_ = w.Message(&pgproto3.ParameterStatus{Name: parameter.Name, Value: parameter.Value})
+		_ = w.Message(&pgproto3.ParameterStatus{Name: parameter.Name, Value: s.reported(parameter)})
 	}
 	if s.hasToken {
 		_ = w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: s.token.String()})
@@ -132,6 +135,18 @@
 	return w.Flush()
 }
 
+// reported returns the value of a parameter that the caller is told of: the one
+// it asked for at start-up, if it did.
+func (s *session) reported(parameter Parameter) string {
+	value := parameter.Value
+	for _, setting := range s.initial {
+		if strings.EqualFold(setting.name, parameter.Name) {
+			value = setting.value
+		}
+	}
+	return value
+}
+
 // negotiate reads start-up messages until one that starts a session. The
 // connection returned is the TLS one if TLS was negotiated.
 func (s *Server) negotiate(conn net.Conn) (net.Conn, Startup, error) {
@@ -168,6 +183,21 @@
 	_ = s.config.CancelForwarder.ForwardCancel(ctx, startup.ProcessID, startup.Secret)
 }
 
+// negotiateVersion tells a caller that asks for a newer minor version or for
+// protocol options that this server has none of them.
+func (s *session) negotiateVersion(startup Startup) error {
+	var options []string
+	for _, parameter := range startup.Parameters {
+		if strings.HasPrefix(parameter.Name, "_pq_.") {
+			options = append(options, parameter.Name)
+		}
+	}
+	if startup.Code&0xffff == 0 && options == nil {
+		return nil
+	}
+	return s.sendNow(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: protocolMajor << 16, UnrecognizedOptions: options})
+}
+
 // reject tells the caller why its connection is refused, and returns err.
 func (s *Server) reject(conn net.Conn, err error) error {
 	var known *Error
@@ -202,7 +232,7 @@
 	session := &session{
 		arrivedAt: s.config.Now(),
 		conn:      conn,
-		ctx:       context.Background(),
+		output:    callerWriter{conn: conn, timeout: s.config.WriteTimeout},
 		prepared:  make(map[string]*preparedStatement),
 		reader:    backend.NewFrameReader(conn, readBufferSize, s.config.MaxMessage),
 		server:    s,
@@ -248,6 +278,6 @@
 		return &Error{Op: "start up", Kind: KindUnsupported, Err: fmt.Errorf("setting %s isn't supported over shared connections", name)}
 	}
 	text := "SET " + name + " TO '" + strings.ReplaceAll(parameter.Value, "'", "''") + "'"
-	s.initial = append(s.initial, setting{name: name, text: text})
+	s.initial = append(s.initial, setting{name: name, text: text, value: parameter.Value})
 	return nil
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -120,6 +120,11 @@
 	}
 }
 
+// waitResumed waits while the server is paused.
+func (s *Server) waitResumed(ctx context.Context) error {
+	return s.waitFor(ctx, func() bool { return !s.paused })
+}
+
 // Status returns the server's status.
 func (s *Server) Status() group.ServerStatus {
 	s.sessionsMu.Lock()
@@ -167,6 +172,9 @@
 		_ = s.waitFor(drainCtx, func() bool { return s.writer == nil || s.promise.Term >= term })
 		cancel()
 	}
+	if s.waitResumed(ctx) != nil {
+		return false, s.Status()
+	}
 	granted := s.grant(term, holder)
 	return granted, s.Status()
 }
@@ -222,7 +230,7 @@
 func (s *Server) takeOver(term fleet.Term, holder fleet.InstanceID) bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	if !s.promise.Allows(term, holder) || s.lost {
+	if !s.promise.Allows(term, holder) || s.lost || !s.running {
 		return false
 	}
 	if s.role == group.RolePrimary && s.term == term {
