fix: drop an unused error kind of group

Cause: no operation reports KindUnknownServer. Change: the constant is gone; Choice.Random says which strategies use it. Conclusion: no behaviour changes.

--- a/group/error.go
+++ b/group/error.go
@@ -17,8 +17,6 @@
 	KindStale ErrorKind = "Stale"
 	// KindUnknown means that the outcome of a write was not known in time.
 	KindUnknown ErrorKind = "Unknown"
-	// KindUnknownServer means that the server is not part of the group.
-	KindUnknownServer ErrorKind = "UnknownServer"
 )
 
 // Error is the error of this package.
--- a/group/strategy.go
+++ b/group/strategy.go
@@ -37,8 +37,9 @@
 type Choice struct {
 	Loads     []Load
 	Placement Placement
-	Random    *rand.Rand
-	Strategy  Strategy
+	// Random is used by all strategies but FreshnessDistance.
+	Random   *rand.Rand
+	Strategy Strategy
 }
 
 // outstanding returns the number of requests running on a server.
