fix: let a fenced stand-in primary go on sending its log

Change: a fenced server sends the log that it has; the reload check uses a setting that can be reloaded, with the same assertion.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	after, err := settings.Parse("f", []byte(strings.NewReplacer("127.0.0.1:6432", "127.0.0.1:6439", `"Backend": {`, `"Admin": {"Tokens": [{"Role": "Read", "TokenSHA256": "`+strings.Repeat("cd", 32)+`"}]}, "Backend": {"MaxOpenings": 9, `).Replace(example(t))))
+	after, err := settings.Parse("f", []byte(strings.NewReplacer("127.0.0.1:6432", "127.0.0.1:6439", `"Backend": {`, `"Admin": {"Tokens": [{"Role": "Read", "TokenSHA256": "`+strings.Repeat("cd", 32)+`"}]}, "Backend": {"AnswerTimeout": "9s", `).Replace(example(t))))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/replication.go
+++ b/standin/replication.go
@@ -30,7 +30,7 @@
 func (g *Group) transfer(from, to *Server, now time.Time) (time.Duration, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if from.role != group.RolePrimary || !g.linked(from, to) {
+	if !from.sendsLog() || !g.linked(from, to) {
 		return heartbeatInterval, from.changed
 	}
 	if !to.follow(from, now) {
@@ -54,6 +54,13 @@
 	return next, from.changed
 }
 
+// sendsLog reports whether the server sends its log to the others. A fenced
+// primary goes on with what it has, so that a planned handover finds a replica
+// with the whole log.
+func (s *Server) sendsLog() bool {
+	return s.role == group.RolePrimary || s.role == group.RoleFenced
+}
+
 // follow makes the server a replica of a primary and cuts its log back to the
 // common part. It reports false when a promise forbids that. The caller holds
 // the group's lock.
