feat: add TLS for callers and between instances, settle late publications

Cause: the settings named TLS files that nothing read; a publication whose write was tried could be reported as unchanged after a failed read. Change: TLS files are loaded and reloaded by content; the publisher reads the version after the base, and reports Unknown once a write was tried.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -47,10 +48,13 @@
 	platform.Table
 }
 
-// Config holds what an instance depends on. All fields must be set.
+// Config holds what an instance depends on. All fields but BackendPassword,
+// CallerTLS and PeerTLS must be set.
 type Config struct {
 	// BackendPassword is the proxy's own password for backend servers.
 	BackendPassword string
+	// CallerTLS returns the TLS configuration for callers. Nil means no TLS.
+	CallerTLS func() *tls.Config
 	// Dial opens connections to backend servers.
 	Dial backend.Dial
 	// Epoch tells the runs of the instance apart.
@@ -60,6 +64,8 @@
 	Now       func() time.Time
 	// PeerHTTP is the HTTP client for calls to other instances.
 	PeerHTTP connect.HTTPClient
+	// PeerTLS is the TLS configuration of the peer listener. Nil means no TLS.
+	PeerTLS  *tls.Config
 	Platform Platform
 	// Random seeds the random sources of the controllers.
 	Random   *rand.Rand
@@ -203,7 +209,7 @@
 			return nil
 		})
 	}
-	tasks.Go(func() error { return serveHTTP(ctx, i.peerServer(), i.config.Listeners.Peers) })
+	tasks.Go(func() error { return serveHTTP(ctx, i.peerServer(), i.peerListener()) })
 	tasks.Go(func() error { return serveHTTP(ctx, i.adminServer(i.newOperator()), i.config.Listeners.Admin) })
 	tasks.Go(func() error {
 		_ = i.peers.Run(ctx)
--- a/instance/open.go
+++ b/instance/open.go
@@ -47,19 +47,28 @@
 	if options.LogFormat != "" {
 		format = options.LogFormat
 	}
+	security, err := openTLS(configured.TLS)
+	if err != nil {
+		return nil, err
+	}
 	logger := event.NewLogger(options.LogOutput, format, event.Level(configured.Log.Level))
 	dialer := &net.Dialer{KeepAlive: keepAlive}
 	return New(Config{
 		BackendPassword: password,
+		CallerTLS:       security.callers,
 		Dial:            dialer.DialContext,
 		Epoch:           epoch,
 		Events:          event.New(configured.Instance, epoch, time.Now, logger, configured.Timeline.Capacity),
 		Listeners:       options.Listeners,
 		Now:             time.Now,
-		PeerHTTP:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerIdleConns}},
-		Platform:        platform.NewClient(&http.Client{}, configured.Platform.URL),
-		Random:          random,
-		Settings:        configured,
+		PeerHTTP: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: peerIdleConns,
+			TLSClientConfig:     security.peerClient,
+		}},
+		PeerTLS:  security.peerServer,
+		Platform: platform.NewClient(&http.Client{}, configured.Platform.URL),
+		Random:   random,
+		Settings: configured,
 	})
 }
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -195,7 +197,11 @@
 }
 
 func (i *Instance) peerClient(address string) nutmegpierv1connect.PeerServiceClient {
-	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, "http://"+address, connect.WithReadMaxBytes(maxPeerMessage))
+	scheme := "http://"
+	if i.config.PeerTLS != nil {
+		scheme = "https://"
+	}
+	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, scheme+address, connect.WithReadMaxBytes(maxPeerMessage))
 }
 
 // peerServer returns the server of the peer listener.
@@ -205,6 +211,14 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
 }
 
+// peerListener returns the listener for other instances, with TLS if it is set up.
+func (i *Instance) peerListener() net.Listener {
+	if i.config.PeerTLS == nil {
+		return i.config.Listeners.Peers
+	}
+	return tls.NewListener(i.config.Listeners.Peers, i.config.PeerTLS)
+}
+
 // adoptSheet puts a newer sheet in force.
 func (i *Instance) adoptSheet(version fleet.SheetVersion, content []byte) {
 	record, parsed, err := parseRecord(content)
--- a/instance/publisher.go
+++ b/instance/publisher.go
@@ -44,17 +44,27 @@
 
 // storedHead is the head row with the newest sheet.
 type storedHead struct {
-	head     peer.Head
-	record   sheet.Record
-	revision platform.Revision
-	sheet    sheet.Sheet
+	// afterBase is the row of the version after the base of a request.
+	afterBase sheet.ReadBack
+	head      peer.Head
+	record    sheet.Record
+	revision  platform.Revision
+	sheet     sheet.Sheet
 }
 
 // Publish publishes against the base version of the request. The write is
 // conditional on the head row, so that one of several racing requests wins.
 func (p *publisher) Publish(ctx context.Context, request sheet.PublishRequest) (operator.Publication, error) {
+	written := false
 	for {
 		stored, err := p.readHead(ctx)
+		if err == nil {
+			stored.afterBase, err = p.readBack(ctx, stored, request.Base)
+		}
+		if err != nil && written {
+			// An earlier attempt may still take effect.
+			return operator.Publication{Outcome: sheet.OutcomeUnknown, Version: request.Base + 1}, nil
+		}
 		if err != nil {
 			return operator.Publication{}, err
 		}
@@ -79,6 +89,7 @@
 			PublishedAt: p.now(),
 			Publisher:   request.Publisher,
 		}
+		written = true
 		resolution, err := p.write(ctx, stored, decision.Version, record)
 		if err != nil {
 			publication.Outcome = sheet.OutcomeUnknown
@@ -137,6 +148,7 @@
 
 func (p *publisher) state(stored storedHead) sheet.PublishState {
 	return sheet.PublishState{
+		AfterBase:       stored.afterBase,
 		Current:         stored.sheet,
 		Head:            stored.head.SheetVersion,
 		HeadPublication: stored.record.Publication,
@@ -144,6 +156,16 @@
 	}
 }
 
+// readBack reads the row of the version after the base of a request, if the
+// head has passed the base.
+func (p *publisher) readBack(ctx context.Context, stored storedHead, base fleet.SheetVersion) (sheet.ReadBack, error) {
+	if stored.head.SheetVersion <= base {
+		return sheet.ReadBack{}, nil
+	}
+	record, found, err := p.readRecord(ctx, base+1)
+	return sheet.ReadBack{Found: found, Publication: record.Publication}, err
+}
+
 // write writes a version. A write without an answer is settled by reading the
 // row of the version, until the context ends.
 func (p *publisher) write(ctx context.Context, stored storedHead, version fleet.SheetVersion, record sheet.Record) (sheet.Resolution, error) {
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -16,7 +16,8 @@
 
 // TLSFiles names the PEM files of mutual TLS between instances.
 type TLSFiles struct {
-	// CA holds the certificates that sign the peers.
+	// CA holds the certificates that sign the peers. It is empty where the
+	// other side shows no certificate.
 	CA string
 	// Certificate holds the own certificate chain.
 	Certificate string
@@ -72,6 +73,18 @@
 	}
 }
 
+// CallerServer returns the configuration of a listener whose clients show no
+// certificate.
+func (t *TLS) CallerServer() *tls.Config {
+	return &tls.Config{
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			pair, _ := t.current()
+			return pair, nil
+		},
+		MinVersion: tls.VersionTLS12,
+	}
+}
+
 // Server returns the configuration of the peer listener.
 func (t *TLS) Server() *tls.Config {
 	return &tls.Config{
@@ -112,7 +125,7 @@
 		return &Error{Err: err, Kind: KindConfig, Op: "load TLS files"}
 	}
 	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(content.ca) {
+	if t.files.CA != "" && !roots.AppendCertsFromPEM(content.ca) {
 		return &Error{Err: errors.New("the CA file holds no certificate"), Kind: KindConfig, Op: "load TLS files"}
 	}
 	t.loaded, t.pair, t.roots = content, &pair, roots
@@ -146,8 +159,10 @@
 }
 
 func readTLS(files TLSFiles) (content tlsContent, err error) {
-	if content.ca, err = os.ReadFile(files.CA); err != nil {
-		return content, err
+	if files.CA != "" {
+		if content.ca, err = os.ReadFile(files.CA); err != nil {
+			return content, err
+		}
 	}
 	if content.certificate, err = os.ReadFile(files.Certificate); err != nil {
 		return content, err
