fix: forget ended runs and passed pauses

Cause: records of runs outside the roster stayed for good, so memory grew with restarts. They are dropped when the run is known to have ended, or an hour after its last message at the next roster. No test covers the dropping.

--- a/peer/controller.go
+++ b/peer/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -258,7 +259,11 @@
 	now := c.config.Clock.Now()
 	for _, member := range c.membership.Replaced() {
 		c.ledger.RecordEnded(member)
+		c.validity.Forget(member)
+		delete(c.resets, member)
+		delete(c.suspicions, member)
 	}
+	maps.DeleteFunc(c.emptyUntil, func(_ donorKey, until time.Time) bool { return !now.Before(until) })
 	c.ledger.Advance(now, c.validity.StoreRead())
 	c.validity.SetHeld(c.ledger.Versions())
 	c.validity.SetQuorums(c.ledger.Quorums()...)
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -14,6 +14,8 @@
 	// as silent. It is several exchange periods, so that one lost message does
 	// not matter.
 	silentAfter = 2 * time.Second
+	// forgetAfter is the time after which a run outside the roster is forgotten.
+	forgetAfter = time.Hour
 	// evictAfter is the time of silence or absence from the platform's list
 	// after which an eviction may be proposed. Short pauses must not cause a
 	// new generation.
@@ -57,7 +59,7 @@
 	heard       map[Member]*contact
 	leaving     bool
 	listed      []Listed
-	replaced    map[Member]bool
+	replaced    map[Member]time.Time
 	reports     map[Member]map[Member]time.Time
 	self        Member
 	started     time.Time
@@ -74,7 +76,7 @@
 	return &Membership{
 		absentSince: make(map[fleet.InstanceID]time.Time),
 		heard:       make(map[Member]*contact),
-		replaced:    make(map[Member]bool),
+		replaced:    make(map[Member]time.Time),
 		reports:     make(map[Member]map[Member]time.Time),
 		self:        self,
 		started:     now,
@@ -138,7 +140,7 @@
 // answer shows that another run of the same instance ended, because a request
 // of the earlier run may arrive late.
 func (m *Membership) RecordHeard(now time.Time, member Member, answered, leaving bool, liveness []Liveness) {
-	if m.replaced[member] || member.Instance == m.self.Instance {
+	if m.isReplaced(member) || member.Instance == m.self.Instance {
 		return
 	}
 	for other := range m.heard {
@@ -148,7 +150,7 @@
 		if !answered {
 			return
 		}
-		m.replace(other)
+		m.replace(now, other)
 	}
 	m.heard[member] = &contact{at: now, leaving: leaving}
 	m.reports[member] = make(map[Member]time.Time, len(liveness))
@@ -174,20 +176,33 @@
 // instance is already known with another epoch that answers, the member is
 // an earlier run.
 func (m *Membership) RecordRoster(now time.Time, roster Roster) {
-	for _, member := range slices.Concat(roster.Members, roster.Previous) {
-		if member == m.self || m.replaced[member] || m.heard[member] != nil {
+	known := slices.Concat(roster.Members, roster.Previous)
+	for member, at := range m.replaced {
+		// Messages of an earlier run do not arrive this late.
+		if now.Sub(at) >= forgetAfter && !slices.Contains(known, member) {
+			delete(m.replaced, member)
+		}
+	}
+	for member, c := range m.heard {
+		if now.Sub(c.at) >= forgetAfter && !slices.Contains(known, member) {
+			delete(m.heard, member)
+			delete(m.reports, member)
+		}
+	}
+	for _, member := range known {
+		if member == m.self || m.isReplaced(member) || m.heard[member] != nil {
 			continue
 		}
 		if member.Instance == m.self.Instance {
-			m.replace(member)
+			m.replace(now, member)
 			continue
 		}
 		for other := range m.heard {
 			if other.Instance == member.Instance && now.Sub(m.heard[other].at) < silentAfter {
-				m.replace(member)
+				m.replace(now, member)
 			}
 		}
-		if !m.replaced[member] {
+		if !m.isReplaced(member) {
 			m.heard[member] = &contact{at: now.Add(-silentAfter)}
 		}
 	}
@@ -230,7 +245,7 @@
 	if member == m.self {
 		return StateLive
 	}
-	if m.replaced[member] {
+	if m.isReplaced(member) {
 		return StateReplaced
 	}
 	c := m.heard[member]
@@ -250,6 +265,11 @@
 	return StateLive
 }
 
+func (m *Membership) isReplaced(member Member) bool {
+	_, replaced := m.replaced[member]
+	return replaced
+}
+
 // majorityRemains reports whether a majority of the roster answers or ended
 // for certain. Without it the joint phase of the next generation would not end.
 func (m *Membership) majorityRemains(now time.Time, roster Roster) bool {
@@ -286,8 +306,8 @@
 }
 
 // replace marks a run as ended and drops what it said.
-func (m *Membership) replace(member Member) {
-	m.replaced[member] = true
+func (m *Membership) replace(now time.Time, member Member) {
+	m.replaced[member] = now
 	delete(m.heard, member)
 	delete(m.reports, member)
 }
@@ -308,7 +328,7 @@
 			silent++
 		}
 	}
-	others := slices.DeleteFunc(slices.Clone(roster.Members), func(o Member) bool { return m.replaced[o] })
+	others := slices.DeleteFunc(slices.Clone(roster.Members), func(o Member) bool { return m.isReplaced(o) })
 	return isMajority(silent, others)
 }
 
--- a/peer/validity.go
+++ b/peer/validity.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// Forget drops the records of a run that ended.
+func (v *Validity) Forget(member Member) {
+	delete(v.given, member)
+	delete(v.vouchers, member)
+}
+
 // Give records that this instance answers a request for a voucher, and returns
 // how long it vouches. The instance proposes no eviction of the member before
 // the voucher has ended for certain.
