--- a/cmd/democmd.go
+++ b/cmd/democmd.go
@@ -27,11 +27,13 @@
 )
 
 type demoOptions struct {
-	faults    []string
-	instances int
-	listen    string
-	logFile   string
-	tokenFile string
+	external    int
+	externalDir string
+	faults      []string
+	instances   int
+	listen      string
+	logFile     string
+	tokenFile   string
 }
 
 func newDemoCmd(options *globalOptions) *cobra.Command {
@@ -53,6 +55,8 @@
 		Use:   "demo",
 	}
 	flags := command.Flags()
+	flags.IntVar(&local.external, "external", 0, "number of settings files to write for instances that run with nutmegpier serve")
+	flags.StringVar(&local.externalDir, "external-dir", ".", "directory for the files of --external")
 	flags.StringArrayVar(&local.faults, "fault", nil, "a delay and a command, carried out after the start; can be repeated")
 	flags.IntVar(&local.instances, "instances", demoInstances, "number of instances")
 	flags.StringVar(&local.listen, "listen", "127.0.0.1:0", "address of the first instance; the others take the following ports; port 0 takes free ports")
@@ -118,6 +122,13 @@
 		}
 	}
 	message := cmd.ErrOrStderr()
+	for number := range local.external {
+		external, err := running.WriteSettings(local.externalDir, number+1)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(message, "nutmegpier serve --config %s\n  %s\n", external.Settings, external.URLs[0])
+	}
 	fmt.Fprintf(message, "administration API: %s\n", strings.Join(running.AdminURLs(), " "))
 	fmt.Fprintln(message, "serving until interrupted; type help for the fault commands")
 	return nil
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -172,12 +172,7 @@
 func (d *Demo) URL(id fleet.InstanceID, key WorkspaceKey, database fleet.GroupID) string {
 	for _, running := range d.running() {
 		if running.id == id {
-			return (&url.URL{
-				Host:   running.address,
-				Path:   string(database),
-				Scheme: "postgres",
-				User:   url.UserPassword(string(key.Workspace), key.Key),
-			}).String()
+			return connectionURL(running.address, key, database)
 		}
 	}
 	return ""
@@ -272,7 +267,7 @@
 	if err != nil {
 		return err
 	}
-	configured, err := d.settingsOf(id, dataCentre, listeners.Callers, listeners.Peers, listeners.Admin)
+	configured, err := d.settingsOf(id, dataCentre, listeners)
 	if err != nil {
 		return &Error{Op: "settings of " + string(id), Kind: KindStart, Err: err}
 	}
@@ -378,6 +373,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+func connectionURL(address string, key WorkspaceKey, database fleet.GroupID) string {
+	return (&url.URL{
+		Host:   address,
+		Path:   string(database),
+		Scheme: "postgres",
+		User:   url.UserPassword(string(key.Workspace), key.Key),
+	}).String()
+}
+
 // rotate returns the list beginning at a place, so that primaries are spread
 // over the data centres.
 func rotate(list []fleet.DataCentre, by int) []fleet.DataCentre {
--- a/demo/settings.go
+++ b/demo/settings.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"net"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/instance"
 	"github.com/nutmegpier/nutmegpier/settings"
 	"github.com/nutmegpier/nutmegpier/standin"
 )
@@ -42,27 +42,31 @@
 
 // settingsOf returns the settings of an instance, read from a settings file as
 // for a real instance.
-func (d *Demo) settingsOf(id fleet.InstanceID, dataCentre fleet.DataCentre, callers, peers, admin net.Listener) (settings.Settings, error) {
+func (d *Demo) settingsOf(id fleet.InstanceID, dataCentre fleet.DataCentre, listeners instance.Listeners) (settings.Settings, error) {
+	encoded, err := json.Marshal(d.settingsFile(id, dataCentre, listeners))
+	if err != nil {
+		return settings.Settings{}, &Error{Op: "encode settings", Kind: KindStart, Err: err}
+	}
+	return settings.Parse(string(id), encoded)
+}
+
+func (d *Demo) settingsFile(id fleet.InstanceID, dataCentre fleet.DataCentre, listeners instance.Listeners) settingsFile {
 	file := settingsFile{
 		Admin:      adminSection{Tokens: []settings.Token{{Role: settings.RolePublish, TokenSHA256: d.tokenSum()}}},
 		Backend:    backendSection{User: backendUser},
 		DataCentre: dataCentre,
 		Instance:   id,
 		Listen: settings.Listen{
-			Admin:   admin.Addr().String(),
-			Callers: callers.Addr().String(),
-			Peers:   peers.Addr().String(),
+			Admin:   listeners.Admin.Addr().String(),
+			Callers: listeners.Callers.Addr().String(),
+			Peers:   listeners.Peers.Addr().String(),
 		},
 		Platform: platformSection{URL: d.platformURL},
 	}
 	for _, running := range d.groups {
 		file.Groups = append(file.Groups, running.section())
 	}
-	encoded, err := json.Marshal(file)
-	if err != nil {
-		return settings.Settings{}, &Error{Op: "encode settings", Kind: KindStart, Err: err}
-	}
-	return settings.Parse(string(id), encoded)
+	return file
 }
 
 // runningGroup is a group of stand-in servers with its place in a deployment.
