fix: bound the wait for peers that do not answer

Cause: the query of unconfirmed transfers ran inside the exchange round, one call after the other, and an exchange waited up to 1 s. Peers that swallow calls could so delay the vouchers of the others, and a request could wait 1 s for each donor. Exchanges now end with their period, queries run on their own, and a donor has 50 ms to answer. The fake network swallows calls instead of failing them at once.

--- a/peer/controller.go
+++ b/peer/controller.go
@@ -182,6 +182,7 @@
 	group.Go(func() error { return every(ctx, storePeriod, c.pollList) })
 	group.Go(func() error { return every(ctx, storePeriod, c.pollStore) })
 	group.Go(func() error { return every(ctx, exchangePeriod, c.exchangeAll) })
+	group.Go(func() error { return every(ctx, exchangePeriod, c.queryPending) })
 	group.Go(func() error {
 		return every(ctx, sharePeriod, func(ctx context.Context) { _ = c.moveShares(ctx) })
 	})
--- a/peer/controller_test.go
+++ b/peer/controller_test.go
@@ -207,3 +207,24 @@
 		d.expect("moved", summary{Members: 3, Permits: 7, Rate: 30, Valid: []string{"a", "b", "c"}})
 	})
 }
+
+// TestUnansweredCallsDelayNobody guards against a peer that swallows calls and
+// so delays the exchanges with the others beyond the lease, or a request.
+func TestUnansweredCallsDelayNobody(t *testing.T) {
+	bubble(t, func(t *testing.T, d *deployment) {
+		d.set(func() { d.down = true; d.cut["c"] = true })
+		for range 60 {
+			d.settle(100 * time.Millisecond)
+			for _, id := range []string{"a", "b"} {
+				if !d.running[id].Valid(time.Now()) {
+					t.Fatalf("%s is not valid although it hears a majority", id)
+				}
+				begin := time.Now()
+				d.running[id].AdmitOrAsk(t.Context(), "w")
+				if waited := time.Since(begin); waited > 200*time.Millisecond {
+					t.Errorf("a request at %s waited %v for shares", id, waited)
+				}
+			}
+		}
+	})
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -16,6 +16,11 @@
 )
 
 const (
+	// askTimeout bounds the wait for one donor, because a request may wait for
+	// the answer. Shares of a late answer come back by a query.
+	askTimeout = 50 * time.Millisecond
+	// deafBackoff is the time for which a donor that did not answer is not asked.
+	deafBackoff = time.Second
 	// donorBackoff is the time for which a peer is not asked again for a limit
 	// of which it gave nothing. It bounds the calls of an overload.
 	donorBackoff = 100 * time.Millisecond
@@ -47,9 +52,9 @@
 	if wanted.IsEmpty() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := client.TransferShares(ctx, connect.NewRequest(&v1.TransferSharesRequest{
+	answer, err := client.TransferShares(askCtx, connect.NewRequest(&v1.TransferSharesRequest{
 		Permits:          toPermits(wanted.Permits),
 		Rates:            toRates(wanted.Rates),
 		RosterGeneration: uint64(wanted.Versions.Generation),
@@ -57,7 +62,7 @@
 		SheetVersion:     uint64(wanted.Versions.Sheet),
 	}))
 	if err != nil {
-		c.backOff(donor, wanted, Transfer{})
+		c.backOff(donor, wanted, Transfer{}, deafBackoff)
 		return &Error{Err: err, Kind: KindUnavailable, Op: "ask"}
 	}
 	transfer := Transfer{
@@ -71,7 +76,7 @@
 			Sheet:      fleet.SheetVersion(answer.Msg.GetSheetVersion()),
 		},
 	}
-	c.backOff(donor, wanted, transfer)
+	c.backOff(donor, wanted, transfer, donorBackoff)
 	if transfer.Giver != donor || transfer.IsEmpty() {
 		return nil
 	}
@@ -79,14 +84,14 @@
 	accepted := c.ledger.Accept(c.config.Clock.Now(), transfer)
 	c.mu.Unlock()
 	if accepted {
-		c.confirm(ctx, client, transfer)
+		c.confirm(askCtx, client, transfer)
 	}
 	return nil
 }
 
 // backOff notes which wanted limits a donor gave nothing of.
-func (c *Controller) backOff(donor Member, wanted Wanted, transfer Transfer) {
-	until := c.config.Clock.Now().Add(donorBackoff)
+func (c *Controller) backOff(donor Member, wanted Wanted, transfer Transfer, pause time.Duration) {
+	until := c.config.Clock.Now().Add(pause)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, want := range wanted.Rates {
@@ -143,7 +148,8 @@
 // exchange sends the periodic message to one peer. What the answer names is
 // fetched before the voucher and the report count.
 func (c *Controller) exchange(ctx context.Context, listed Listed) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	// A peer that does not answer must not delay the next round with the others.
+	ctx, cancel := context.WithTimeout(ctx, exchangePeriod)
 	defer cancel()
 	client := c.config.Client(listed.Address)
 	sent := c.config.Clock.Now()
@@ -168,7 +174,6 @@
 	for _, listed := range c.addresses() {
 		wait.Go(func() { c.exchange(ctx, listed) })
 	}
-	wait.Go(func() { c.queryPending(ctx) })
 	wait.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/peer/fakes_test.go
+++ b/peer/fakes_test.go
@@ -25,7 +25,7 @@
 type deployment struct {
 	t          *testing.T
 	mu         sync.Mutex
-	cut        map[fleet.InstanceID]bool // no calls from or to peers
+	cut        map[fleet.InstanceID]bool // calls from and to peers get no answer
 	down       bool
 	loseAnswer bool // writes take effect, their answers are lost
 	noStore    map[fleet.InstanceID]bool
@@ -223,7 +223,12 @@
 	c.d.mu.Lock()
 	target, blocked := c.d.running[c.to], c.d.cut[c.from] || c.d.cut[fleet.InstanceID(c.to)]
 	c.d.mu.Unlock()
-	if target == nil || blocked {
+	if blocked {
+		// A partition swallows the call.
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if target == nil {
 		return nil, errFault
 	}
 	time.Sleep(time.Millisecond)
