feat: follow data centres taken out, warm primaries, carry event stamps

Cause: an instance in a data centre that was taken out kept its callers, the first writes after a change of primary paid for new connections, and merged timelines were ordered by wall clock alone. Conclusion: go test of event, peer, instance and cmd passes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -29,6 +29,7 @@
 	InstanceServing      Number = 102
 	InstanceDraining     Number = 103
 	InstanceStopped      Number = 104
+	DataCentreChanged    Number = 105
 	SettingsReloaded     Number = 110
 	SettingsRefused      Number = 111
 	SheetInForce         Number = 201
@@ -90,6 +91,7 @@
 		entry(InstanceServing, "InstanceServing", LevelInfo, "The instance admits requests."),
 		entry(InstanceDraining, "InstanceDraining", LevelInfo, "A planned stop began. Running transactions finish; new connections are refused.", "Text"),
 		entry(InstanceStopped, "InstanceStopped", LevelInfo, "The planned stop is complete.", "Text"),
+		entry(DataCentreChanged, "DataCentreChanged", LevelInfo, "The data centre of the instance was taken out or is back in service.", "Text"),
 		entry(SettingsReloaded, "SettingsReloaded", LevelInfo, "The settings file was read again and is in force. Text lists the changes.", "Text"),
 		entry(SettingsRefused, "SettingsRefused", LevelError, "The settings file was read again and has problems. The earlier settings stay in force.", "Text"),
 		entry(SheetInForce, "SheetInForce", LevelInfo, "A newer sheet is in force on this instance. Text holds its version.", "Text"),
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -26,6 +26,7 @@
 	lifecycle *blackboard.Section[Lifecycle]
 	limits    limits
 	metrics   *metrics
+	service   *service
 }
 
 var _ caller.Gate = &gate{}
@@ -54,7 +55,7 @@
 func (g *gate) serving(now time.Time) bool {
 	switch g.lifecycle.Load() {
 	case LifecycleDraining, LifecycleServing:
-		return g.limits.Valid(now)
+		return g.limits.Valid(now) && g.service.takesRequests(now)
 	}
 	return false
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -86,6 +86,7 @@
 	pool     *backend.Pool
 	recorder *recorder
 	router   *router
+	service  *service
 	starved  chan struct{}
 
 	// settings holds the settings in force, which a reload replaces.
@@ -111,6 +112,7 @@
 		kill:     make(chan struct{}),
 		metrics:  newMetrics(),
 		recorder: &recorder{events: config.Events},
+		service:  &service{},
 		starved:  make(chan struct{}, 1),
 	}
 	i.settings.Store(&config.Settings)
@@ -216,7 +218,7 @@
 		return nil
 	})
 	tasks.Go(func() error { return i.keepPool(ctx) })
-	tasks.Go(func() error { return i.watchValidity(ctx) })
+	tasks.Go(func() error { return i.watchService(ctx) })
 	tasks.Go(func() error { return i.callers.Serve(i.config.Listeners.Callers) })
 	return tasks
 }
@@ -238,30 +240,6 @@
 	return nil
 }
 
-// watchValidity closes idle sessions when the validity lease has lapsed.
-func (i *Instance) watchValidity(ctx context.Context) error {
-	valid := false
-	for {
-		now := i.limits.Valid(i.config.Now())
-		if now != valid {
-			valid = now
-			i.noteValidity(valid)
-		}
-		if err := pause(ctx, keepInterval); err != nil {
-			return nil
-		}
-	}
-}
-
-func (i *Instance) noteValidity(valid bool) {
-	if valid {
-		i.config.Events.Record(event.ValidityGained, event.Fields{})
-		return
-	}
-	i.config.Events.Record(event.ValidityLost, event.Fields{})
-	i.callers.StopIdle("the instance cannot prove that its configuration is in force")
-}
-
 // serveHTTP serves until the context ends.
 func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -377,7 +355,7 @@
 		Committer:       i.router,
 		Credentials:     &credentials{now: i.config.Now, sheet: i.board.Sheet},
 		Events:          i.recorder,
-		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics},
+		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, service: i.service},
 		IdleTimeout:     configured.Timeouts.Idle,
 		MaxMessage:      configured.Limits.MaxMessageBytes,
 		MockSecret:      secret,
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -180,7 +180,7 @@
 		Client: i.peerClient,
 		Clock:  clock(i.config.Now),
 		Epoch:  i.config.Epoch,
-		Events: func(message string) { i.config.Events.Record(event.RosterInForce, event.Fields{Text: message}) },
+		Events: i.recorder.recordPeer,
 		ForwardCancel: func(processID uint32, secret []byte) bool {
 			return i.callers.Cancel(context.Background(), processID, secret)
 		},
@@ -201,13 +201,15 @@
 	if i.config.PeerTLS != nil {
 		scheme = "https://"
 	}
-	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, scheme+address, connect.WithReadMaxBytes(maxPeerMessage))
+	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, scheme+address, connect.WithReadMaxBytes(maxPeerMessage), connect.WithInterceptors(&stampInterceptor{events: i.config.Events}))
 }
 
 // peerServer returns the server of the peer listener.
 func (i *Instance) peerServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(nutmegpierv1connect.NewPeerServiceHandler(i.peers, connect.WithReadMaxBytes(maxPeerMessage)))
+	mux.Handle(nutmegpierv1connect.NewPeerServiceHandler(i.peers,
+		connect.WithReadMaxBytes(maxPeerMessage),
+		connect.WithInterceptors(&stampInterceptor{events: i.config.Events})))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
 }
 
--- a/instance/poolkeeper.go
+++ b/instance/poolkeeper.go
@@ -21,6 +21,7 @@
 	defer ticker.Stop()
 	for {
 		i.applyPermits()
+		i.warmPrimaries()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -43,6 +44,21 @@
 	})
 }
 
+// warmPrimaries keeps connections to the primaries open, so that a change of
+// primary is not followed by an opening in the path of each first write.
+func (i *Instance) warmPrimaries() {
+	for number, controller := range i.groups {
+		primary := i.board.Groups[number].Section.Load().Primary
+		for _, server := range controller.settings.Servers {
+			warm := 0
+			if server.Server == primary {
+				warm = min(i.limits.Permits(server.Server), controller.settings.Slots)
+			}
+			i.pool.Warm(server.Server, warm)
+		}
+	}
+}
+
 // releasePermits gives up as many of the wanted permits as are not in use.
 func (i *Instance) releasePermits(server fleet.ServerID, wanted int) peer.PermitUse {
 	for range wanted {
--- a/instance/recorder.go
+++ b/instance/recorder.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/group"
+	"github.com/nutmegpier/nutmegpier/peer"
 )
 
 // keptPromotions is the number of promotion records that an instance keeps.
@@ -93,6 +94,33 @@
 	})
 }
 
+// recordPeer records an event of the controller for the other instances.
+func (r *recorder) recordPeer(e peer.Event) {
+	if number, known := peerEvent(e.Kind); known {
+		r.events.Record(number, event.Fields{Text: e.Text})
+	}
+}
+
+func peerEvent(kind peer.EventKind) (number event.Number, known bool) {
+	switch kind {
+	case peer.EventMemberHeard:
+		return event.MemberHeard, true
+	case peer.EventMemberSilent:
+		return event.MemberSuspected, true
+	case peer.EventRosterInForce:
+		return event.RosterInForce, true
+	case peer.EventSharesMoved:
+		return event.SharesTransferred, true
+	case peer.EventStoreAvailable:
+		return event.StoreAvailable, true
+	case peer.EventStoreUnavailable:
+		return event.StoreUnavailable, true
+	case peer.EventUnusable:
+		return event.SheetRefused, true
+	}
+	return 0, false
+}
+
 func sessionEvent(name caller.EventName) (number event.Number, known bool) {
 	switch name {
 	case caller.EventAuthenticationFailed:
@@ -100,9 +128,11 @@
 	case caller.EventBackendLost:
 		return event.ConnectionFailed, true
 	case caller.EventCommitNotRun:
-		return event.RequestRefused, true
+		return event.CommitLost, true
 	case caller.EventCommitUnknown:
 		return event.OutcomeUnknown, true
+	case caller.EventRetry:
+		return event.RequestRetried, true
 	case caller.EventSessionClosed:
 		return event.SessionClosed, true
 	}
--- a/peer/config.go
+++ b/peer/config.go
@@ -61,8 +61,8 @@
 	Client func(address string) nutmegpierv1connect.PeerServiceClient
 	Clock  Clock
 	Epoch  fleet.Epoch
-	// Events receives one short message for each change of state.
-	Events func(message string)
+	// Events receives each change of state. It must not call the controller.
+	Events func(event Event)
 	// ForwardCancel passes a cancel request to a session of this instance.
 	ForwardCancel func(processID uint32, secretKey []byte) bool
 	Instances     InstanceList
--- a/peer/controller.go
+++ b/peer/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -29,11 +30,13 @@
 	ledger       *Ledger
 	leaving      bool
 	membership   *Membership
+	noted        map[Member]bool
 	// peerFull is the newest generation that a member of it holds in full.
 	peerFull    fleet.RosterGeneration
 	pendingSeen map[TransferID]bool
 	resets      map[Member]bool
 	sheet       []byte
+	storeDown   bool
 	suspicions  map[Member][]Suspicion
 	validity    *Validity
 }
@@ -226,6 +229,9 @@
 	now := c.config.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if roster.Generation > c.ledger.Versions().Generation {
+		defer c.event(EventRosterInForce, fmt.Sprintf("generation %d with %d members", roster.Generation, len(roster.Members)))
+	}
 	c.ledger.AdoptRoster(now, roster)
 	c.membership.RecordRoster(now, c.ledger.Roster())
 	c.refresh()
@@ -249,12 +255,6 @@
 	}
 }
 
-func (c *Controller) event(message string) {
-	if c.config.Events != nil {
-		c.config.Events(message)
-	}
-}
-
 // refresh draws the conclusions of new evidence. The lock is held.
 func (c *Controller) refresh() {
 	now := c.config.Clock.Now()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -84,6 +84,7 @@
 	accepted := c.ledger.Accept(c.config.Clock.Now(), transfer)
 	c.mu.Unlock()
 	if accepted {
+		c.event(EventSharesMoved, "from "+memberText(donor))
 		c.confirm(askCtx, client, transfer)
 	}
 	return nil
@@ -176,8 +177,9 @@
 	}
 	wait.Wait()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.refresh()
+	c.mu.Unlock()
+	c.noteMembers()
 }
 
 func (c *Controller) exchangeRequest() *v1.ExchangeRequest {
@@ -207,7 +209,7 @@
 		answer, err := client.FetchSheet(ctx, connect.NewRequest(&v1.FetchSheetRequest{}))
 		if err == nil && len(answer.Msg.GetContent()) > 0 {
 			if err := c.OfferSheet(fleet.SheetVersion(answer.Msg.GetVersion()), answer.Msg.GetContent()); err != nil {
-				c.event(err.Error())
+				c.event(EventUnusable, err.Error())
 			}
 		}
 	}
--- a/peer/store.go
+++ b/peer/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 
@@ -29,6 +28,9 @@
 func (c *Controller) pollStore(ctx context.Context) {
 	sent := c.config.Clock.Now()
 	rows, err := c.read(ctx, HeadKey)
+	if ctx.Err() == nil {
+		c.noteStore(err)
+	}
 	if err != nil {
 		return
 	}
@@ -38,7 +40,7 @@
 	}
 	head, err := decode[Head](rows[0])
 	if err != nil {
-		c.event(err.Error())
+		c.event(EventUnusable, err.Error())
 		return
 	}
 	if head.RosterGeneration == 0 {
@@ -46,7 +48,7 @@
 		return
 	}
 	if err := c.fetchRows(ctx, head); err != nil {
-		c.event(err.Error())
+		c.event(EventUnusable, err.Error())
 	}
 	c.mu.Lock()
 	c.head, c.headRevision = head, rows[0].Revision
@@ -63,7 +65,7 @@
 	held := c.ledger.Versions()
 	c.mu.Unlock()
 	if held.Generation > 0 {
-		c.event("the head row is missing from the table although a roster is held")
+		c.event(EventUnusable, "the head row is missing from the table although a roster is held")
 		return
 	}
 	roster := Roster{Generation: 1, Members: []Member{c.self}, Proposal: c.proposalID()}
@@ -153,7 +155,6 @@
 	if err != nil || !applied {
 		return
 	}
-	c.event(fmt.Sprintf("roster generation %d with %d members written", roster.Generation, len(roster.Members)))
 	c.adoptRoster(roster)
 }
 
