feat: spread news between instances at once

Cause: a published sheet was accepted only after the next periodic exchange. Change: news of a sheet or roster triggers an exchange at once on both sides; status and metrics show the other instances and the pools. Conclusion: the exchange period no longer bounds the spread.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -134,6 +134,7 @@
 	}
 	i.router = i.newRouter()
 	i.callers = caller.New(i.callerConfig())
+	i.publishMetrics()
 	return i, nil
 }
 
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -80,3 +80,14 @@
 	}
 	return values
 }
+
+// publishMetrics adds the values that are read from other parts.
+func (i *Instance) publishMetrics() {
+	i.metrics.publish("Lifecycle", func() any { return i.board.Lifecycle.Load() })
+	i.metrics.publish("Pools", func() any { return i.allPools() })
+	i.metrics.publish("Promotions", func() any { return len(i.Promotions()) })
+	i.metrics.publish("RosterGeneration", func() any { return i.peers.Versions().Generation })
+	i.metrics.publish("Sessions", func() any { return i.callers.Sessions() })
+	i.metrics.publish("SheetVersion", func() any { return i.board.Sheet.Load().Version })
+	i.metrics.publish("Valid", func() any { return i.limits.Valid(i.config.Now()) })
+}
--- a/instance/status.go
+++ b/instance/status.go
@@ -17,23 +17,52 @@
 	now := i.config.Now()
 	inForce := i.board.Sheet.Load()
 	status := operator.Status{
-		DataCentre:   i.config.Settings.DataCentre,
-		Drains:       i.drainStatus(inForce.Sheet),
-		Epoch:        i.config.Epoch,
-		Instance:     i.config.Settings.Instance,
-		Lifecycle:    string(i.board.Lifecycle.Load()),
+		DataCentre: i.config.Settings.DataCentre,
+		Drains:     i.drainStatus(inForce.Sheet),
+		Epoch:      i.config.Epoch,
+		Instance:   i.config.Settings.Instance,
+		Instances:  i.instanceStatus(now),
+		Lifecycle:  string(i.board.Lifecycle.Load()),
+		Pools:      i.allPools(),
+
+		RosterGeneration: i.peers.Versions().Generation,
+
 		SheetVersion: inForce.Version,
 		Valid:        i.limits.Valid(now),
 		Workspaces:   i.workspaceStatus(inForce.Sheet),
 	}
-	for number, controller := range i.groups {
-		view := i.board.Groups[number].Section.Load()
-		status.Groups = append(status.Groups, groupStatus(now, view))
-		status.Pools = append(status.Pools, i.poolStatus(controller.settings)...)
+	for _, section := range i.board.Groups {
+		status.Groups = append(status.Groups, groupStatus(now, section.Section.Load()))
 	}
 	return status
 }
 
+// allPools returns the state of the pools of all servers.
+func (i *Instance) allPools() []operator.PoolStatus {
+	var pools []operator.PoolStatus
+	for _, controller := range i.groups {
+		pools = append(pools, i.poolStatus(controller.settings)...)
+	}
+	return pools
+}
+
+// instanceStatus returns what is known of the other instances.
+func (i *Instance) instanceStatus(now time.Time) []operator.InstanceStatus {
+	var instances []operator.InstanceStatus
+	for _, known := range i.peers.Peers(now) {
+		instances = append(instances, operator.InstanceStatus{
+			Address:          known.Address,
+			Epoch:            known.Member.Epoch,
+			Instance:         known.Member.Instance,
+			RosterGeneration: known.Held.Generation,
+			SheetVersion:     known.Held.Sheet,
+			SilenceMs:        known.Silence.Milliseconds(),
+			State:            string(known.State),
+		})
+	}
+	return instances
+}
+
 func (i *Instance) poolStatus(configured settings.Group) []operator.PoolStatus {
 	var pools []operator.PoolStatus
 	for _, server := range configured.Servers {
--- a/peer/controller.go
+++ b/peer/controller.go
@@ -30,6 +30,7 @@
 	ledger       *Ledger
 	leaving      bool
 	membership   *Membership
+	news         chan struct{}
 	noted        map[Member]bool
 	// peerFull is the newest generation that a member of it holds in full.
 	peerFull    fleet.RosterGeneration
@@ -58,6 +59,7 @@
 		asking:      make(chan struct{}, 1),
 		changed:     make(chan struct{}),
 		config:      config,
+		news:        make(chan struct{}, 1),
 		emptyUntil:  make(map[donorKey]time.Time),
 		ledger:      NewLedger(self, config.Lease),
 		membership:  NewMembership(config.Clock.Now(), self),
@@ -150,6 +152,9 @@
 	}
 	c.refresh()
 	c.mu.Unlock()
+	if newer {
+		c.noteNews()
+	}
 	if newer && c.config.SheetChanged != nil {
 		c.config.SheetChanged(version, content)
 	}
@@ -184,7 +189,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, storePeriod, c.pollList) })
 	group.Go(func() error { return every(ctx, storePeriod, c.pollStore) })
-	group.Go(func() error { return every(ctx, exchangePeriod, c.exchangeAll) })
+	group.Go(func() error { return everyOr(ctx, exchangePeriod, c.news, c.exchangeAll) })
 	group.Go(func() error { return every(ctx, exchangePeriod, c.queryPending) })
 	group.Go(func() error {
 		return every(ctx, sharePeriod, func(ctx context.Context) { _ = c.moveShares(ctx) })
@@ -230,6 +235,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if roster.Generation > c.ledger.Versions().Generation {
+		c.noteNews()
 		defer c.event(EventRosterInForce, fmt.Sprintf("generation %d with %d members", roster.Generation, len(roster.Members)))
 	}
 	c.ledger.AdoptRoster(now, roster)
@@ -273,8 +279,22 @@
 	c.changed = make(chan struct{})
 }
 
+// noteNews makes the next exchange happen at once, so that news spreads within
+// a few round trips instead of a few periods.
+func (c *Controller) noteNews() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
+}
+
 // every runs a step at once and then in each period, until the context ends.
 func every(ctx context.Context, period time.Duration, step func(context.Context)) error {
+	return everyOr(ctx, period, nil, step)
+}
+
+// everyOr is every, with a further step for each signal.
+func everyOr(ctx context.Context, period time.Duration, signal <-chan struct{}, step func(context.Context)) error {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -282,6 +302,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-signal:
 		case <-ticker.C:
 		}
 	}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -280,6 +280,7 @@
 func (c *Controller) record(from Member, report Report, answered, leaving bool, liveness []*v1.Liveness, suspicions []*v1.Suspicion) {
 	now := c.config.Clock.Now()
 	c.membership.RecordHeard(now, from, answered, leaving, fromLiveness(liveness))
+	c.membership.recordHeld(from, report.Held)
 	c.ledger.RecordReport(from, report)
 	if c.ledger.Roster().Has(from) {
 		c.peerFull = max(c.peerFull, report.Full)
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -68,6 +68,7 @@
 // contact is what one run of an instance said last.
 type contact struct {
 	at      time.Time
+	held    Versions
 	leaving bool
 }
 
--- a/peer/service.go
+++ b/peer/service.go
@@ -33,6 +33,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.record(from, fromVersions(message.GetVersions()), false, message.GetLeaving(), message.GetLiveness(), message.GetSuspicions())
+	if held := c.ledger.Versions(); !held.Covers(fromVersions(message.GetVersions()).Held) {
+		c.noteNews()
+	}
 	response := &v1.ExchangeResponse{
 		Leaving:    c.leaving,
 		Liveness:   toLiveness(c.membership.Report(now)),
