--- a/faultmatrix/failover_test.go
+++ b/faultmatrix/failover_test.go
@@ -11,6 +11,7 @@
 // TestInstanceKilledInTransaction guards against a half booking that stays
 // when an instance dies in the middle of a transaction.
 func TestInstanceKilledInTransaction(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 2, unlimited())
 	tx, err := f.mustConnect(f.members[0]).Begin(f.ctx)
 	must(t, err)
@@ -34,6 +35,7 @@
 // TestCutOffPrimaryWithInstance guards against a write that is acknowledged on
 // the side of a partition that holds the old primary and one instance only.
 func TestCutOffPrimaryWithInstance(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 3, unlimited())
 	near := f.members[0]
 	old := f.group.Primary()
@@ -81,6 +83,7 @@
 // TestCommitAnswerLost guards against a write that runs twice, or is reported
 // as not run, when the answer to its commit is lost after the effect.
 func TestCommitAnswerLost(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 2, unlimited())
 	for _, hint := range []string{"", "/* nutmegpier: idempotent */ "} {
 		conn := f.mustConnect(f.members[0])
@@ -98,6 +101,7 @@
 
 // TestTransactionCommitAnswerLost guards against a repeated transaction.
 func TestTransactionCommitAnswerLost(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 1, unlimited())
 	tx, err := f.mustConnect(f.members[0]).Begin(f.ctx)
 	must(t, err)
@@ -115,6 +119,7 @@
 // TestPrimaryCrashInTransaction guards against statements of a lost
 // transaction that are silently continued on the next primary.
 func TestPrimaryCrashInTransaction(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 1, unlimited())
 	conn := f.mustConnect(f.members[0])
 	tx, err := conn.Begin(f.ctx)
