fix: let transactions that began before a handover finish

Cause: a drain of a data centre cut transactions (TestDataCentreDrainInTransactions, known red): the first write of a transaction block that began before the fence was refused with 25006. Change: a server that is being fenced lets transaction blocks that began before write and finish within the drain time, and refuses to begin others; the proxy runs a refused BEGIN on another server, because nothing ran. A transaction that begins on the old primary after it follows the new one is still refused at its first write.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -234,7 +234,7 @@
 		state.answer.code = failure.Code
 	}
 	s.forgetFailed(conn)
-	if failure.Code == codeReadOnly && !state.inBlock && r.synced && !r.control && !s.pinned && !s.writer.Flushed() {
+	if failure.Code == codeReadOnly && !state.inBlock && r.synced && r.mayFollowRefusal() && !s.pinned && !s.writer.Flushed() {
 		state.answer.failure = &failure
 		state.answer.rerun = true
 		return nil
--- a/caller/request.go
+++ b/caller/request.go
@@ -25,12 +25,14 @@
 type request struct {
 	access     Access
 	arrivedAt  time.Time
+	begins     int
 	commits    bool
 	control    bool
 	idempotent bool
 	maxAge     time.Duration
 	simple     bool
 	sql        string
+	statements int
 	synced     bool
 	touches    bool
 }
@@ -59,11 +61,24 @@
 		r.maxAge = c.Hints.MaxAge
 	}
 	for s := range c.statements {
+		if s.Verb == VerbBegin {
+			r.begins++
+		}
+		if s.Verb != VerbEmpty {
+			r.statements++
+		}
 		r.commits = r.commits || s.Verb == VerbCommit
 		r.touches = r.touches || s.Touches
 	}
 }
 
+// mayFollowRefusal reports whether the request can run on another server after
+// this one refused to write. Of those that control a transaction only a single
+// BEGIN can: a server that is being fenced refuses it, and nothing ran.
+func (r *request) mayFollowRefusal() bool {
+	return !r.control || (r.begins == 1 && r.statements == 1)
+}
+
 // simple handles a simple query.
 func (s *session) simple() error {
 	body, err := s.reader.Body()
@@ -245,7 +260,7 @@
 // mayRerun reports whether a request can be run again on another server.
 func (s *session) mayRerun(r *request, result answer) bool {
 	config := &s.server.config
-	if s.writer.Flushed() || r.control || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
+	if s.writer.Flushed() || !r.mayFollowRefusal() || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
 		return false
 	}
 	if result.rerun {
--- a/standin/group.go
+++ b/standin/group.go
@@ -77,6 +77,7 @@
 		listener: listener,
 		log:      []logged{{entry: &entry{term: firstTerm}, at: now}},
 		promise:  Promise{Term: firstTerm},
+		open:     make(map[*transaction]struct{}),
 		role:     group.RoleReplica,
 		running:  true,
 		sessions: make(map[uint32]*session),
--- a/standin/run.go
+++ b/standin/run.go
@@ -202,12 +202,19 @@
 }
 
 func (c *session) runBegin(s *statement) (*rowSet, error) {
-	if c.tx == nil {
-		c.tx = &transaction{}
+	tx := c.tx
+	if tx == nil {
+		tx = &transaction{}
 	}
-	c.tx.explicit = true
 	upper := strings.ToUpper(s.text)
-	c.tx.readOnly = strings.Contains(upper, "READ ONLY") || c.setting("default_transaction_read_only") == "on"
+	tx.readOnly = strings.Contains(upper, "READ ONLY") || c.setting("default_transaction_read_only") == "on"
+	if !tx.readOnly && !tx.explicit {
+		if err := c.server.beginTransaction(tx); err != nil {
+			return nil, err
+		}
+	}
+	tx.explicit = true
+	c.tx = tx
 	return &rowSet{}, nil
 }
 
@@ -235,6 +242,7 @@
 		return errClosed
 	}
 	c.tx = nil
+	defer c.server.endTransaction(tx)
 	position, err := c.server.commit(tx)
 	if err != nil {
 		return err
@@ -256,6 +264,7 @@
 	if tx == nil {
 		return &rowSet{}, nil
 	}
+	defer c.server.endTransaction(tx)
 	return &rowSet{}, c.server.rollback(tx)
 }
 
--- a/standin/server.go
+++ b/standin/server.go
@@ -27,13 +27,15 @@
 	changed chan struct{}
 	// contact is when the server last heard from its primary.
 	contact time.Time
-	// draining is true while a fence request waits for the write transaction.
+	// draining is true while a fence request waits for running transactions.
 	draining bool
 	log      []logged
 	// lost is true after a restart without the log, until the server caught
 	// up. It gives no promise meanwhile: the majority that acknowledged a
 	// write may have counted on the lost entries.
-	lost    bool
+	lost bool
+	// open holds the transaction blocks that may write.
+	open    map[*transaction]struct{}
 	paused  bool
 	promise Promise
 	// rebuild is true when the data no longer matches the log.
@@ -162,14 +164,14 @@
 	return s.Status()
 }
 
-// Fence promises the term to the holder. A running write transaction may
-// finish for the drain time; then it is aborted. It reports whether the
-// promise was given.
+// Fence promises the term to the holder. Transaction blocks that began before
+// may write and finish for the drain time; then they are aborted. It reports
+// whether the promise was given.
 func (s *Server) Fence(ctx context.Context, term fleet.Term, holder fleet.InstanceID, drain time.Duration) (bool, group.ServerStatus) {
 	if s.startDrain(term) {
 		drainCtx, cancel := context.WithTimeout(ctx, drain)
 		// The promise is given also when the drain time ended.
-		_ = s.waitFor(drainCtx, func() bool { return s.writer == nil || s.promise.Term >= term })
+		_ = s.waitFor(drainCtx, func() bool { return s.isDrained() || s.promise.Term >= term })
 		cancel()
 	}
 	if s.waitResumed(ctx) != nil {
@@ -188,6 +190,9 @@
 		return false
 	}
 	s.draining = true
+	for tx := range s.open {
+		tx.drains = true
+	}
 	s.broadcast()
 	return true
 }
--- a/standin/session.go
+++ b/standin/session.go
@@ -114,6 +114,7 @@
 	if c.tx != nil {
 		// The connection is gone, so there is no one to tell.
 		_ = s.rollback(c.tx)
+		s.endTransaction(c.tx)
 	}
 	c.cancelAll()
 	c.conn.Close()
--- a/standin/transaction.go
+++ b/standin/transaction.go
@@ -10,6 +10,8 @@
 
 // transaction is the open transaction of a session.
 type transaction struct {
+	// drains is true when a fence request waits for the end of the transaction.
+	drains bool
 	// explicit is true after BEGIN. Otherwise the transaction ends with the
 	// simple query or the Sync message.
 	explicit bool
@@ -32,7 +34,7 @@
 	}
 	var refusal error
 	err := s.waitFor(ctx, func() bool {
-		refusal = s.checkWritable()
+		refusal = s.checkWritable(tx)
 		if refusal != nil || s.writer != nil {
 			return refusal != nil
 		}
@@ -61,10 +63,43 @@
 	return nil
 }
 
+// beginTransaction takes note of a transaction block that may write. A server
+// that is fenced, or is being fenced, refuses it.
+func (s *Server) beginTransaction(tx *transaction) error {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.draining || s.role == group.RoleFenced {
+		return newSQLError(codeReadOnly, "cannot begin a transaction that may write")
+	}
+	s.open[tx] = struct{}{}
+	return nil
+}
+
+// endTransaction ends the note of beginTransaction.
+func (s *Server) endTransaction(tx *transaction) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if _, noted := s.open[tx]; noted {
+		delete(s.open, tx)
+		s.broadcast()
+	}
+}
+
+// isDrained reports whether all transactions that a fence request waits for
+// have ended. The caller holds the group's lock.
+func (s *Server) isDrained() bool {
+	for tx := range s.open {
+		if tx.drains {
+			return false
+		}
+	}
+	return s.writer == nil
+}
+
 // checkWritable returns the refusal of a new write. The caller holds the
 // group's lock.
-func (s *Server) checkWritable() error {
-	if s.role != group.RolePrimary || s.draining || !s.running {
+func (s *Server) checkWritable(tx *transaction) error {
+	if s.role != group.RolePrimary || (s.draining && !tx.drains) || !s.running {
 		return newSQLError(codeReadOnly, "cannot execute a write in a read-only transaction")
 	}
 	return nil
