fix: move a transaction block in which nothing ran to the new primary

Cause: a block whose BEGIN reached the old primary after a handover was refused at its first write, because that server is a replica by then. Change: when the first statement after BEGIN is refused with 25006, the block is ended there, begun again on the new primary, and the statement is rerun.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -84,7 +84,7 @@
 
 // relay passes the server's messages on until the answer is complete.
 func (s *session) relay(r *request, conn *backend.Conn) (answer, error) {
-	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle}
+	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle && s.begin == ""}
 	for {
 		s.answerLocal()
 		if !r.synced && (len(s.operation) == 0 || state.answer.code != "") {
--- a/caller/request.go
+++ b/caller/request.go
@@ -129,10 +129,9 @@
 func (s *session) runRequest(r *request) error {
 	var exclude fleet.ServerID
 	for attempt := 0; ; attempt++ {
-		fresh := s.lease == nil
+		fresh := s.lease == nil || s.begin != ""
 		if err := s.ensureLease(r, exclude); err != nil {
-			s.dropChanges()
-			return s.fail(r, err, s.tx)
+			return s.failAcquire(r, err)
 		}
 		result, callerErr := s.attempt(r)
 		if callerErr != nil {
@@ -157,7 +156,7 @@
 // prepareRerun puts the session into the state before the request, and waits.
 func (s *session) prepareRerun(r *request, result answer, attempt int) {
 	s.server.record(Event{Group: s.group, Name: EventRetry, Server: s.lease.Server(), Workspace: s.workspace})
-	s.release(result.err == nil)
+	s.release(result.err == nil && s.leaveBlock())
 	s.writer.Reset(&s.output)
 	if result.code == codeReadOnly {
 		r.access = AccessWrite
@@ -172,6 +171,24 @@
 	}
 }
 
+// leaveBlock ends the transaction block in which a request was refused. It
+// reports whether the connection can be used again.
+func (s *session) leaveBlock() bool {
+	return s.begin == "" || s.lease.Conn().Exec("ROLLBACK") == nil
+}
+
+// failAcquire refuses a request that got no connection. A transaction block
+// that was to move to another server stays failed until the caller ends it.
+func (s *session) failAcquire(r *request, err error) error {
+	s.dropChanges()
+	if s.begin == "" {
+		return s.fail(r, err, s.tx)
+	}
+	s.begin = ""
+	s.lost = true
+	return s.fail(r, err, backend.TxFailed)
+}
+
 // rerunWait returns the wait before a rerun. Jitter is in [0, 1).
 func rerunWait(attempt int, jitter float64) time.Duration {
 	if attempt == 0 {
@@ -232,6 +249,12 @@
 		s.release(conn.Reusable())
 		return adoptError(err)
 	}
+	if s.begin != "" {
+		if err := conn.Exec(s.begin); err != nil {
+			s.release(conn.Reusable())
+			return lostError("the transaction could not be moved to another server")
+		}
+	}
 	if conn.Prepared() > maxPrepared {
 		if err := s.closePrepared(conn); err != nil {
 			s.release(false)
@@ -282,6 +305,7 @@
 		_ = s.writer.Message(result.failure)
 	}
 	s.tx = conn.TxStatus()
+	s.noteBegin(r)
 	s.settle(r, result, conn)
 	if s.tx != backend.TxIdle {
 		return s.ready(true)
@@ -299,6 +323,17 @@
 	return s.acknowledge(position, result)
 }
 
+// noteBegin takes note of a transaction block in which nothing ran yet. Such a
+// block can move to another server.
+func (s *session) noteBegin(r *request) {
+	switch {
+	case r.simple && r.begins == 1 && r.statements == 1 && s.tx == backend.TxOpen:
+		s.begin = r.sql
+	case r.statements > 0 || s.tx != backend.TxOpen:
+		s.begin = ""
+	}
+}
+
 // finishFlush ends the answer to a Flush. What is held acknowledges nothing
 // before Sync, except for a COMMIT, which stays held.
 func (s *session) finishFlush() error {
@@ -372,6 +407,7 @@
 	inTransaction := s.tx != backend.TxIdle
 	primary := s.lease.Primary()
 	pinned := s.pinned
+	s.begin = ""
 	s.release(false)
 	s.dropChanges()
 	switch {
--- a/caller/session.go
+++ b/caller/session.go
@@ -20,8 +20,10 @@
 // session is one caller's connection after authentication. Its own goroutine
 // runs it; stop, abort and cancel may be called from others.
 type session struct {
-	arrivedAt  time.Time
-	batch      batch
+	arrivedAt time.Time
+	batch     batch
+	// begin is the BEGIN of a transaction block in which nothing ran yet.
+	begin      string
 	changes    []settingChange
 	commitTag  bool
 	conn       net.Conn
