--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -71,6 +71,7 @@
 		newDemoCmd(options),
 		newDrainCmd(options),
 		newKeyCmd(options),
+		newMeasureCmd(options),
 		newRestoreCmd(options),
 		newServeCmd(options),
 		newSheetCmd(options),
--- /dev/null
+++ b/cmd/measurecmd.go
@@ -0,0 +1,162 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/nutmegpier/nutmegpier/demo"
+	"github.com/nutmegpier/nutmegpier/measure"
+)
+
+const (
+	measureDuration = 5 * time.Second
+	measureRepeat   = 5
+)
+
+type measureOptions struct {
+	deployment string
+	duration   time.Duration
+	instances  int
+	out        string
+	repeat     int
+	report     string
+	scenarios  []string
+	seed       uint64
+}
+
+func newMeasureCmd(options *globalOptions) *cobra.Command {
+	all := newMeasureRunCmd("all", "Run all scenarios", measure.Scenarios())
+	compare := &cobra.Command{
+		Args:    exactArgs("BEFORE", "AFTER"),
+		Example: "  nutmegpier measure compare before.json after.json",
+		Long:    "Compare reads two results and compares the medians of each figure. A difference\nthat a two-sided rank test at the 5% level does not tell from noise is Noise.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runMeasureCompare(cmd, options, args[0], args[1])
+		},
+		Short: "Compare two results",
+		Use:   "compare BEFORE AFTER",
+	}
+	children := []*cobra.Command{all, compare}
+	for _, name := range measure.Scenarios() {
+		children = append(children, newMeasureRunCmd(strings.ToLower(name), "Run the scenario "+name, []string{name}))
+	}
+	return newGroupCmd("measure", "Run load and experiments on instances and stand-ins in this process", children...)
+}
+
+func newMeasureRunCmd(use, short string, scenarios []string) *cobra.Command {
+	local := &measureOptions{scenarios: scenarios}
+	command := &cobra.Command{
+		Args:    exactArgs(),
+		Example: "  nutmegpier measure " + use + " --duration 5s --repeat 5 --out result.json --report report.html",
+		RunE:    func(cmd *cobra.Command, _ []string) error { return runMeasureCmd(cmd, local) },
+		Short:   short,
+		Use:     use,
+	}
+	flags := command.Flags()
+	flags.StringVar(&local.deployment, "deployment", "", "name of the only deployment to run; empty means all")
+	flags.DurationVar(&local.duration, "duration", measureDuration, "length of each variant in each repetition")
+	flags.IntVar(&local.instances, "instances", measure.DefaultInstances, "number of instances of each deployment")
+	flags.StringVar(&local.out, "out", "", "file for the result as JSON; empty means standard output")
+	flags.IntVar(&local.repeat, "repeat", measureRepeat, "number of repetitions")
+	flags.StringVar(&local.report, "report", "", "file for the report as HTML; empty means none")
+	flags.Uint64Var(&local.seed, "seed", 1, "seed of the arrivals")
+	return command
+}
+
+func runMeasureCmd(cmd *cobra.Command, local *measureOptions) error {
+	deployments, err := local.deployments()
+	if err != nil {
+		return usageError(cmd, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	result, err := measure.Run(ctx, measure.Options{
+		Command:     strings.Join(os.Args, " "),
+		Deployments: deployments,
+		Duration:    local.duration,
+		Instances:   local.instances,
+		Progress:    cmd.ErrOrStderr(),
+		Repeat:      local.repeat,
+		Scenarios:   local.scenarios,
+		Seed:        local.seed,
+		Version:     builtVersion().Revision,
+	})
+	if err != nil {
+		return err
+	}
+	if err := writeOutput(cmd, local.out, result.Write); err != nil {
+		return err
+	}
+	if local.report == "" {
+		return nil
+	}
+	return writeOutput(cmd, local.report, func(w io.Writer) error { return measure.WriteReport(w, result) })
+}
+
+func (o *measureOptions) deployments() ([]demo.Deployment, error) {
+	if o.deployment == "" {
+		return demo.Deployments(), nil
+	}
+	for _, deployment := range demo.Deployments() {
+		if strings.EqualFold(deployment.Name, o.deployment) {
+			return []demo.Deployment{deployment}, nil
+		}
+	}
+	return nil, fmt.Errorf("--deployment %q: unknown", o.deployment)
+}
+
+// writeOutput writes to a file, or to standard output without one.
+func writeOutput(cmd *cobra.Command, file string, write func(io.Writer) error) error {
+	if file == "" {
+		return write(cmd.OutOrStdout())
+	}
+	created, err := os.Create(file)
+	if err != nil {
+		return inputError(cmd, err)
+	}
+	if err := write(created); err != nil {
+		_ = created.Close()
+		return err
+	}
+	return created.Close()
+}
+
+func runMeasureCompare(cmd *cobra.Command, options *globalOptions, before, after string) error {
+	earlier, err := readMeasureResult(cmd, before)
+	if err != nil {
+		return err
+	}
+	later, err := readMeasureResult(cmd, after)
+	if err != nil {
+		return err
+	}
+	comparisons := orEmpty(measure.Compare(earlier, later))
+	return options.print(cmd, comparisons, func(out io.Writer) error {
+		for _, c := range comparisons {
+			fmt.Fprintf(out, "%-10s %-17s %-14s %-24s %12.4g %12.4g %-5s p=%.3f %s\n",
+				c.Deployment, c.Scenario, c.Variant, c.Figure, c.Before, c.After, c.Unit, c.P, c.Verdict)
+		}
+		return nil
+	})
+}
+
+func readMeasureResult(cmd *cobra.Command, file string) (*measure.Result, error) {
+	opened, err := os.Open(file)
+	if err != nil {
+		return nil, inputError(cmd, err)
+	}
+	defer opened.Close()
+	result, err := measure.ReadResult(opened)
+	if err != nil {
+		return nil, inputError(cmd, err)
+	}
+	return result, nil
+}
--- a/cmd/versioncmd.go
+++ b/cmd/versioncmd.go
@@ -32,6 +32,15 @@
 }
 
 func runVersion(cmd *cobra.Command, options *globalOptions) error {
+	built := builtVersion()
+	return options.print(cmd, built, func(out io.Writer) error {
+		_, err := fmt.Fprintf(out, "nutmegpier %s, revision %s, %s, sheet format %d\n", built.Version, built.Revision, built.Go, built.SheetFormat)
+		return err
+	})
+}
+
+// builtVersion returns what the running binary was built from.
+func builtVersion() version {
 	built := version{Go: runtime.Version(), Revision: "unknown", SheetFormat: sheet.FormatVersion, Version: "unknown"}
 	if info, known := debug.ReadBuildInfo(); known {
 		built.Version = info.Main.Version
@@ -41,8 +50,5 @@
 			}
 		}
 	}
-	return options.print(cmd, built, func(out io.Writer) error {
-		_, err := fmt.Fprintf(out, "nutmegpier %s, revision %s, %s, sheet format %d\n", built.Version, built.Revision, built.Go, built.SheetFormat)
-		return err
-	})
+	return built
 }
--- a/measure/latency.go
+++ b/measure/latency.go
@@ -57,3 +57,12 @@
 	}
 	return series
 }
+
+// Merge adds the durations of another recorder.
+func (l *Latency) Merge(other *Latency) {
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.histogram.Merge(other.histogram)
+}
