--- a/measure/replicashare.go
+++ b/measure/replicashare.go
@@ -11,6 +11,7 @@
 // runReplicaShare measures the share of reads that replicas serve under mixed
 // load. The baseline sends all reads to the primary.
 func runReplicaShare(ctx context.Context, r *repetition) error {
+	r.warmUp(ctx)
 	r.replicaShare(ctx, "Product", "")
 	r.replicaShare(ctx, "PrimaryReads", primaryHint)
 	return nil
--- a/measure/run.go
+++ b/measure/run.go
@@ -60,6 +60,12 @@
 func scenarios() []scenario {
 	return []scenario{
 		{name: "ReplicaShare", run: runReplicaShare, adapt: marksTable},
+		{name: "FailoverGap", run: runFailoverGap, adapt: marksTable},
+		{name: "WorstWorkspace", run: runWorstWorkspace, adapt: marksTable},
+		{name: "WrongfulRefusals", run: runWrongfulRefusals},
+		{name: "DataCentreLeave", run: runDataCentreLeave, adapt: marksTable},
+		{name: "Overhead", run: runOverhead, adapt: unlimitedRates},
+		{name: "SheetSpread", run: runSheetSpread},
 	}
 }
 
