--- a/faultmatrix/steps_test.go
+++ b/faultmatrix/steps_test.go
@@ -342,6 +342,7 @@
 			old.Crash()
 			f.await("promotion", func() bool { return f.group.Primary() != nil && f.group.Primary() != old })
 			f.awaitWrite(started, "promotion")
+			f.awaitWrite(f.members[1], "before-stop")
 			tx, err := f.mustConnect(f.members[1]).Begin(f.ctx)
 			must(t, err)
 			_, err = tx.Exec(f.ctx, insertOp, "stop")
