--- a/instance/publisher.go
+++ b/instance/publisher.go
@@ -16,7 +16,7 @@
 
 const (
 	// acceptWait bounds the wait for a majority of the roster to hold a sheet.
-	acceptWait = 4 * time.Second
+	acceptWait = 8 * time.Second
 	// resolvePause is the wait between attempts to settle a write without an answer.
 	resolvePause = 200 * time.Millisecond
 )
