fix: look requests up in an index of the sheet, honour an idle timeout of 0s

Cause: each request searched the lists of the sheet and built its placement anew, and the documented idle timeout of 0s (never) became one hour. Change: index and placement are built when a sheet comes into force.

--- a/instance/admin.go
+++ b/instance/admin.go
@@ -42,5 +42,5 @@
 	return i.board.Lifecycle.Load() == LifecycleServing &&
 		inForce.Version > 0 &&
 		i.limits.Valid(now) &&
-		inForce.Sheet.IsInService(i.config.Settings.DataCentre)
+		inForce.Index.IsInService(i.config.Settings.DataCentre)
 }
--- a/instance/board.go
+++ b/instance/board.go
@@ -25,7 +25,11 @@
 // SheetInForce is the sheet that the instance acts on.
 type SheetInForce struct {
 	Content string
-	Sheet   sheet.Sheet
+	// Index answers the look-ups that each request makes.
+	Index *sheet.Index
+	// Placement says where work may go, as seen from this instance.
+	Placement group.Placement
+	Sheet     sheet.Sheet
 	// Version is zero before the first sheet is known.
 	Version fleet.SheetVersion
 }
@@ -50,7 +54,7 @@
 func newBoard(groups []fleet.GroupID) *Board {
 	board := &Board{
 		Lifecycle: blackboard.New(LifecycleStarting),
-		Sheet:     blackboard.New(SheetInForce{}),
+		Sheet:     blackboard.New(SheetInForce{Index: sheet.NewIndex(sheet.Sheet{})}),
 	}
 	for _, id := range groups {
 		section := blackboard.New(group.View{Group: id})
--- a/instance/credentials.go
+++ b/instance/credentials.go
@@ -18,7 +18,7 @@
 
 // KeyValid reports whether the sheet in force still accepts the key.
 func (c *credentials) KeyValid(workspace fleet.WorkspaceID, key caller.KeyID) bool {
-	return c.sheet.Load().Sheet.AcceptsKey(workspace, string(key), c.now())
+	return c.sheet.Load().Index.AcceptsKey(workspace, string(key), c.now())
 }
 
 // Verifiers returns the verifiers of the workspace in the sheet in force.
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -78,5 +78,5 @@
 }
 
 func (i *Instance) placement() group.Placement {
-	return placement(i.board.Sheet.Load().Sheet, i.config.Settings.DataCentre)
+	return i.board.Sheet.Load().Placement
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -32,6 +32,9 @@
 // workspaces.
 const mockSecretBytes = 32
 
+// neverIdle is longer than any session lasts.
+const neverIdle = 10 * 365 * 24 * time.Hour
+
 // leaveBound bounds the hand-over of shares at a planned stop.
 const leaveBound = 3 * time.Second
 
@@ -321,7 +324,6 @@
 
 func (i *Instance) newRouter() *router {
 	r := &router{
-		local:    i.config.Settings.DataCentre,
 		now:      i.config.Now,
 		pool:     i.pool,
 		random:   rand.New(rand.NewPCG(i.config.Random.Uint64(), 0)),
@@ -357,7 +359,7 @@
 		Credentials:     &credentials{now: i.config.Now, sheet: i.board.Sheet},
 		Events:          i.recorder,
 		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, service: i.service},
-		IdleTimeout:     configured.Timeouts.Idle,
+		IdleTimeout:     idleTimeout(configured.Timeouts.Idle),
 		MaxMessage:      configured.Limits.MaxMessageBytes,
 		MockSecret:      secret,
 		Now:             i.config.Now,
@@ -368,6 +370,15 @@
 	}
 }
 
+// idleTimeout returns the timeout of the caller server for the setting, in
+// which zero means never.
+func idleTimeout(configured time.Duration) time.Duration {
+	if configured == 0 {
+		return neverIdle
+	}
+	return configured
+}
+
 func groupIDs(configured settings.Settings) []fleet.GroupID {
 	var ids []fleet.GroupID
 	for _, group := range configured.Groups {
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -233,7 +233,13 @@
 	if version <= i.board.Sheet.Load().Version {
 		return
 	}
-	i.board.Sheet.Store(SheetInForce{Content: record.Content, Sheet: parsed, Version: version})
+	i.board.Sheet.Store(SheetInForce{
+		Content:   record.Content,
+		Index:     sheet.NewIndex(parsed),
+		Placement: placement(parsed, i.config.Settings.DataCentre),
+		Sheet:     parsed,
+		Version:   version,
+	})
 	i.config.Events.Record(event.SheetInForce, event.Fields{Text: versionText(version)})
 	i.callers.Recheck()
 }
--- a/instance/router.go
+++ b/instance/router.go
@@ -53,7 +53,6 @@
 // the pool.
 type router struct {
 	groups   []routedGroup
-	local    fleet.DataCentre
 	now      func() time.Time
 	pool     pool
 	sheet    *blackboard.Section[SheetInForce]
@@ -188,7 +187,7 @@
 
 func (r *router) poolRequest(server fleet.ServerID, request caller.Request) backend.PoolRequest {
 	weight := 1
-	if limits, found := r.sheet.Load().Sheet.Limits(request.Workspace); found {
+	if limits, found := r.sheet.Load().Index.Limits(request.Workspace); found {
 		weight = limits.Weight
 	}
 	return backend.PoolRequest{
@@ -202,7 +201,7 @@
 
 func (r *router) choice(routed routedGroup) group.Choice {
 	choice := group.Choice{
-		Placement: placement(r.sheet.Load().Sheet, r.local),
+		Placement: r.sheet.Load().Placement,
 		Random:    r.newRandom(),
 		Strategy:  r.strategy,
 	}
@@ -222,7 +221,7 @@
 }
 
 func (r *router) authorize(request caller.Request) error {
-	current := r.sheet.Load().Sheet
+	current := r.sheet.Load().Index
 	if current.MayUse(request.Workspace, request.Group) {
 		return nil
 	}
--- a/instance/service.go
+++ b/instance/service.go
@@ -68,7 +68,7 @@
 
 func (i *Instance) followDataCentre(now time.Time) {
 	local := i.config.Settings.DataCentre
-	inService := i.board.Sheet.Load().Sheet.IsInService(local)
+	inService := i.board.Sheet.Load().Index.IsInService(local)
 	if i.service.observe(now, inService) {
 		text := "data centre " + string(local) + " taken out"
 		if inService {
