--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -30,6 +30,7 @@
 			"awaitfile":   awaitFile,
 			"awaitserved": awaitServed,
 			"sql":         runSQL,
+			"timeline":    runTimeline,
 		},
 		Dir:                 "testdata/processes",
 		RequireExplicitExec: true,
@@ -84,6 +85,12 @@
 	}
 }
 
+// runTimeline shows events through an instance: timeline URLFILE TOKENFILE FLAG...
+func runTimeline(ts *testscript.TestScript, _ bool, args []string) {
+	admin, _, _ := strings.Cut(ts.ReadFile(args[0]), "\n")
+	ts.Check(ts.Exec("nutmegpier", append([]string{"timeline", "--admin", admin, "--token-file", args[1]}, args[2:]...)...))
+}
+
 func awaitCondition(ts *testscript.TestScript, name string, met func(ctx context.Context) bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), processTimeout)
 	defer cancel()
--- a/cmd/timelinecmd.go
+++ b/cmd/timelinecmd.go
@@ -12,6 +12,7 @@
 
 // timelineOptions are the flags of "timeline".
 type timelineOptions struct {
+	archived  bool
 	database  string
 	event     uint32
 	limit     int
@@ -33,6 +34,7 @@
 		Short: "Show recorded events of several instances",
 		Use:   "timeline",
 	}
+	timeline.Flags().BoolVar(&flags.archived, "archived", false, "show the snapshots of all instances in the object store, those that have ended included")
 	timeline.Flags().StringVar(&flags.database, "database", "", "only events of this database")
 	timeline.Flags().Uint32Var(&flags.event, "event", 0, "only events with this number")
 	timeline.Flags().IntVar(&flags.limit, "limit", 200, "largest number of events of each instance, the latest; 0 for all")
@@ -51,7 +53,11 @@
 	var lists [][]event.Event
 	var lastErr error
 	for i, client := range clients {
-		events, err := client.Events(ctx, flags.filter())
+		read := client.Events
+		if flags.archived {
+			read = client.ArchivedEvents
+		}
+		events, err := read(ctx, flags.filter())
 		if err != nil {
 			lastErr = err
 			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", options.admin[i], err)
--- a/event/filter.go
+++ b/event/filter.go
@@ -12,6 +12,17 @@
 	Workspace fleet.WorkspaceID
 }
 
+// Select returns the events that match, in their order.
+func (f Filter) Select(events []Event) []Event {
+	var selected []Event
+	for _, e := range events {
+		if f.matches(e) {
+			selected = append(selected, e)
+		}
+	}
+	return f.limit(selected)
+}
+
 func (f Filter) limit(events []Event) []Event {
 	if f.Limit > 0 && len(events) > f.Limit {
 		return events[len(events)-f.Limit:]
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,6 +48,7 @@
 // Platform is what an instance needs of the platform.
 type Platform interface {
 	platform.InstanceList
+	platform.Objects
 	platform.Table
 }
 
@@ -77,6 +78,7 @@
 
 // Instance is one running instance.
 type Instance struct {
+	archive  *archive
 	board    *Board
 	callers  *caller.Server
 	config   Config
@@ -126,6 +128,13 @@
 		Now:        config.Now,
 		Starved:    i.noteStarved,
 	})
+	i.archive = &archive{
+		epoch:    config.Epoch,
+		events:   config.Events,
+		instance: config.Settings.Instance,
+		platform: config.Platform,
+		timeout:  config.Settings.Platform.Timeout,
+	}
 	i.peers = i.newPeers()
 	i.limits = &shares{peers: i.peers}
 	for number, configured := range config.Settings.Groups {
@@ -189,10 +198,12 @@
 	i.config.Events.Record(event.InstanceServing, event.Fields{})
 
 	var err error
+	killed := false
 	select {
 	case <-ctx.Done():
 		err = i.drain(running)
 	case <-i.kill:
+		killed = true
 		expired, cancel := context.WithCancel(running)
 		cancel()
 		_ = i.callers.Drain(expired)
@@ -202,6 +213,10 @@
 	err = errors.Join(err, tasks.Wait())
 	i.board.Lifecycle.Store(LifecycleStopped)
 	i.config.Events.Record(event.InstanceStopped, event.Fields{})
+	if !killed {
+		// Without the store the last events are lost with the process.
+		_ = i.archive.save(context.WithoutCancel(ctx))
+	}
 	return err
 }
 
@@ -221,6 +236,7 @@
 		_ = i.peers.Run(ctx)
 		return nil
 	})
+	tasks.Go(func() error { return i.archive.run(ctx) })
 	tasks.Go(func() error { return i.keepPool(ctx) })
 	tasks.Go(func() error { return i.watchService(ctx) })
 	tasks.Go(func() error { return i.callers.Serve(i.config.Listeners.Callers) })
@@ -263,6 +279,7 @@
 		usage:   i.usage,
 	}
 	return operator.New(operator.Parts{
+		Archive:   i.archive,
 		Publisher: published,
 		Recorder:  i.config.Events,
 		Sheets:    published,
--- a/operator/client.go
+++ b/operator/client.go
@@ -40,8 +40,19 @@
 
 // Events returns recorded events, oldest first.
 func (c *Client) Events(ctx context.Context, filter event.Filter) ([]event.Event, error) {
+	return c.events(ctx, filter, false)
+}
+
+// ArchivedEvents returns the events in the snapshots of all instances, those
+// that have ended included.
+func (c *Client) ArchivedEvents(ctx context.Context, filter event.Filter) ([]event.Event, error) {
+	return c.events(ctx, filter, true)
+}
+
+func (c *Client) events(ctx context.Context, filter event.Filter, archived bool) ([]event.Event, error) {
 	const op = "read timeline"
 	response, err := call(ctx, c, op, false, c.service.Timeline, &nutmegpierv1.TimelineRequest{
+		Archived:  archived,
 		Database:  string(filter.Database),
 		Event:     uint32(filter.Number),
 		Limit:     uint32(max(filter.Limit, 0)),
--- a/operator/server.go
+++ b/operator/server.go
@@ -93,13 +93,20 @@
 	Status() Status
 }
 
+// Archive gives the events in the snapshots of all instances.
+type Archive interface {
+	Archived(ctx context.Context, filter event.Filter) ([]event.Event, error)
+}
+
 // Timeline gives recorded events.
 type Timeline interface {
 	Events(filter event.Filter) []event.Event
 }
 
-// Parts are what a Server needs. All are required.
+// Parts are what a Server needs. All but Archive are required.
 type Parts struct {
+	// Archive is nil where no snapshots are kept.
+	Archive   Archive
 	Publisher Publisher
 	Recorder  Recorder
 	Sheets    Sheets
@@ -111,6 +118,7 @@
 
 // Server implements the administration API.
 type Server struct {
+	archive   Archive
 	publisher Publisher
 	random    io.Reader
 	recorder  Recorder
@@ -129,6 +137,7 @@
 // New returns the administration API of an instance.
 func New(parts Parts) *Server {
 	return &Server{
+		archive:   parts.Archive,
 		publisher: parts.Publisher,
 		random:    rand.Reader,
 		recorder:  parts.Recorder,
@@ -223,7 +232,7 @@
 }
 
 // Timeline returns recorded events, oldest first.
-func (s *Server) Timeline(_ context.Context, request *connect.Request[nutmegpierv1.TimelineRequest]) (*connect.Response[nutmegpierv1.TimelineResponse], error) {
+func (s *Server) Timeline(ctx context.Context, request *connect.Request[nutmegpierv1.TimelineRequest]) (*connect.Response[nutmegpierv1.TimelineResponse], error) {
 	response := &nutmegpierv1.TimelineResponse{}
 	filter := event.Filter{
 		Database:  fleet.GroupID(request.Msg.GetDatabase()),
@@ -232,7 +241,18 @@
 		Session:   request.Msg.GetSession(),
 		Workspace: fleet.WorkspaceID(request.Msg.GetWorkspace()),
 	}
-	for _, e := range s.timeline.Events(filter) {
+	events := s.timeline.Events(filter)
+	if request.Msg.GetArchived() {
+		if s.archive == nil {
+			return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this instance keeps no snapshots"))
+		}
+		archived, err := s.archive.Archived(ctx, filter)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		events = archived
+	}
+	for _, e := range events {
 		content, err := json.Marshal(e)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeInternal, err)
