--- a/measure/datacentreleave.go
+++ b/measure/datacentreleave.go
@@ -13,7 +13,8 @@
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
-// leaveParts divides the duration: before the drain, drained, and restored.
+// leaveParts is the number of parts of a run, each as long as the duration:
+// before the drain, drained, and restored.
 const leaveParts = 3
 
 // runDataCentreLeave drains and restores the first data centre under mixed
@@ -35,13 +36,17 @@
 // leaveLog sorts latencies into phases and remembers the last work that began
 // in the drained data centre.
 type leaveLog struct {
-	drained  map[fleet.ServerID]bool
-	latency  []phase
-	start    time.Time
-	duration time.Duration
-
-	mu       sync.Mutex
-	lastWork time.Time
+	drained   map[fleet.ServerID]bool
+	duration  time.Duration
+	instances map[fleet.InstanceID]bool
+	latency   []phase
+	start     time.Time
+
+	mu sync.Mutex
+	// lastRead is when the last read of a drained server was due.
+	lastRead time.Time
+	// lastRequest is when the last request through a drained instance was due.
+	lastRequest time.Time
 }
 
 func (r *repetition) leave(ctx context.Context, variant string, drain bool) error {
@@ -60,6 +65,7 @@
 			err := work(ctx, s, at)
 			if err == nil {
 				log.at(at.due).latency.Record(time.Since(at.due))
+				log.served(s.instance(), at)
 			}
 			return err
 		}
@@ -70,14 +76,15 @@
 	if drain {
 		operating.Go(func() { drainedAt, primariesAt, drainErr = r.drainAndRestore(ctx, client, log) })
 	}
-	runLoad(ctx, lanes, r.duration, r.seed)
+	runLoad(ctx, lanes, log.duration, r.seed)
 	operating.Wait()
 	if drainErr != nil {
 		return drainErr
 	}
 	r.reportLeave(variant, log, lanes)
 	if drain {
-		r.collector.millis(variant, "LastNewRead", max(0, log.lastBegin().Sub(drainedAt)))
+		r.collector.millis(variant, "LastNewRead", max(0, log.lastRead.Sub(drainedAt)))
+		r.collector.millis(variant, "LastNewRequest", max(0, log.lastRequest.Sub(drainedAt)))
 		r.collector.millis(variant, "PrimariesLeft", primariesAt.Sub(drainedAt))
 	}
 	return nil
@@ -99,7 +106,15 @@
 	if err != nil {
 		return nil, err
 	}
-	log := &leaveLog{drained: make(map[fleet.ServerID]bool), duration: r.duration, start: time.Now()}
+	log := &leaveLog{
+		drained:   make(map[fleet.ServerID]bool),
+		duration:  leaveParts * r.duration,
+		instances: make(map[fleet.InstanceID]bool),
+		start:     time.Now(),
+	}
+	for _, id := range r.world.instances {
+		log.instances[id] = r.world.demo.Instance(id).Status().DataCentre == r.world.deployment.DataCentres[0]
+	}
 	for _, name := range []string{"Before", "Leave", "Return"} {
 		log.latency = append(log.latency, phase{latency: NewLatency(), name: name})
 	}
@@ -117,29 +132,34 @@
 	return l.latency[min(max(part, 0), len(l.latency)-1)]
 }
 
-// probed notes work that began in the drained data centre before its return.
+// probed notes a read by a server of the drained data centre.
 func (l *leaveLog) probed(by answeredBy, at arrival) {
-	if !l.drained[by.server] || at.due.After(l.start.Add(2*l.duration/leaveParts)) {
-		return
+	if l.drained[by.server] {
+		l.note(&l.lastRead, at.due)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if at.due.After(l.lastWork) {
-		l.lastWork = at.due
+}
+
+// served notes a request through an instance of the drained data centre.
+func (l *leaveLog) served(by fleet.InstanceID, at arrival) {
+	if l.instances[by] {
+		l.note(&l.lastRequest, at.due)
 	}
 }
 
-func (l *leaveLog) lastBegin() time.Time {
+// note remembers the latest time before the data centre returns.
+func (l *leaveLog) note(last *time.Time, due time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lastWork
+	if due.After(*last) && due.Before(l.start.Add(2*l.duration/leaveParts)) {
+		*last = due
+	}
 }
 
 // drainAndRestore returns when the drain was accepted and when no primary was
 // left in the data centre.
 func (r *repetition) drainAndRestore(ctx context.Context, client *operator.Client, log *leaveLog) (drained, left time.Time, err error) {
 	leaving := r.world.deployment.DataCentres[0]
-	if err := pause(ctx, time.Until(log.start.Add(r.duration/leaveParts))); err != nil {
+	if err := pause(ctx, time.Until(log.start.Add(log.duration/leaveParts))); err != nil {
 		return drained, left, err
 	}
 	publication, err := client.DrainDataCentre(ctx, leaving, true)
@@ -155,7 +175,7 @@
 		}
 	}
 	left = time.Now()
-	if err := pause(ctx, time.Until(log.start.Add(2*r.duration/leaveParts))); err != nil {
+	if err := pause(ctx, time.Until(log.start.Add(2*log.duration/leaveParts))); err != nil {
 		return drained, left, err
 	}
 	publication, err = client.RestoreDataCentre(ctx, leaving)
@@ -190,7 +210,7 @@
 	c.count(variant, "FailedNotRun", int(sum.outcomes[caller.OutcomeNotRun]))
 	c.count(variant, "FailedOther", int(sum.sent-sum.done-sum.outcomes[caller.OutcomeNotRun]))
 	c.count(variant, "MovedRequests", moves)
-	r.report(variant, sum)
+	r.report(variant, sum, log.duration)
 }
 
 // checkAccepted returns an error unless a publication took effect.
--- a/measure/replicashare.go
+++ b/measure/replicashare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 )
 
 // primaryHint sends a read to the primary.
@@ -29,13 +30,13 @@
 	runLoad(ctx, lanes, r.duration, r.seed)
 	c := r.collector
 	c.percent(variant, "ReplicaShare", replica.Load(), primary.Load()+replica.Load(), DirectionHigher)
-	r.report(variant, total(lanes))
+	r.report(variant, total(lanes), r.duration)
 }
 
-// report adds the latency, goodput and errors of a tally.
-func (r *repetition) report(variant string, sum *tally) {
+// report adds the latency, goodput and errors of a tally over a time.
+func (r *repetition) report(variant string, sum *tally, duration time.Duration) {
 	c := r.collector
-	c.add(variant, "Goodput", float64(sum.done)/r.duration.Seconds(), UnitPerSecond, DirectionHigher)
+	c.add(variant, "Goodput", float64(sum.done)/duration.Seconds(), UnitPerSecond, DirectionHigher)
 	c.millis(variant, "P50", sum.latency.Quantile(0.5))
 	c.millis(variant, "P99", sum.latency.Quantile(0.99))
 	c.percent(variant, "Failed", sum.sent-sum.done, sum.sent, DirectionLower)
--- a/measure/run.go
+++ b/measure/run.go
@@ -66,6 +66,7 @@
 		{name: "DataCentreLeave", run: runDataCentreLeave, adapt: marksTable},
 		{name: "Overhead", run: runOverhead, adapt: unlimitedRates},
 		{name: "SheetSpread", run: runSheetSpread},
+		{name: "Control", run: runControl},
 	}
 }
 
--- a/measure/run_test.go
+++ b/measure/run_test.go
@@ -40,3 +40,50 @@
 		}
 	}
 }
+
+// TestRunFindsNoOverAdmission guards against admissions above burst and rate,
+// and against a comparison with the central bucket that has no arrivals.
+func TestRunFindsNoOverAdmission(t *testing.T) {
+	result, err := measure.Run(t.Context(), measure.Options{
+		Deployments: demo.Deployments()[:1],
+		Duration:    300 * time.Millisecond,
+		Instances:   2,
+		Repeat:      1,
+		Scenarios:   []string{"WrongfulRefusals"},
+		Seed:        1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals := 0.0
+	for _, variant := range result.Scenarios {
+		for _, figure := range variant.Figures {
+			if figure.Name == "OverAdmitted" && figure.Samples[0] != 0 {
+				t.Errorf("%s: %v requests were admitted above the limit, want 0", variant.Variant, figure.Samples[0])
+			}
+			if figure.Name == "Arrivals" {
+				arrivals += figure.Samples[0]
+			}
+		}
+	}
+	if arrivals == 0 {
+		t.Error("no requests were sent")
+	}
+}
+
+// TestRunRejectsOptions guards against runs that are unbounded or do nothing.
+func TestRunRejectsOptions(t *testing.T) {
+	good := measure.Options{Duration: time.Second, Instances: 1, Repeat: 1}
+	for name, edit := range map[string]func(*measure.Options){
+		"Duration":  func(o *measure.Options) { o.Duration = time.Hour },
+		"Instances": func(o *measure.Options) { o.Instances = 0 },
+		"Repeat":    func(o *measure.Options) { o.Repeat = 0 },
+		"Scenario":  func(o *measure.Options) { o.Scenarios = []string{"Unknown"} },
+	} {
+		options := good
+		edit(&options)
+		if _, err := measure.Run(t.Context(), options); err == nil {
+			t.Errorf("%s: Run accepted %+v, want an error", name, options)
+		}
+	}
+}
--- a/measure/session.go
+++ b/measure/session.go
@@ -63,8 +63,7 @@
 	if s.conn != nil && !s.conn.IsClosed() {
 		return nil
 	}
-	instance := s.world.instances[s.place%len(s.world.instances)]
-	config, err := pgconn.ParseConfig(s.world.demo.URL(instance, s.key, s.database) + "?sslmode=disable")
+	config, err := pgconn.ParseConfig(s.world.demo.URL(s.instance(), s.key, s.database) + "?sslmode=disable")
 	if err != nil {
 		return err
 	}
@@ -75,6 +74,11 @@
 	return err
 }
 
+// instance returns the instance that the session uses.
+func (s *session) instance() fleet.InstanceID {
+	return s.world.instances[s.place%len(s.world.instances)]
+}
+
 // exec runs a statement. A request that an instance did not run because it
 // takes no new work is sent to each other instance at most once.
 func (s *session) exec(ctx context.Context, sql string) ([]*pgconn.Result, error) {
--- a/measure/worstworkspace.go
+++ b/measure/worstworkspace.go
@@ -45,7 +45,7 @@
 		sent := lanes[len(lanes)-1].tally
 		c.percent(variant, "AggressorServed", sent.done, sent.sent, DirectionHigher)
 	}
-	r.report(variant+"Others", total(others))
+	r.report(variant+"Others", total(others), r.duration)
 }
 
 // warmUp runs mixed load before the first repetition, so that connections and
