--- a/cmd/measurecmd.go
+++ b/cmd/measurecmd.go
@@ -22,6 +22,7 @@
 )
 
 type measureOptions struct {
+	databases  int
 	deployment string
 	duration   time.Duration
 	instances  int
@@ -61,6 +62,7 @@
 		Use:     use,
 	}
 	flags := command.Flags()
+	flags.IntVar(&local.databases, "databases", 0, "number of databases of each deployment; zero means all")
 	flags.StringVar(&local.deployment, "deployment", "", "name of the only deployment to run; empty means all")
 	flags.DurationVar(&local.duration, "duration", measureDuration, "length of each variant in each repetition")
 	flags.IntVar(&local.instances, "instances", measure.DefaultInstances, "number of instances of each deployment")
@@ -101,16 +103,28 @@
 	return writeOutput(cmd, local.report, func(w io.Writer) error { return measure.WriteReport(w, result) })
 }
 
+// deployments returns what to run, cut to the wanted number of databases.
 func (o *measureOptions) deployments() ([]demo.Deployment, error) {
-	if o.deployment == "" {
-		return demo.Deployments(), nil
-	}
+	var chosen []demo.Deployment
 	for _, deployment := range demo.Deployments() {
-		if strings.EqualFold(deployment.Name, o.deployment) {
-			return []demo.Deployment{deployment}, nil
+		if o.deployment != "" && !strings.EqualFold(deployment.Name, o.deployment) {
+			continue
+		}
+		if o.databases < 0 || o.databases > len(deployment.Databases) {
+			return nil, fmt.Errorf("--databases %d: %s has %d", o.databases, deployment.Name, len(deployment.Databases))
 		}
+		if o.databases > 0 {
+			deployment.Databases = deployment.Databases[:o.databases]
+			for i := range deployment.Workspaces {
+				deployment.Workspaces[i].Databases = deployment.Workspaces[i].Databases[:o.databases]
+			}
+		}
+		chosen = append(chosen, deployment)
+	}
+	if len(chosen) == 0 {
+		return nil, fmt.Errorf("--deployment %q: unknown", o.deployment)
 	}
-	return nil, fmt.Errorf("--deployment %q: unknown", o.deployment)
+	return chosen, nil
 }
 
 // writeOutput writes to a file, or to standard output without one.
--- a/measure/control.go
+++ b/measure/control.go
@@ -33,6 +33,11 @@
 	c.add(variant, "StoreReadsPerInstance", float64(later.Reads-calls.Reads)/elapsed/instances, UnitPerSecond, DirectionLower)
 	c.add(variant, "StoreWritesPerInstance", float64(later.Writes-calls.Writes)/elapsed/instances, UnitPerSecond, DirectionLower)
 	c.add(variant, "ListCallsPerInstance", float64(later.Lists-calls.Lists)/elapsed/instances, UnitPerSecond, DirectionLower)
+	current, err := r.world.demo.Client(r.world.instances[0]).Sheet(ctx, 0)
+	if err != nil {
+		return err
+	}
+	c.add(variant, "Sheet", float64(len(current.Content)), UnitBytes, DirectionLower)
 	return r.statusSize(ctx, variant)
 }
 
