--- a/faultmatrix/cell.go
+++ b/faultmatrix/cell.go
@@ -3,6 +3,8 @@
 // generated from the list.
 package faultmatrix
 
+import "strings"
+
 // Fault is one kind of failure that the design page names.
 type Fault string
 
@@ -98,3 +100,11 @@
 	Second  Fault
 	Test    string
 }
+
+// IsImpossible reports whether the fault cannot occur at the step.
+func (c Cell) IsImpossible() bool {
+	return c.Test == "" && strings.HasPrefix(c.Empty, impossiblePrefix)
+}
+
+// impossiblePrefix starts the reason of cells that cannot occur.
+const impossiblePrefix = "Cannot occur: "
--- a/faultmatrix/operation_test.go
+++ b/faultmatrix/operation_test.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// TestPublishWhileStoreFails guards against a failed publication that is
-// reported as accepted or takes effect after all.
+// TestPublishWhileStoreFails guards against a failed publication or drain that
+// is reported as accepted or takes effect after all.
 func TestPublishWhileStoreFails(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 3, unlimited())
@@ -137,6 +137,9 @@
 	if err == nil {
 		t.Errorf("published during an outage: %+v", publication)
 	}
+	if publication, err = f.client(1).DrainDataCentre(f.ctx, testDataCentres[0], true); err == nil {
+		t.Errorf("drained during an outage: %+v", publication)
+	}
 	f.platform.SetOutage(standin.OutageNone)
 	f.publish(0, 1, f.content(f.sheet()), sheet.OutcomeAccepted)
 }
--- /dev/null
+++ b/faultmatrix/page_test.go
@@ -0,0 +1,105 @@
+package faultmatrix_test
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/faultmatrix"
+)
+
+var update = flag.Bool("update", false, "write docs/fault-matrix.md")
+
+// TestPage guards against a page that differs from the list of cells.
+func TestPage(t *testing.T) {
+	t.Parallel()
+	const name = "../docs/fault-matrix.md"
+	if *update {
+		must(t, os.WriteFile(name, []byte(faultmatrix.Page()), 0o644))
+	}
+	content, err := os.ReadFile(name)
+	must(t, err)
+	if diff := cmp.Diff(string(content), faultmatrix.Page()); diff != "" {
+		t.Errorf("run go test ./faultmatrix -run TestPage -update (-page +list):\n%s", diff)
+	}
+}
+
+// place is a fault at a step.
+type place struct {
+	fault faultmatrix.Fault
+	step  faultmatrix.Step
+}
+
+// TestCellsAreComplete guards against a fault and step without a cell, a cell
+// without test and reason, and a promise that does not exist.
+func TestCellsAreComplete(t *testing.T) {
+	t.Parallel()
+	const promises = 12
+	cells := make(map[place]int)
+	for _, cell := range faultmatrix.Cells() {
+		cells[place{cell.Fault, cell.Step}]++
+		if (cell.Test == "") == (cell.Empty == "") || cell.Test != "" && cell.Must == "" {
+			t.Errorf("%s at %s needs either a test with what must happen or a reason", cell.Fault, cell.Step)
+		}
+		if cell.Promise < 1 || cell.Promise > promises {
+			t.Errorf("%s at %s: promise %d does not exist", cell.Fault, cell.Step, cell.Promise)
+		}
+	}
+	for _, fault := range faultmatrix.Faults() {
+		for _, step := range faultmatrix.Steps() {
+			if got := cells[place{fault, step}]; got != 1 {
+				t.Errorf("%d cells for %s at %s, want 1", got, fault, step)
+			}
+		}
+	}
+	faults := len(faultmatrix.Faults())
+	if diff := cmp.Diff(faults*(faults-1)/2, len(faultmatrix.Pairs())); diff != "" {
+		t.Errorf("pairs (-want +got):\n%s", diff)
+	}
+}
+
+// TestNamedTestsExist guards against cells that name a test which was removed
+// or renamed.
+func TestNamedTestsExist(t *testing.T) {
+	t.Parallel()
+	var names []string
+	for _, cell := range faultmatrix.Cells() {
+		names = append(names, cell.Test)
+	}
+	for _, pair := range faultmatrix.Pairs() {
+		names = append(names, pair.Test)
+	}
+	for _, name := range names {
+		directory, function, found := strings.Cut(name, ".")
+		if name != "" && (!found || !hasTest(t, directory, function)) {
+			t.Errorf("test %s does not exist", name)
+		}
+	}
+	if hasTest(t, "faultmatrix", "TestThatDoesNotExist") {
+		t.Error("the search finds a test that does not exist")
+	}
+}
+
+// hasTest parses the test files of a package and looks for a function.
+func hasTest(t *testing.T, directory, function string) bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", directory, "*_test.go"))
+	must(t, err)
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.SkipObjectResolution)
+		must(t, err)
+		for _, declaration := range parsed.Decls {
+			if declared, ok := declaration.(*ast.FuncDecl); ok && declared.Recv == nil && declared.Name.Name == function {
+				return true
+			}
+		}
+	}
+	return false
+}
