fix: order equal replicas by chance

Cause: FreshnessDistance broke ties by round trip and id, so that all instances with nothing outstanding sent their reads to the same replica. TestReplicaChoiceBalances fails on the code before.

--- a/group/choice_test.go
+++ b/group/choice_test.go
@@ -1,7 +1,6 @@
 package group_test
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -264,16 +263,15 @@
 // wait longer than random choice does, or that moves reads to the primary.
 func TestReplicaChoiceBalances(t *testing.T) {
 	for _, setting := range choiceSettings {
-		trials := map[group.Strategy]*choiceTrial{}
-		for _, strategy := range []group.Strategy{group.FreshnessDistance, group.Random} {
-			trials[strategy] = newChoiceTrial(setting, 0.85, strategy).run(10_000)
-		}
-		chosen, random := trials[group.FreshnessDistance], trials[group.Random]
-		if cmp.Compare(choiceMean(chosen.delays), choiceMean(random.delays)) > 0 {
-			t.Errorf("%s: mean answer time %.2f ms, with random choice %.2f ms", setting.name, choiceMean(chosen.delays), choiceMean(random.delays))
-		}
-		if chosen.onReads != random.onReads {
-			t.Errorf("%s: %d reads on replicas, with random choice %d", setting.name, chosen.onReads, random.onReads)
+		for _, load := range []float64{0.6, 0.85} {
+			chosen := newChoiceTrial(setting, load, group.FreshnessDistance).run(10_000)
+			random := newChoiceTrial(setting, load, group.Random).run(10_000)
+			if got, limit := choiceMean(chosen.delays), choiceMean(random.delays); got > limit {
+				t.Errorf("%s at %.0f%%: mean answer time %.2f ms, with random choice %.2f ms", setting.name, 100*load, got, limit)
+			}
+			if chosen.onReads != random.onReads {
+				t.Errorf("%s at %.0f%%: %d reads on replicas, with random choice %d", setting.name, 100*load, chosen.onReads, random.onReads)
+			}
 		}
 	}
 }
--- a/group/strategy.go
+++ b/group/strategy.go
@@ -9,15 +9,22 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
-// usualServers is the group size up to which a choice allocates its result only.
-const usualServers = 8
+const (
+	// distanceStep is the difference of round trips that counts as distance.
+	// Smaller ones are noise inside a region, and following them would send
+	// the requests of all instances to the same replica.
+	distanceStep = 5 * time.Millisecond
+	// usualServers is the group size up to which a choice allocates its result only.
+	usualServers = 8
+)
 
 // Strategy orders the replicas that are fresh enough for a read.
 type Strategy string
 
 // Strategies of replica choice.
 const (
-	// FreshnessDistance prefers few outstanding requests, then distance.
+	// FreshnessDistance prefers few outstanding requests, then distance, then
+	// chance.
 	FreshnessDistance Strategy = "FreshnessDistance"
 	// LeastOutstanding prefers few outstanding requests, then chance.
 	LeastOutstanding Strategy = "LeastOutstanding"
@@ -37,7 +44,8 @@
 type Choice struct {
 	Loads     []Load
 	Placement Placement
-	// Random is used by all strategies but FreshnessDistance.
+	// Random must be set, except for FreshnessDistance, which without it orders
+	// equal replicas by id. Instances then all choose the same replica.
 	Random   *rand.Rand
 	Strategy Strategy
 }
@@ -92,14 +100,14 @@
 
 // sort orders replicas by the strategy.
 func (c Choice) sort(replicas []*ServerView) {
-	if c.Strategy == FreshnessDistance {
+	if c.Random != nil || c.Strategy != FreshnessDistance {
+		c.Random.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	}
+	switch c.Strategy {
+	case FreshnessDistance:
 		slices.SortStableFunc(replicas, func(a, b *ServerView) int {
 			return cmp.Or(c.compareLoad(a, b), c.compareDistance(a, b))
 		})
-		return
-	}
-	c.Random.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
-	switch c.Strategy {
 	case LeastOutstanding:
 		slices.SortStableFunc(replicas, c.compareLoad)
 	case SampledTwo:
@@ -111,7 +119,7 @@
 	return cmp.Compare(c.outstanding(a.Server), c.outstanding(b.Server))
 }
 
-// compareDistance prefers the own data centre, then the shorter round trip.
+// compareDistance prefers the own data centre, then the clearly shorter round trip.
 func (c Choice) compareDistance(a, b *ServerView) int {
 	if local := c.Placement.isLocal(a.Member); local != c.Placement.isLocal(b.Member) {
 		if local {
@@ -119,5 +127,5 @@
 		}
 		return 1
 	}
-	return cmp.Compare(a.RoundTrip, b.RoundTrip)
+	return cmp.Compare(a.RoundTrip/distanceStep, b.RoundTrip/distanceStep)
 }
