fix: keep a fence with a drain from holding up status calls

Cause: a fence with a drain shared the connection of the status calls, so that polls of that server failed for as long as the drain lasted. Change: it has a connection of its own, opened on first use.

--- a/backend/control.go
+++ b/backend/control.go
@@ -39,10 +39,13 @@
 
 // Control is a group.Control over control connections to one backend server.
 // It connects when it is first used and again after a connection broke. Waits
-// use a connection of their own, so that they don't hold up other calls.
+// and fences with a drain use connections of their own, so that they don't
+// hold up other calls. A fence without a drain uses the connection of the
+// status calls, which is open when a promotion is urgent.
 type Control struct {
-	calls *controlConn
-	waits *controlConn
+	calls  *controlConn
+	drains *controlConn
+	waits  *controlConn
 }
 
 var _ group.Control = &Control{}
@@ -57,7 +60,7 @@
 	if err != nil {
 		return nil, &Error{Err: err, Kind: KindConnection, Op: "new control"}
 	}
-	return &Control{calls: newControlConn(pg), waits: newControlConn(pg)}, nil
+	return &Control{calls: newControlConn(pg), drains: newControlConn(pg), waits: newControlConn(pg)}, nil
 }
 
 // controlPgConfig returns the settings of the control connections. Nothing is
@@ -93,13 +96,18 @@
 // Close closes the connections. A later call opens them again.
 func (c *Control) Close(ctx context.Context) {
 	c.calls.close(ctx)
+	c.drains.close(ctx)
 	c.waits.close(ctx)
 }
 
 // Fence asks the server to promise the term to the holder.
 func (c *Control) Fence(ctx context.Context, term fleet.Term, holder fleet.InstanceID, drain time.Duration) (bool, group.ServerStatus, error) {
 	sql := fmt.Sprintf("CALL group_fence(%d, %s, %d)", term, quoteLiteral(string(holder)), drain.Milliseconds())
-	names, values, err := c.calls.row(ctx, "fence", sql)
+	conn := c.calls
+	if drain > 0 {
+		conn = c.drains
+	}
+	names, values, err := conn.row(ctx, "fence", sql)
 	if err != nil {
 		return false, group.ServerStatus{}, err
 	}
--- a/backend/control_test.go
+++ b/backend/control_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/nutmegpier/nutmegpier/backend"
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -117,6 +118,48 @@
 	}
 }
 
+// TestControlDrain guards against a drain that holds up status calls, so that
+// its server counts as silent.
+func TestControlDrain(t *testing.T) {
+	ctx, g, controls := newControls(t)
+	primary := g.Servers()[0]
+	if err := g.Exec(ctx, "CREATE TABLE tabs (name TEXT)"); err != nil {
+		t.Fatal(err)
+	}
+	var conns []*pgconn.PgConn
+	for range 2 {
+		conn, err := pgconn.Connect(ctx, "postgres://proxy:secret@"+primary.Addr()+"/"+string(g.ID())+"?sslmode=disable")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close(ctx)
+		conns = append(conns, conn)
+	}
+	if _, err := conns[0].Exec(ctx, "BEGIN; INSERT INTO tabs VALUES ('drained')").ReadAll(); err != nil {
+		t.Fatal(err)
+	}
+	granted := make(chan bool)
+	go func() {
+		ok, _, _ := controls[0].Fence(ctx, 2, "a", time.Hour)
+		granted <- ok
+	}()
+	// The refusal shows that the drain has begun. Until then the write waits
+	// for the open one.
+	if _, err := conns[1].Exec(ctx, "INSERT INTO tabs VALUES ('refused')").ReadAll(); err == nil {
+		t.Error("a write during the drain succeeded")
+	}
+	status, err := controls[0].Status(ctx)
+	if err != nil || status.PromisedTerm != 1 {
+		t.Errorf("Status() during the drain = %+v, %v, want promised term 1", status, err)
+	}
+	if _, err := conns[0].Exec(ctx, "COMMIT").ReadAll(); err != nil {
+		t.Errorf("COMMIT during the drain: %v", err)
+	}
+	if !<-granted {
+		t.Error("the fence was refused")
+	}
+}
+
 // statusNames are the columns of a status row.
 const statusNames = "server role term promised_term promised_to log_term log_position applied_term applied_position " +
 	"primary_contact_ms history connections connection_limit"
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -253,29 +253,35 @@
 	d := &deployment{group: newFakeGroup(servers)}
 	d.placement.Store(&group.Placement{})
 	d.ctx, d.cancel = context.WithCancel(t.Context())
+	d.running.Go(func() { d.group.replicate(d.ctx) })
+	d.start(instances, func(instance fleet.InstanceID) []group.ServerConfig {
+		var servers []group.ServerConfig
+		for _, s := range d.group.servers {
+			servers = append(servers, group.ServerConfig{Control: &fakeControl{group: d.group, instance: instance, server: s.id}, ID: s.id})
+		}
+		return servers
+	})
+	time.Sleep(time.Second)
+	return d
+}
+
+// start runs a number of instances with the given servers until the context ends.
+func (d *deployment) start(instances int, servers func(fleet.InstanceID) []group.ServerConfig) {
 	for n := range instances {
 		i := &fakeInstance{
 			deployment: d, id: fleet.InstanceID(rune('1' + n)), section: blackboard.New(group.View{}),
 		}
-		config := group.Config{
+		i.Controller = group.New(group.Config{
 			Clock: fakeClock{}, Epoch: 7, Events: i, Group: "stock", Instance: i.id, Peers: i,
 			Placement: func() group.Placement { return *d.placement.Load() },
-			Random:    rand.New(rand.NewPCG(uint64(n), 1)), Section: i.section, Settings: group.DefaultSettings(),
-		}
-		for _, s := range d.group.servers {
-			config.Servers = append(config.Servers, group.ServerConfig{
-				Control: &fakeControl{group: d.group, instance: i.id, server: s.id}, ID: s.id,
-			})
-		}
-		i.Controller = group.New(config)
+			Random:    rand.New(rand.NewPCG(uint64(n), 1)), Section: i.section, Servers: servers(i.id),
+			Settings: group.DefaultSettings(),
+		})
 		d.instances = append(d.instances, i)
 	}
-	d.running.Go(func() { d.group.replicate(d.ctx) })
 	for _, i := range d.instances {
 		d.running.Go(func() { i.Run(d.ctx) })
 	}
-	time.Sleep(time.Second)
-	return d
 }
 
 // stop ends all goroutines and checks what must hold in each run.
@@ -283,7 +289,7 @@
 	t.Helper()
 	d.cancel()
 	d.running.Wait()
-	if d.group.twice {
+	if d.group != nil && d.group.twice {
 		t.Error("two servers were promoted in one term")
 	}
 }
