fix: poll fast while requests wait for a primary

Cause: after a planned handover, instances other than the promoter went on with the old primary until their next poll, up to 250 ms later. Change: ReportRefusal polls at once when a primary refused a write, and the servers are polled every 10 ms while a request waits and no primary is known. Conclusion: the router must call ReportRefusal on SQLSTATE 25006 of a primary to gain this; that is not wired up yet.

--- a/group/controller.go
+++ b/group/controller.go
@@ -8,8 +8,13 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
-// freshInterval is the time between polls while a read waits for a replica.
-const freshInterval = 5 * time.Millisecond
+const (
+	// freshInterval is the time between polls while a read waits for a replica.
+	freshInterval = 5 * time.Millisecond
+	// leaderInterval is the time between polls while a request waits for a
+	// primary and none is known. All requests share the polls.
+	leaderInterval = 10 * time.Millisecond
+)
 
 // Controller keeps the view of one group up to date and carries out what the
 // decisions of this package ask for. Its methods are safe for concurrent use.
@@ -26,7 +31,9 @@
 	phase        Phase
 	promoter     *Promoter
 	view         View
-	wake         time.Time
+	// waiting is the number of requests that wait for a primary.
+	waiting int
+	wake    time.Time
 }
 
 // serverLink is the controller's side of one server.
@@ -113,6 +120,12 @@
 func (c *Controller) AwaitPrimary(ctx context.Context) (fleet.ServerID, fleet.Term, error) {
 	var server fleet.ServerID
 	var term fleet.Term
+	if server, term, ok := c.config.Section.Load().PrimaryAt(c.config.Clock.Now(), c.config.Settings.ViewAge); ok {
+		return server, term, nil
+	}
+	c.addWaiting(1)
+	defer c.addWaiting(-1)
+	notify(c.stepped)
 	err := c.await(ctx, func(v View) bool {
 		var ok bool
 		server, term, ok = v.PrimaryAt(c.config.Clock.Now(), c.config.Settings.ViewAge)
@@ -157,6 +170,12 @@
 	c.pollAll()
 }
 
+// ReportRefusal notes that a primary refused a write because it does not lead
+// any more, and asks all servers for their status at once.
+func (c *Controller) ReportRefusal() {
+	c.pollAll()
+}
+
 // RequestHandover asks for a planned change of primary. The recorder tells
 // when it is established.
 func (c *Controller) RequestHandover(request HandoverRequest) {
@@ -192,6 +211,12 @@
 	}, true
 }
 
+func (c *Controller) addWaiting(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting += n
+}
+
 // await waits until the view satisfies a condition.
 func (c *Controller) await(ctx context.Context, satisfied func(View) bool) error {
 	for {
@@ -353,7 +378,8 @@
 func (c *Controller) stepLoop(ctx context.Context, calls *sync.WaitGroup) {
 	c.pollAll()
 	c.step(ctx, calls, nil)
-	nextPoll := c.config.Clock.Now().Add(c.config.Settings.PollInterval)
+	polled := c.config.Clock.Now()
+	nextPoll := polled.Add(c.config.Settings.PollInterval)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -367,10 +393,14 @@
 		now := c.config.Clock.Now()
 		c.mu.Lock()
 		nextPoll = earliest(nextPoll, c.detection.NextPoll)
+		if c.waiting > 0 && c.view.Primary == "" {
+			nextPoll = earliest(nextPoll, polled.Add(leaderInterval))
+		}
 		wake := earliest(nextPoll, c.wake)
 		c.mu.Unlock()
 		if !now.Before(nextPoll) {
 			c.pollAll()
+			polled = now
 			nextPoll = now.Add(c.config.Settings.PollInterval)
 			wake = earliest(nextPoll, wake)
 		}
--- a/group/live_test.go
+++ b/group/live_test.go
@@ -95,6 +95,7 @@
 	}
 	w.next++
 	if _, err := w.conn.Exec(w.ctx, fmt.Sprintf("INSERT INTO writes VALUES (%d)", w.next)).ReadAll(); err != nil {
+		w.instance.ReportRefusal()
 		return "", err
 	}
 	position, err := fleet.ParsePosition(w.conn.ParameterStatus("group_position"))
