--- /dev/null
+++ b/instance/callers.go
@@ -0,0 +1,74 @@
+package instance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/caller"
+	"github.com/nutmegpier/nutmegpier/group"
+	"github.com/nutmegpier/nutmegpier/settings"
+)
+
+// mockSecretBytes is the length of the secret behind the mock salts of unknown
+// workspaces.
+const mockSecretBytes = 32
+
+// neverIdle is longer than any session lasts.
+const neverIdle = 10 * 365 * 24 * time.Hour
+
+func (i *Instance) callerConfig() caller.Config {
+	configured := i.config.Settings
+	secret := make([]byte, 0, mockSecretBytes)
+	for len(secret) < mockSecretBytes {
+		secret = append(secret, byte(i.config.Random.Uint32()))
+	}
+	return caller.Config{
+		AllowCleartext:  configured.TLS.AllowCleartextKeys,
+		Barrier:         i.router,
+		CancelForwarder: i,
+		Committer:       i.router,
+		Credentials:     &credentials{now: i.config.Now, sheet: i.board.Sheet},
+		Events:          i.recorder,
+		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, service: i.service},
+		IdleTimeout:     idleTimeout(configured.Timeouts.Idle),
+		MaxMessage:      configured.Limits.MaxMessageBytes,
+		MockSecret:      secret,
+		Now:             i.config.Now,
+		RequestTimeout:  configured.Limits.QueueTimeout,
+		Router:          i.router,
+		StartupTimeout:  configured.Timeouts.Startup,
+		StopBound:       configured.Timeouts.StopBound,
+	}
+}
+
+// idleTimeout returns the timeout of the caller server for the setting, in
+// which zero means never.
+func idleTimeout(configured time.Duration) time.Duration {
+	if configured == 0 {
+		return neverIdle
+	}
+	return configured
+}
+
+func (i *Instance) newRouter() *router {
+	r := &router{
+		now:      i.config.Now,
+		pool:     i.pool,
+		random:   rand.New(rand.NewPCG(i.config.Random.Uint64(), 0)),
+		sheet:    i.board.Sheet,
+		strategy: group.FreshnessDistance,
+		timeouts: func() settings.Timeouts { return i.settings.Load().Timeouts },
+	}
+	for number, controller := range i.groups {
+		routed := routedGroup{
+			control: controller,
+			id:      controller.settings.Group,
+			view:    i.board.Groups[number].Section,
+		}
+		for _, server := range controller.settings.Servers {
+			routed.servers = append(routed.servers, server.Server)
+		}
+		r.groups = append(r.groups, routed)
+	}
+	return r
+}
