fix: let 0 slots mean as many statements as connections

Cause: the settings promised that 0 slots are learned, which nothing did; the pool then ran no statement at all.

--- a/instance/poolkeeper.go
+++ b/instance/poolkeeper.go
@@ -39,7 +39,7 @@
 		if !found {
 			return peer.PermitUse{}
 		}
-		i.pool.SetServer(id, server.Address, backend.Limits{Permits: permits, Slots: configured.Slots})
+		i.pool.SetServer(id, server.Address, backend.Limits{Permits: permits, Slots: slotsOf(configured, permits)})
 		return i.permitUse(id)
 	})
 }
@@ -52,7 +52,8 @@
 		for _, server := range controller.settings.Servers {
 			warm := 0
 			if server.Server == primary {
-				warm = min(i.limits.Permits(server.Server), controller.settings.Slots)
+				permits := i.limits.Permits(server.Server)
+				warm = min(permits, slotsOf(controller.settings, permits))
 			}
 			i.pool.Warm(server.Server, warm)
 		}
@@ -81,6 +82,14 @@
 	}
 }
 
+// slotsOf returns the number of statements that may run on a server at a time.
+func slotsOf(configured settings.Group, permits int) int {
+	if configured.Slots == 0 {
+		return permits
+	}
+	return configured.Slots
+}
+
 func (i *Instance) serverSettings(id fleet.ServerID) (settings.Group, settings.Server, bool) {
 	for _, configured := range i.settings.Load().Groups {
 		for _, server := range configured.Servers {
--- a/settings/table.go
+++ b/settings/table.go
@@ -53,7 +53,7 @@
 		{"Address of the server.", false, required("Groups[].Servers[].Address", document.FormatAddress), UnitNone},
 		{"Data centre of the server.", false, required("Groups[].Servers[].DataCentre", document.FormatName), UnitNone},
 		{"Name of the server, unique over all groups.", false, required("Groups[].Servers[].Server", document.FormatName), UnitNone},
-		{"Statements that one server runs at a time. 0 means learned.", true, numbers("Groups[].Slots", "3", 0, 10000), UnitStatements},
+		{"Statements that one server runs at a time. 0 means as many as there are connections.", true, numbers("Groups[].Slots", "3", 0, 10000), UnitStatements},
 		{"Name of the instance, unique in the deployment.", false, required("Instance", document.FormatName), UnitNone},
 		{"Largest message accepted from a caller.", false, numbers("Limits.MaxMessageBytes", "16777216", 1024, 1<<30), UnitBytes},
 		{"Largest number of open caller sessions of the instance.", false, numbers("Limits.MaxSessions", "100000", 1, 10000000), UnitSessions},
