test: measure the throughput of the relay over cores

Cause: the benchmarks measured one caller, so contention did not show. Change: BenchmarkRelayParallel runs four callers for each core over one pool, directly and through the proxy.

--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -139,6 +139,38 @@
 	}
 }
 
+// BenchmarkRelayParallel measures the throughput of several callers that share
+// one pool, directly and through the proxy. Run it with -cpu 1,4,8.
+func BenchmarkRelayParallel(b *testing.B) {
+	address := cannedServer(b)
+	pool := backend.NewPool(backend.PoolConfig{Connect: func(ctx context.Context, server fleet.ServerID, address string) (*backend.Conn, error) {
+		return backend.Connect(ctx, backend.ConnConfig{Address: address, Server: server, User: "proxy"})
+	}})
+	b.Cleanup(pool.Close)
+	pool.SetServer("primary", address, backend.Limits{Permits: 64, Slots: 64})
+	d := deploy(b, nil, nil, func(config *caller.Config) { config.Router = &poolRouter{pool: pool, server: "primary"} })
+	simple := encode(&pgproto3.Query{String: "select value from t where id = 1"})
+	for _, path := range []struct {
+		name string
+		open func() net.Conn
+	}{
+		{"Direct", func() net.Conn { return openDirect(b, address) }},
+		{"Proxy", func() net.Conn { return hijack(b, d.connect(b).PgConn()) }},
+	} {
+		b.Run(path.name, func(b *testing.B) {
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				conn := path.open()
+				defer conn.Close()
+				reader := backend.NewFrameReader(conn, 4096, 1<<20)
+				for pb.Next() {
+					exchange(b, conn, reader, simple)
+				}
+			})
+		})
+	}
+}
+
 func hijack(b *testing.B, conn *pgconn.PgConn) net.Conn {
 	hijacked, err := conn.Hijack()
 	if err != nil {
