feat: limit the number of connections of a server

Cause: nothing bounded the connections, also those of callers that don't authenticate. Cancel requests are served also when the server is full. Refused connections have one second to take the refusal.

--- a/caller/opening.go
+++ b/caller/opening.go
@@ -21,9 +21,13 @@
 // errCancelRequest ends a connection that only carried a cancel request.
 var errCancelRequest = errors.New("cancel request")
 
-// open takes a connection through start-up and authentication. When it fails
+// refusalTimeout bounds the refusal of a connection over MaxSessions. It is
+// short, since these connections aren't counted.
+const refusalTimeout = time.Second
+
+// openSession takes a connection through start-up and authentication. When it fails
 // the caller has been told.
-func (s *Server) open(conn net.Conn) (*session, error) {
+func (s *Server) openSession(conn net.Conn) (*session, error) {
 	_ = conn.SetDeadline(s.config.Now().Add(s.config.StartupTimeout))
 	conn, startup, err := s.negotiate(conn)
 	if err != nil {
@@ -211,6 +215,17 @@
 	return err
 }
 
+// refuseFull refuses a connection over MaxSessions. A cancel request is still
+// served, since callers need it most when the server is full.
+func (s *Server) refuseFull(conn net.Conn) {
+	_ = conn.SetDeadline(s.config.Now().Add(refusalTimeout))
+	conn, _, err := s.negotiate(conn)
+	if err == nil {
+		err = &Error{Op: "start up", Kind: KindQueue, Err: errors.New("too many connections")}
+	}
+	_ = s.reject(conn, err)
+}
+
 func (s *Server) startTLS(conn net.Conn) (net.Conn, error) {
 	var config *tls.Config
 	if _, isTLS := conn.(*tls.Conn); s.config.TLS != nil && !isTLS {
--- a/caller/server.go
+++ b/caller/server.go
@@ -57,6 +57,9 @@
 	// MaxMessage bounds one message, and all messages up to a Sync, in bytes.
 	// Zero means 64 MiB. COPY data is bounded by message only.
 	MaxMessage int
+	// MaxSessions bounds the connections, those that aren't authenticated yet
+	// included. One more is refused with 53300. Zero means no bound.
+	MaxSessions int
 	// MockSecret makes the mock salts of unknown workspaces.
 	MockSecret []byte
 	// Now returns the time. Nil means time.Now.
@@ -86,6 +89,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	nextID   uint64
+	open     int
 	retries  *retryBudget
 	sessions map[uint32]*session
 	writers  sync.Pool
@@ -166,7 +170,12 @@
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(conn net.Conn) {
 	defer conn.Close()
-	session, err := s.open(conn)
+	if !s.enter() {
+		s.refuseFull(conn)
+		return
+	}
+	defer s.leave()
+	session, err := s.openSession(conn)
 	if err != nil {
 		return
 	}
@@ -222,6 +231,23 @@
 	}
 }
 
+// enter counts a connection. It reports false if there are too many.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.MaxSessions > 0 && s.open >= s.config.MaxSessions {
+		return false
+	}
+	s.open++
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
