fix: refuse a Parse of a name that is in use with 42P05

Cause: a Parse of an existing statement name replaced the statement without notice, PostgreSQL refuses it. Change: the name is refused with 42P05 before anything of the batch runs. Names whose Parse did not complete (error of the server, lost server, refused admission) are forgotten, so that repeating them is allowed.

--- a/caller/error.go
+++ b/caller/error.go
@@ -23,6 +23,8 @@
 	KindCancelled Kind = "Cancelled"
 	// KindClosed means that the session ends by shutdown or a withdrawn key.
 	KindClosed Kind = "Closed"
+	// KindDuplicateStatement means that a statement of that name is prepared.
+	KindDuplicateStatement Kind = "DuplicateStatement"
 	// KindForbidden means that the workspace has no such access to the database.
 	KindForbidden Kind = "Forbidden"
 	// KindNotServing means that the instance takes no new work.
@@ -82,6 +84,8 @@
 		return "57014"
 	case KindClosed:
 		return "57P01"
+	case KindDuplicateStatement:
+		return "42P05"
 	case KindForbidden:
 		return "42501"
 	case KindNotServing:
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"errors"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -49,7 +50,8 @@
 	if err := s.include(&r); err != nil {
 		s.takeWriter()
 		defer s.giveWriter()
-		defer s.batch.reset()
+		defer s.endRequest()
+		s.parsed = 0
 		return s.fail(&r, err, s.tx)
 	}
 	return s.serve(&r)
@@ -102,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if len(name) > 0 && s.prepared[string(name)] != nil {
+		return &Error{Op: "parse", Kind: KindDuplicateStatement, Err: errors.New("a prepared statement of this name already exists")}
+	}
 	statement.sql, err = s.check(&statement.class, statement.sql)
 	if err != nil {
 		return err
@@ -112,6 +117,25 @@
 	return nil
 }
 
+// dropUnparsed forgets the statements of the batch whose Parse didn't complete.
+// Otherwise a repeated Parse would be refused as a duplicate.
+func (s *session) dropUnparsed() {
+	parses := 0
+	for _, m := range s.batch.messages {
+		if m.kind != 'P' {
+			continue
+		}
+		parses++
+		if parses <= s.parsed {
+			continue
+		}
+		name, _, _ := bytes.Cut(s.batch.body(m), zeroByte)
+		if m.statement != nil && s.prepared[string(name)] == m.statement {
+			delete(s.prepared, string(name))
+		}
+	}
+}
+
 // includeObject takes the object of a Describe or Close. A closed statement
 // stays on the connection for other sessions.
 func (s *session) includeObject(m *message) error {
@@ -296,6 +320,11 @@
 }
 
 func (s *session) popOperations(n int) {
+	for _, done := range s.operation[:n] {
+		if done.kind == 'P' && !done.injected {
+			s.parsed++
+		}
+	}
 	if n > 0 {
 		s.operation = s.operation[:copy(s.operation, s.operation[n:])]
 	}
@@ -335,6 +364,7 @@
 	for _, m := range s.batch.messages {
 		switch m.kind {
 		case 'P':
+			s.parsed++
 			_ = s.writer.Message(&pgproto3.ParseComplete{})
 		case 'B':
 			if m.statement == nil || !isTransactionEnd(m.statement.sql) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -34,6 +34,7 @@
 	conn := s.lease.Conn()
 	s.operation = s.operation[:0]
 	s.rolledBack = false
+	s.parsed = 0
 	if !s.commitTag {
 		s.held = s.held[:0]
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -96,8 +96,9 @@
 
 // serve runs a request and answers it. An error ends the session.
 func (s *session) serve(r *request) error {
-	defer s.batch.reset()
+	defer s.endRequest()
 	defer s.giveWriter()
+	s.parsed = 0
 	s.takeWriter()
 	if s.lost {
 		return s.serveLost(r)
@@ -110,6 +111,12 @@
 	return s.runRequest(r)
 }
 
+// endRequest forgets what is kept of a request while it runs.
+func (s *session) endRequest() {
+	s.dropUnparsed()
+	s.batch.reset()
+}
+
 // runRequest relays a request, on several servers if nothing ran on the first.
 func (s *session) runRequest(r *request) error {
 	var exclude fleet.ServerID
--- a/caller/session.go
+++ b/caller/session.go
@@ -37,6 +37,7 @@
 	maxAge     time.Duration
 	operation  []operation
 	output     callerWriter
+	parsed     int
 	pinned     bool
 	prepared   map[string]*preparedStatement
 	processID  uint32
