--- a/instance/callers.go
+++ b/instance/callers.go
@@ -32,6 +32,7 @@
 		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, service: i.service},
 		IdleTimeout:     idleTimeout(configured.Timeouts.Idle),
 		MaxMessage:      configured.Limits.MaxMessageBytes,
+		MaxSessions:     configured.Limits.MaxSessions,
 		MockSecret:      secret,
 		Now:             i.config.Now,
 		RequestTimeout:  configured.Limits.QueueTimeout,
