fix: wait longer for a primary that its replicas hear

Cause: TestControllerFalseAlarm failed once under load with InstancesSilent. Virtual time does not depend on the load, but goroutine order moves it by some milliseconds and the lost calls are drawn from it. Six lost calls in a row at two of three instances made an alarm. Change: while a majority of servers hears from the primary, instances must get no answer for 1.5 DetectTime. Conclusion: the cause was the detector's margin, not real time in the bubble.

--- a/group/detector.go
+++ b/group/detector.go
@@ -6,9 +6,16 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
-// suspectFraction is the part of DetectTime after which silence makes a
-// primary suspected. It leaves time for confirming polls before DetectTime.
-const suspectFraction = 3
+const (
+	// contactMargin is the percentage of DetectTime for which instances must
+	// get no answer while a majority of servers hears from the primary. The
+	// primary then runs, so the requests may have been lost. With 900 ms and
+	// 150 ms a call that takes nine lost calls in a row instead of six.
+	contactMargin = 150
+	// suspectFraction is the part of DetectTime after which silence makes a
+	// primary suspected. It leaves time for confirming polls before DetectTime.
+	suspectFraction = 3
+)
 
 // Health is the detector's judgement of a group's primary.
 type Health string
@@ -152,7 +159,7 @@
 		}
 	case failed >= view.Majority():
 		out.Health, out.Reason = Failed, ReasonReplicas
-	case d.instancesSilent(view, reports, live, out.Silence):
+	case d.instancesSilent(now, view, reports, live, out.Silence):
 		out.Health, out.Reason = Failed, ReasonInstances
 	case silent > 0:
 		out.Health, out.Reason = Suspected, ReasonReplicas
@@ -165,13 +172,17 @@
 
 // instancesSilent reports whether this and a majority of live instances get no
 // answer from the primary.
-func (d *Detector) instancesSilent(view View, reports []SuspicionReport, live int, own time.Duration) bool {
-	if own < d.settings.DetectTime {
+func (d *Detector) instancesSilent(now time.Time, view View, reports []SuspicionReport, live int, own time.Duration) bool {
+	limit := d.settings.DetectTime
+	if d.inContact(now, view) {
+		limit = limit * contactMargin / 100
+	}
+	if own < limit {
 		return false
 	}
 	n := 1
 	for i, report := range reports {
-		if report.Term != view.Term || report.Silence < d.settings.DetectTime || report.Received.Before(d.trustedSince) {
+		if report.Term != view.Term || report.Silence < limit || report.Received.Before(d.trustedSince) {
 			continue
 		}
 		if !reportedBefore(reports[:i], report.Instance) {
@@ -181,6 +192,19 @@
 	return n > live/2
 }
 
+// inContact reports whether a majority of the servers, the primary included,
+// is known to have heard from the primary recently.
+func (d *Detector) inContact(now time.Time, view View) bool {
+	n := 1
+	for _, server := range view.Servers {
+		if server.Server != view.Primary && server.Heard(d.recent(now)) &&
+			server.Status.Term == view.Term && server.Status.PrimaryContact < d.suspectTime() {
+			n++
+		}
+	}
+	return n >= view.Majority()
+}
+
 // promiseAhead reports whether a server that answers promised a term above
 // that of the primary.
 func (d *Detector) promiseAhead(now time.Time, view View) bool {
