--- a/group/bench_test.go
+++ b/group/bench_test.go
@@ -12,17 +12,13 @@
 
 // benchView returns the view of a healthy group.
 func benchView(now time.Time, servers int) group.View {
-	var members []group.Member
 	model := newModelGroup(servers)
-	for _, s := range model {
-		members = append(members, group.Member{Server: s.id})
-	}
-	view := group.NewView("g", members)
+	view := modelView(model)
 	for round := range 70 {
 		at := now.Add(time.Duration(round-70) * 250 * time.Millisecond)
 		for _, s := range model {
 			s.contact = at
-			view = view.Observe(group.Observation{Answered: at, Asked: at.Add(-time.Millisecond), Server: s.id, Status: s.status(at)})
+			view = view.Observe(s.observation(at.Add(-time.Millisecond), at))
 		}
 	}
 	return view
--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -46,6 +46,15 @@
 	return acknowledged
 }
 
+// kindOf returns the kind of an error of the package, or nothing.
+func kindOf(err error) group.ErrorKind {
+	var failed *group.Error
+	if !errors.As(err, &failed) {
+		return ""
+	}
+	return failed.Kind
+}
+
 // failover runs writers, a fault and a wait, and checks that no acknowledged
 // write is missing on the newest primary.
 func failover(t *testing.T, servers int, fault func(*deployment), wait time.Duration) (*deployment, time.Time) {
@@ -101,7 +110,6 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d, begun := failover(t, tc.servers, tc.fault, 4*time.Second)
-				defer d.stop(t)
 				records := d.records()
 				if len(records) != 1 {
 					t.Fatalf("got %d promotions, want 1: %+v", len(records), records)
@@ -141,7 +149,6 @@
 				d.group.cut[server] = true
 			}
 		}, 6*time.Second)
-		defer d.stop(t)
 		view := d.instances[0].section.Load()
 		d.group.with(func() {
 			if !view.Established || d.group.cut[view.Primary] {
@@ -166,7 +173,6 @@
 				})
 			})
 		}, 5*time.Second)
-		defer d.stop(t)
 		d.group.with(func() {
 			if got := d.group.find("a").role; got == group.RolePrimary {
 				t.Error("the old primary still leads")
@@ -183,7 +189,6 @@
 				return rand.New(rand.NewPCG(uint64(i[0])<<8|uint64(s[0]), uint64(time.Now().UnixMicro()))).IntN(100) < 30
 			}
 		}, 10*time.Second)
-		defer d.stop(t)
 		if got := d.records(); len(got) > 0 {
 			t.Errorf("promotions: %+v", got)
 		}
@@ -194,7 +199,6 @@
 func TestControllerNoMajority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := deploy(t, 3, 2)
-		defer d.stop(t)
 		d.group.with(func() { d.group.down["a"], d.group.down["b"] = true, true })
 		time.Sleep(5 * time.Second)
 		d.group.with(func() {
@@ -205,8 +209,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, _, err := d.instances[0].AwaitPrimary(ctx)
-		var failed *group.Error
-		if !errors.As(err, &failed) || failed.Kind != group.KindNoPrimary {
+		if kindOf(err) != group.KindNoPrimary {
 			t.Errorf("AwaitPrimary error %v, want kind %s", err, group.KindNoPrimary)
 		}
 	})
@@ -219,7 +222,6 @@
 		d, begun := failover(t, 3, func(d *deployment) {
 			d.placement.Store(&group.Placement{Leaving: []fleet.ServerID{"a", "b"}})
 		}, 2*time.Second)
-		defer d.stop(t)
 		records := d.records()
 		if len(records) != 1 {
 			t.Fatalf("got %d promotions, want 1: %+v", len(records), records)
@@ -238,7 +240,6 @@
 func TestControllerBarrierSharesRounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := deploy(t, 3, 1)
-		defer d.stop(t)
 		before := d.group.requests()
 		arrived := time.Now()
 		results := make(chan error)
@@ -267,7 +268,6 @@
 func TestControllerAwaitFresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := deploy(t, 3, 1)
-		defer d.stop(t)
 		i := d.instances[0]
 		position, _ := d.group.write("a")
 		choice := group.Choice{Strategy: group.FreshnessDistance}
@@ -292,14 +292,12 @@
 func TestControllerWriteOnCutOffPrimary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := deploy(t, 3, 2)
-		defer d.stop(t)
 		d.group.with(func() { d.group.cut["a"] = true })
 		position, _ := d.group.write("a")
 		short, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer cancel()
 		decision, err := d.instances[0].AwaitCommit(short, position)
-		var failed *group.Error
-		if decision != group.Pending || !errors.As(err, &failed) || failed.Kind != group.KindUnknown {
+		if decision != group.Pending || kindOf(err) != group.KindUnknown {
 			t.Errorf("decision %s, error %v before a later term, want %s and %s", decision, err, group.Pending, group.KindUnknown)
 		}
 		decision, err = d.instances[0].AwaitCommit(t.Context(), position)
@@ -307,7 +305,7 @@
 			t.Errorf("decision %s, error %v after a later term, want %s", decision, err, group.NotRun)
 		}
 		need := group.Requirement{Written: position}
-		if _, err = d.instances[0].AwaitFresh(t.Context(), need, group.Choice{}, time.Second); !errors.As(err, &failed) || failed.Kind != group.KindLost {
+		if _, err = d.instances[0].AwaitFresh(t.Context(), need, group.Choice{}, time.Second); kindOf(err) != group.KindLost {
 			t.Errorf("read after a lost write: %v, want %s", err, group.KindLost)
 		}
 	})
@@ -318,7 +316,6 @@
 func TestControllerHealsPromiseAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, _ := failover(t, 3, func(d *deployment) { d.group.find("b").fence(5, "gone") }, 3*time.Second)
-		defer d.stop(t)
 		view := d.instances[0].section.Load()
 		server, _ := view.Server("b")
 		if view.Primary != "a" || server.Status.Term != view.Term || view.Term <= 5 {
--- a/group/evidence_test.go
+++ b/group/evidence_test.go
@@ -52,14 +52,15 @@
 		committed: map[fleet.Position]fleet.Term{}, entries: map[fleet.LogPosition]fleet.Term{}, notRun: map[fleet.Position]fleet.Term{}, now: time.Unix(1000, 0),
 		pick: pick, promoters: make([]modelPromoter, 3), rules: r, servers: newModelGroup(size),
 	}
-	var members []group.Member
-	for _, s := range m.servers {
-		members = append(members, group.Member{Server: s.id})
-	}
-	m.views = []group.View{group.NewView("g", members), group.NewView("g", members)}
+	m.views = []group.View{modelView(m.servers), modelView(m.servers)}
 	return m
 }
 
+// newSafeModel returns a model with the rules in use.
+func newSafeModel(size int, pick func(n int) int) *evidenceModel {
+	return newEvidenceModel(size, rules{decide: group.DecideCommit, quorum: majority(size)}, pick)
+}
+
 func (m *evidenceModel) server() *modelServer {
 	return m.servers[m.pick(len(m.servers))]
 }
@@ -89,17 +90,13 @@
 }
 
 func (m *evidenceModel) write() {
-	s := m.server()
-	if s.role != group.RolePrimary {
-		return
+	if position, ok := m.server().write(); ok {
+		m.written = append(m.written, position)
 	}
-	s.log = append(s.log[:len(s.log):len(s.log)], s.term)
-	m.written = append(m.written, s.position(len(s.log)))
 }
 
 func (m *evidenceModel) observation() group.Observation {
-	s := m.server()
-	return group.Observation{Answered: m.now, Asked: m.now, Server: s.id, Status: s.status(m.now)}
+	return m.server().observation(m.now, m.now)
 }
 
 // elect advances one promoter: it fences a server, or promotes once it has a quorum.
@@ -244,7 +241,7 @@
 		size := rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "size")
 		seed := rapid.Uint64().Draw(t, "seed")
 		random := rand.New(rand.NewPCG(seed, 1))
-		m := newEvidenceModel(size, rules{decide: group.DecideCommit, quorum: majority(size)}, random.IntN)
+		m := newSafeModel(size, random.IntN)
 		if err := run(m, 400); err != nil {
 			t.Fatal(err)
 		}
@@ -255,7 +252,7 @@
 func TestDecideCommitDecides(t *testing.T) {
 	committed, notRun := 0, 0
 	for seed := range uint64(50) {
-		m := newEvidenceModel(3, rules{decide: group.DecideCommit, quorum: 2}, rand.New(rand.NewPCG(seed, 2)).IntN)
+		m := newSafeModel(3, rand.New(rand.NewPCG(seed, 2)).IntN)
 		if err := run(m, 400); err != nil {
 			t.Fatal(err)
 		}
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -85,12 +85,10 @@
 func (g *fakeGroup) write(id fleet.ServerID) (fleet.Position, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.find(id)
-	if g.down[id] || s.role != group.RolePrimary {
+	if g.down[id] {
 		return fleet.Position{}, false
 	}
-	s.log = append(s.log[:len(s.log):len(s.log)], s.term)
-	return s.position(len(s.log)), true
+	return g.find(id).write()
 }
 
 // requests returns the number of status requests that arrived.
@@ -247,12 +245,14 @@
 	running   sync.WaitGroup
 }
 
-// deploy starts a group and instances inside a synctest bubble and lets them settle.
+// deploy starts a group and instances inside a synctest bubble and lets them
+// settle. They are stopped and checked at the end of the test.
 func deploy(t *testing.T, servers, instances int) *deployment {
 	t.Helper()
 	d := &deployment{group: newFakeGroup(servers)}
 	d.placement.Store(&group.Placement{})
 	d.ctx, d.cancel = context.WithCancel(t.Context())
+	t.Cleanup(func() { d.stop(t) })
 	d.running.Go(func() { d.group.replicate(d.ctx) })
 	d.start(instances, func(instance fleet.InstanceID) []group.ServerConfig {
 		var servers []group.ServerConfig
@@ -289,7 +289,7 @@
 	t.Helper()
 	d.cancel()
 	d.running.Wait()
-	if d.group != nil && d.group.twice {
+	if d.group.twice {
 		t.Error("two servers were promoted in one term")
 	}
 }
--- a/group/freshness_test.go
+++ b/group/freshness_test.go
@@ -54,7 +54,7 @@
 func TestReadCandidatesCoverRequirement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 8))
-		m := &freshModel{evidenceModel: newEvidenceModel(3, rules{decide: group.DecideCommit, quorum: 2}, random.IntN)}
+		m := &freshModel{evidenceModel: newSafeModel(3, random.IntN)}
 		for range 200 {
 			if err := m.advance(); err != nil {
 				t.Fatal(err)
--- a/group/model_test.go
+++ b/group/model_test.go
@@ -34,6 +34,29 @@
 	return servers
 }
 
+// modelView returns the view of an instance that knows nothing but the servers.
+func modelView(servers []*modelServer) group.View {
+	var members []group.Member
+	for _, s := range servers {
+		members = append(members, group.Member{Server: s.id})
+	}
+	return group.NewView("g", members)
+}
+
+// observation returns an answer of the server.
+func (s *modelServer) observation(asked, answered time.Time) group.Observation {
+	return group.Observation{Answered: answered, Asked: asked, Server: s.id, Status: s.status(answered)}
+}
+
+// write appends an entry if the server leads.
+func (s *modelServer) write() (fleet.Position, bool) {
+	if s.role != group.RolePrimary {
+		return fleet.Position{}, false
+	}
+	s.log = append(s.log[:len(s.log):len(s.log)], s.term)
+	return s.position(len(s.log)), true
+}
+
 // position returns the position of the entry with the given number.
 func (s *modelServer) position(n int) fleet.Position {
 	if n == 0 {
--- a/group/promoter_test.go
+++ b/group/promoter_test.go
@@ -48,7 +48,7 @@
 
 func newRivalModel(size int, random *rand.Rand) *rivalModel {
 	m := &rivalModel{
-		evidenceModel: newEvidenceModel(size, rules{decide: group.DecideCommit, quorum: majority(size)}, random.IntN),
+		evidenceModel: newSafeModel(size, random.IntN),
 		down:          map[fleet.ServerID]bool{}, faults: true, promoted: map[fleet.Term]fleet.ServerID{1: "a"}, random: random,
 	}
 	m.views = append(m.views, m.views[0])
@@ -65,11 +65,7 @@
 	r.epoch++
 	r.detector = group.NewDetector(group.DefaultSettings())
 	r.promoter = group.NewPromoter("g", group.DefaultSettings())
-	var members []group.Member
-	for _, s := range m.servers {
-		members = append(members, group.Member{Server: s.id})
-	}
-	m.views[n] = group.NewView("g", members)
+	m.views[n] = modelView(m.servers)
 }
 
 // tick advances the time by 10 ms.
