test: check that a handover is learned from a refused write

Cause: nothing checked ReportRefusal and the polls while requests wait. Change: TestControllerLearnsOfHandover; it fails without either of the two.

--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -236,6 +236,35 @@
 	})
 }
 
+// TestControllerLearnsOfHandover guards against an instance that goes on with
+// the old primary until its next poll, although a write was refused.
+func TestControllerLearnsOfHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 3, 3)
+		d.placement.Store(&group.Placement{Leaving: []fleet.ServerID{"a"}})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		for _, ok := d.group.write("a"); ok && ctx.Err() == nil; _, ok = d.group.write("a") {
+			time.Sleep(time.Millisecond)
+		}
+		refused := time.Now()
+		for _, i := range d.instances {
+			i.ReportRefusal()
+		}
+		// A poll that was under way when the write was refused comes first.
+		time.Sleep(6 * fakeOneWay)
+		for _, i := range d.instances {
+			server, term, err := i.AwaitPrimary(ctx)
+			if err != nil || server == "a" || term < 2 {
+				t.Errorf("instance %s: primary %s of term %d, %v", i.id, server, term, err)
+			}
+		}
+		if got, want := time.Since(refused), 40*time.Millisecond; got > want {
+			t.Errorf("the last instance knew the next primary after %v, want at most %v", got, want)
+		}
+	})
+}
+
 // TestControllerBarrierSharesRounds guards against one round for each session.
 func TestControllerBarrierSharesRounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
