--- a/caller/request.go
+++ b/caller/request.go
@@ -25,12 +25,14 @@
 type request struct {
 	access     Access
 	arrivedAt  time.Time
+	begins     int
 	commits    bool
 	control    bool
 	idempotent bool
 	maxAge     time.Duration
 	simple     bool
 	sql        string
+	statements int
 	synced     bool
 	touches    bool
 }
@@ -59,11 +61,24 @@
 		r.maxAge = c.Hints.MaxAge
 	}
 	for s := range c.statements {
+		if s.Verb == VerbBegin {
+			r.begins++
+		}
+		if s.Verb != VerbEmpty {
+			r.statements++
+		}
 		r.commits = r.commits || s.Verb == VerbCommit
 		r.touches = r.touches || s.Touches
 	}
 }
 
+// mayFollowRefusal reports whether the request can run on another server after
+// this one refused to write. Of those that control a transaction only a single
+// BEGIN can: a server that is being fenced refuses it, and nothing ran.
+func (r *request) mayFollowRefusal() bool {
+	return !r.control || (r.begins == 1 && r.statements == 1)
+}
+
 // simple handles a simple query.
 func (s *session) simple() error {
 	body, err := s.reader.Body()
@@ -96,8 +111,9 @@
 
 // serve runs a request and answers it. An error ends the session.
 func (s *session) serve(r *request) error {
-	defer s.batch.reset()
+	defer s.endRequest()
 	defer s.giveWriter()
+	s.parsed = 0
 	s.takeWriter()
 	if s.lost {
 		return s.serveLost(r)
@@ -110,14 +126,19 @@
 	return s.runRequest(r)
 }
 
+// endRequest forgets what is kept of a request while it runs.
+func (s *session) endRequest() {
+	s.dropUnparsed()
+	s.batch.reset()
+}
+
 // runRequest relays a request, on several servers if nothing ran on the first.
 func (s *session) runRequest(r *request) error {
 	var exclude fleet.ServerID
 	for attempt := 0; ; attempt++ {
-		fresh := s.lease == nil
+		fresh := s.lease == nil || s.begin != ""
 		if err := s.ensureLease(r, exclude); err != nil {
-			s.dropChanges()
-			return s.fail(r, err, s.tx)
+			return s.failAcquire(r, err)
 		}
 		result, callerErr := s.attempt(r)
 		if callerErr != nil {
@@ -142,7 +163,7 @@
 // prepareRerun puts the session into the state before the request, and waits.
 func (s *session) prepareRerun(r *request, result answer, attempt int) {
 	s.server.record(Event{Group: s.group, Name: EventRetry, Server: s.lease.Server(), Workspace: s.workspace})
-	s.release(result.err == nil)
+	s.release(result.err == nil && s.leaveBlock())
 	s.writer.Reset(&s.output)
 	if result.code == codeReadOnly {
 		r.access = AccessWrite
@@ -157,6 +178,24 @@
 	}
 }
 
+// leaveBlock ends the transaction block in which a request was refused. It
+// reports whether the connection can be used again.
+func (s *session) leaveBlock() bool {
+	return s.begin == "" || s.lease.Conn().Exec("ROLLBACK") == nil
+}
+
+// failAcquire refuses a request that got no connection. A transaction block
+// that was to move to another server stays failed until the caller ends it.
+func (s *session) failAcquire(r *request, err error) error {
+	s.dropChanges()
+	if s.begin == "" {
+		return s.fail(r, err, s.tx)
+	}
+	s.begin = ""
+	s.lost = true
+	return s.fail(r, err, backend.TxFailed)
+}
+
 // rerunWait returns the wait before a rerun. Jitter is in [0, 1).
 func rerunWait(attempt int, jitter float64) time.Duration {
 	if attempt == 0 {
@@ -217,6 +256,12 @@
 		s.release(conn.Reusable())
 		return adoptError(err)
 	}
+	if s.begin != "" {
+		if err := conn.Exec(s.begin); err != nil {
+			s.release(conn.Reusable())
+			return lostError("the transaction could not be moved to another server")
+		}
+	}
 	if conn.Prepared() > maxPrepared {
 		if err := s.closePrepared(conn); err != nil {
 			s.release(false)
@@ -245,7 +290,7 @@
 // mayRerun reports whether a request can be run again on another server.
 func (s *session) mayRerun(r *request, result answer) bool {
 	config := &s.server.config
-	if s.writer.Flushed() || r.control || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
+	if s.writer.Flushed() || !r.mayFollowRefusal() || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
 		return false
 	}
 	if result.rerun {
@@ -267,6 +312,7 @@
 		_ = s.writer.Message(result.failure)
 	}
 	s.tx = conn.TxStatus()
+	s.noteBegin(r)
 	s.settle(r, result, conn)
 	if s.tx != backend.TxIdle {
 		return s.ready(true)
@@ -284,6 +330,17 @@
 	return s.acknowledge(position, result)
 }
 
+// noteBegin takes note of a transaction block in which nothing ran yet. Such a
+// block can move to another server.
+func (s *session) noteBegin(r *request) {
+	switch {
+	case r.simple && r.begins == 1 && r.statements == 1 && s.tx == backend.TxOpen:
+		s.begin = r.sql
+	case r.statements > 0 || s.tx != backend.TxOpen:
+		s.begin = ""
+	}
+}
+
 // finishFlush ends the answer to a Flush. What is held acknowledges nothing
 // before Sync, except for a COMMIT, which stays held.
 func (s *session) finishFlush() error {
@@ -357,6 +414,7 @@
 	inTransaction := s.tx != backend.TxIdle
 	primary := s.lease.Primary()
 	pinned := s.pinned
+	s.begin = ""
 	s.release(false)
 	s.dropChanges()
 	switch {
