fix: keep sessions monotonic after primary reads and ignore unexecuted SET

A SET counted as run when it was bound. Change: after a request that only the primary could run and that reported no position, the next read asks for a barrier that began after it; its position covers what the read saw. Reads that fell back to the primary are left out, since the newer position would keep the session on the primary while replicas lag. Changes of the session are noted at Execute, by portal. A read that fell back to the primary can still be followed by an older replica read.

--- a/caller/check.go
+++ b/caller/check.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// changesSession reports whether noteChanges would note anything.
+func (c *Classification) changesSession() bool {
+	for statement := range c.statements {
+		switch statement.Verb {
+		case VerbDeallocate, VerbDiscard, VerbReset, VerbRollbackTo, VerbSet:
+			return true
+		}
+		if statement.Pins {
+			return true
+		}
+	}
+	return false
+}
+
 // verbPin is the change that pins the connection.
 const verbPin Verb = "Pin"
 
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -90,6 +90,8 @@
 			err = s.includeBind(r, m)
 		case 'C', 'D':
 			err = s.includeObject(m)
+		case 'E':
+			err = s.includeExecute(m)
 		}
 		if err != nil {
 			s.dropChanges()
@@ -152,16 +154,40 @@
 
 // includeBind takes the statement of a Bind as one that runs.
 func (s *session) includeBind(r *request, m *message) error {
-	_, name, _, err := bindNames(s.batch.body(*m))
+	portal, name, _, err := bindNames(s.batch.body(*m))
 	if err != nil {
 		return err
 	}
 	m.statement = s.prepared[string(name)]
-	if m.statement == nil {
-		return nil
+	s.bindPortal(portal, m.statement)
+	if m.statement != nil {
+		r.include(&m.statement.class)
+	}
+	return nil
+}
+
+// bindPortal notes which statement a portal runs, if that changes the session.
+func (s *session) bindPortal(portal []byte, statement *preparedStatement) {
+	if statement == nil || !statement.class.changesSession() {
+		delete(s.portals, string(portal))
+		return
+	}
+	if s.portals == nil {
+		s.portals = make(map[string]*preparedStatement)
+	}
+	s.portals[string(portal)] = statement
+}
+
+// includeExecute notes the changes of a portal. A portal that is bound but not
+// executed changes nothing.
+func (s *session) includeExecute(m *message) error {
+	portal, _, found := bytes.Cut(s.batch.body(*m), zeroByte)
+	if !found {
+		return malformed("Execute")
+	}
+	if statement := s.portals[string(portal)]; statement != nil {
+		s.noteChanges(&statement.class)
 	}
-	r.include(&m.statement.class)
-	s.noteChanges(&m.statement.class)
 	return nil
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -114,6 +114,9 @@
 // endRequest forgets what is kept of a request while it runs.
 func (s *session) endRequest() {
 	s.dropUnparsed()
+	if s.tx == backend.TxIdle && !s.flushOpen() {
+		clear(s.portals)
+	}
 	s.batch.reset()
 }
 
@@ -234,18 +237,27 @@
 }
 
 // ensureToken gets a position before the first read of a session that brought
-// no token and wrote nothing.
+// no token and wrote nothing, and before the first read after one that only the
+// primary could run. A primary reports no position after a read; that of a barrier covers
+// what the read saw.
 func (s *session) ensureToken(r *request) error {
 	config := &s.server.config
-	if s.hasToken || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
+	isCovered := s.hasToken && s.readAt.IsZero()
+	if isCovered || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
 		return nil
 	}
-	position, err := config.Barrier.Barrier(s.ctx, s.group, s.arrivedAt)
+	since := s.arrivedAt
+	if s.readAt.After(since) {
+		since = s.readAt
+	}
+	position, err := config.Barrier.Barrier(s.ctx, s.group, since)
 	if err != nil {
 		return acquireError(err)
 	}
-	s.token = Token{Group: s.group, Seen: position}
+	s.token, _ = s.token.moveSeen(position)
+	s.token.Group = s.group
 	s.hasToken = true
+	s.readAt = time.Time{}
 	return nil
 }
 
@@ -282,6 +294,11 @@
 		s.release(conn.Reusable())
 	}
 	if !moved {
+		// A read that only fell back to the primary is left out. While replicas
+		// lag it would keep the session's later reads on the primary too.
+		if primary && r.access == AccessWrite {
+			s.readAt = s.server.config.Now()
+		}
 		return s.ready(true)
 	}
 	if !primary {
--- a/caller/session.go
+++ b/caller/session.go
@@ -20,29 +20,32 @@
 // session is one caller's connection after authentication. Its own goroutine
 // runs it; stop, abort and cancel may be called from others.
 type session struct {
-	arrivedAt  time.Time
-	batch      batch
-	changes    []settingChange
-	commitTag  bool
-	conn       net.Conn
-	ctx        context.Context
-	endWait    func()
-	group      fleet.GroupID
-	hasToken   bool
-	held       []byte
-	id         uint64
-	initial    []setting
-	key        KeyID
-	lost       bool
-	maxAge     time.Duration
-	operation  []operation
-	output     callerWriter
-	parsed     int
-	pinned     bool
-	prepared   map[string]*preparedStatement
-	processID  uint32
-	profile    string
-	reader     *backend.FrameReader
+	arrivedAt time.Time
+	batch     batch
+	changes   []settingChange
+	commitTag bool
+	conn      net.Conn
+	ctx       context.Context
+	endWait   func()
+	group     fleet.GroupID
+	hasToken  bool
+	held      []byte
+	id        uint64
+	initial   []setting
+	key       KeyID
+	lost      bool
+	maxAge    time.Duration
+	operation []operation
+	output    callerWriter
+	parsed    int
+	pinned    bool
+	portals   map[string]*preparedStatement
+	prepared  map[string]*preparedStatement
+	processID uint32
+	profile   string
+	reader    *backend.FrameReader
+	// readAt is when a read on the primary ended whose position isn't known.
+	readAt     time.Time
 	rolledBack bool
 	secret     [4]byte
 	sending    <-chan error
