fix: bound the memory of messages before Sync and of prepared statements

Cause: MaxMessage counted bytes on the wire; a flood of empty messages takes about seven times as much here. Prepared statements of a session were not bounded, and an idle session kept the buffers of its largest batch. Change: at most 131072 messages up to a Sync, else 08P01. Prepared statements of a session together are bounded by MaxMessage, else 0A000. Buffers above 64 elements, and 4 KiB of held messages, are dropped after a request. Conclusion: TestFlood guards both bounds. TestSlowCaller confirms that a caller that never reads, or stalls inside a message, leaves no connection in use.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -13,6 +13,13 @@
 // headerSize is the size of a message header in bytes.
 const headerSize = 5
 
+// maxBatchMessages bounds the messages up to a Sync, since small messages take
+// more memory here than on the wire.
+const maxBatchMessages = 1 << 17
+
+// keptCapacity is the number of elements of a buffer that an idle session keeps.
+const keptCapacity = 64
+
 // message is one message of a batch. The offsets are those of its body.
 type message struct {
 	end   int
@@ -58,6 +65,10 @@
 		b.data = nil
 	}
 	b.data = b.data[:0]
+	if cap(b.messages) > keptCapacity {
+		b.messages = nil
+	}
+	clear(b.messages)
 	b.messages = b.messages[:0]
 }
 
@@ -99,6 +110,12 @@
 	return name, statement, nil
 }
 
+// size returns the memory that the statement takes, about, in bytes.
+func (p *preparedStatement) size() int {
+	const overhead = 512
+	return overhead + len(p.sql) + len(p.types)
+}
+
 // digest sets the name of the statement on backend connections.
 func (p *preparedStatement) digest() {
 	hash := sha256.New()
--- a/caller/check.go
+++ b/caller/check.go
@@ -31,7 +31,7 @@
 	case own:
 		return harmlessSQL, nil
 	case renamed:
-		delete(s.prepared, first.Name)
+		s.dropPrepared(first.Name)
 		return harmlessSQL, nil
 	}
 	return sql, nil
@@ -138,6 +138,7 @@
 		return
 	}
 	clear(s.prepared)
+	s.preparedSize = 0
 	conn.Forget()
 }
 
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -22,7 +22,7 @@
 	if s.skipping {
 		return nil
 	}
-	if len(s.batch.data)+len(body) > s.server.config.MaxMessage {
+	if len(s.batch.data)+len(body) > s.server.config.MaxMessage || len(s.batch.messages) >= maxBatchMessages {
 		return &Error{Op: "read", Kind: KindProtocol, Err: errors.New("too much data before Sync")}
 	}
 	s.batch.add(kind, body)
@@ -114,7 +114,12 @@
 		return err
 	}
 	statement.digest()
+	s.dropPrepared(string(name))
+	if s.preparedSize+statement.size() > s.server.config.MaxMessage {
+		return &Error{Op: "parse", Kind: KindUnsupported, Err: errors.New("the session has too many prepared statements")}
+	}
 	s.prepared[string(name)] = statement
+	s.preparedSize += statement.size()
 	m.statement = statement
 	return nil
 }
@@ -133,11 +138,19 @@
 		}
 		name, _, _ := bytes.Cut(s.batch.body(m), zeroByte)
 		if m.statement != nil && s.prepared[string(name)] == m.statement {
-			delete(s.prepared, string(name))
+			s.dropPrepared(string(name))
 		}
 	}
 }
 
+// dropPrepared forgets a statement, if there is one of the name.
+func (s *session) dropPrepared(name string) {
+	if statement := s.prepared[name]; statement != nil {
+		s.preparedSize -= statement.size()
+		delete(s.prepared, name)
+	}
+}
+
 // includeObject takes the object of a Describe or Close. A closed statement
 // stays on the connection for other sessions.
 func (s *session) includeObject(m *message) error {
@@ -147,7 +160,7 @@
 	}
 	m.statement = s.prepared[string(name)]
 	if m.kind == 'C' {
-		delete(s.prepared, string(name))
+		s.dropPrepared(string(name))
 	}
 	return nil
 }
--- a/caller/limit_test.go
+++ b/caller/limit_test.go
@@ -1,13 +1,17 @@
 package caller_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/nutmegpier/nutmegpier/caller"
 )
@@ -50,3 +54,104 @@
 		t.Errorf("connections to the backend server (-want +got):\n%s", diff)
 	}
 }
+
+// TestFlood guards against small messages without Sync, and prepared
+// statements, that take unbounded memory.
+func TestFlood(t *testing.T) {
+	d := deploy(t, writes, nil, func(config *caller.Config) { config.MaxMessage = 4 << 20 })
+	hijacked, err := d.connect(t).PgConn().Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hijacked.Conn.Close()
+	_ = hijacked.Conn.SetDeadline(time.Now().Add(20 * time.Second))
+	// The messages are below the limit in bytes.
+	_, _ = hijacked.Conn.Write(bytes.Repeat(encode(&pgproto3.Describe{ObjectType: 'P'}), 1<<17+1))
+	output, _ := io.ReadAll(hijacked.Conn)
+	if diff := cmp.Diff("08P01", fatalCode(output)); diff != "" {
+		t.Errorf("SQLSTATE after many messages (-want +got):\n%s", diff)
+	}
+	conn := d.connect(t).PgConn()
+	var codes []string
+	for _, name := range []string{"a", "b", "c"} {
+		_, err := conn.Prepare(context.Background(), name, "select '"+strings.Repeat("x", 3<<19)+"'", nil)
+		code := ""
+		if err != nil {
+			code = failure(t, err)[0]
+		}
+		codes = append(codes, code)
+	}
+	if diff := cmp.Diff([]string{"", "", "0A000"}, codes); diff != "" {
+		t.Errorf("SQLSTATEs of large statements (-want +got):\n%s", diff)
+	}
+}
+
+// TestSlowCaller guards against callers that hold a backend connection without
+// reading their answers, or by sending a part of a message.
+func TestSlowCaller(t *testing.T) {
+	script := func(sql string) reply {
+		if strings.HasPrefix(sql, "select large") {
+			return reply{rows: []string{strings.Repeat("x", 32<<20)}}
+		}
+		return oneRow("primary")(sql)
+	}
+	for name, tc := range map[string]struct {
+		input string
+		want  []bool
+	}{
+		"HalfMessage": {"Q\x00\x00\x00\x20select", nil},
+		"NeverReads":  {string(encode(&pgproto3.Query{String: "select large"})), []bool{false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			released := make(chan bool, 10)
+			d := deploy(t, script, nil, func(config *caller.Config) {
+				config.IdleTimeout = 300 * time.Millisecond
+				config.WriteTimeout = 300 * time.Millisecond
+				config.Router = &tellingRouter{Router: config.Router, released: released}
+			})
+			hijacked, err := d.connect(t).PgConn().Hijack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer hijacked.Conn.Close()
+			if _, err := hijacked.Conn.Write([]byte(tc.input)); err != nil {
+				t.Fatal(err)
+			}
+			d.awaitSessions(t)
+			close(released)
+			var got []bool
+			for healthy := range released {
+				got = append(got, healthy)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("connections given back, and whether healthy (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// tellingRouter tells when connections are given back.
+type tellingRouter struct {
+	caller.Router
+	released chan bool
+}
+
+// Acquire passes the request on.
+func (r *tellingRouter) Acquire(ctx context.Context, request caller.Request) (caller.Lease, error) {
+	lease, err := r.Router.Acquire(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return &tellingLease{Lease: lease, released: r.released}, nil
+}
+
+type tellingLease struct {
+	caller.Lease
+	released chan bool
+}
+
+// Release gives the connection back and tells so.
+func (l *tellingLease) Release(healthy bool) {
+	l.Lease.Release(healthy)
+	l.released <- healthy
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -17,6 +17,10 @@
 	maxRerunWait   = 100 * time.Millisecond
 )
 
+// maxKeptHeld is the size of the buffer for held messages that an idle session
+// keeps, in bytes.
+const maxKeptHeld = 4 << 10
+
 // codeReadOnly is the SQLSTATE with which a replica or a fenced primary
 // refuses a write. It proves that nothing ran.
 const codeReadOnly = "25006"
@@ -118,6 +122,12 @@
 		clear(s.portals)
 	}
 	s.batch.reset()
+	if cap(s.operation) > keptCapacity {
+		s.operation = nil
+	}
+	if len(s.held) == 0 && cap(s.held) > maxKeptHeld {
+		s.held = nil
+	}
 }
 
 // runRequest relays a request, on several servers if nothing ran on the first.
--- a/caller/session.go
+++ b/caller/session.go
@@ -41,9 +41,11 @@
 	pinned    bool
 	portals   map[string]*preparedStatement
 	prepared  map[string]*preparedStatement
-	processID uint32
-	profile   string
-	reader    *backend.FrameReader
+	// preparedSize is the memory of the prepared statements in bytes.
+	preparedSize int
+	processID    uint32
+	profile      string
+	reader       *backend.FrameReader
 	// readAt is when a read on the primary ended whose position isn't known.
 	readAt     time.Time
 	rolledBack bool
