--- a/caller/check.go
+++ b/caller/check.go
@@ -31,7 +31,7 @@
 	case own:
 		return harmlessSQL, nil
 	case renamed:
-		delete(s.prepared, first.Name)
+		s.dropPrepared(first.Name)
 		return harmlessSQL, nil
 	}
 	return sql, nil
@@ -77,6 +77,20 @@
 	}
 }
 
+// changesSession reports whether noteChanges would note anything.
+func (c *Classification) changesSession() bool {
+	for statement := range c.statements {
+		switch statement.Verb {
+		case VerbDeallocate, VerbDiscard, VerbReset, VerbRollbackTo, VerbSet:
+			return true
+		}
+		if statement.Pins {
+			return true
+		}
+	}
+	return false
+}
+
 // verbPin is the change that pins the connection.
 const verbPin Verb = "Pin"
 
@@ -124,6 +138,7 @@
 		return
 	}
 	clear(s.prepared)
+	s.preparedSize = 0
 	conn.Forget()
 }
 
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -22,7 +22,7 @@
 	if s.skipping {
 		return nil
 	}
-	if len(s.batch.data)+len(body) > s.server.config.MaxMessage {
+	if len(s.batch.data)+len(body) > s.server.config.MaxMessage || len(s.batch.messages) >= maxBatchMessages {
 		return &Error{Op: "read", Kind: KindProtocol, Err: errors.New("too much data before Sync")}
 	}
 	s.batch.add(kind, body)
@@ -90,6 +90,8 @@
 			err = s.includeBind(r, m)
 		case 'C', 'D':
 			err = s.includeObject(m)
+		case 'E':
+			err = s.includeExecute(m)
 		}
 		if err != nil {
 			s.dropChanges()
@@ -112,7 +114,12 @@
 		return err
 	}
 	statement.digest()
+	s.dropPrepared(string(name))
+	if s.preparedSize+statement.size() > s.server.config.MaxMessage {
+		return &Error{Op: "parse", Kind: KindUnsupported, Err: errors.New("the session has too many prepared statements")}
+	}
 	s.prepared[string(name)] = statement
+	s.preparedSize += statement.size()
 	m.statement = statement
 	return nil
 }
@@ -131,11 +138,19 @@
 		}
 		name, _, _ := bytes.Cut(s.batch.body(m), zeroByte)
 		if m.statement != nil && s.prepared[string(name)] == m.statement {
-			delete(s.prepared, string(name))
+			s.dropPrepared(string(name))
 		}
 	}
 }
 
+// dropPrepared forgets a statement, if there is one of the name.
+func (s *session) dropPrepared(name string) {
+	if statement := s.prepared[name]; statement != nil {
+		s.preparedSize -= statement.size()
+		delete(s.prepared, name)
+	}
+}
+
 // includeObject takes the object of a Describe or Close. A closed statement
 // stays on the connection for other sessions.
 func (s *session) includeObject(m *message) error {
@@ -145,23 +160,47 @@
 	}
 	m.statement = s.prepared[string(name)]
 	if m.kind == 'C' {
-		delete(s.prepared, string(name))
+		s.dropPrepared(string(name))
 	}
 	return nil
 }
 
 // includeBind takes the statement of a Bind as one that runs.
 func (s *session) includeBind(r *request, m *message) error {
-	_, name, _, err := bindNames(s.batch.body(*m))
+	portal, name, _, err := bindNames(s.batch.body(*m))
 	if err != nil {
 		return err
 	}
 	m.statement = s.prepared[string(name)]
-	if m.statement == nil {
-		return nil
+	s.bindPortal(portal, m.statement)
+	if m.statement != nil {
+		r.include(&m.statement.class)
+	}
+	return nil
+}
+
+// bindPortal notes which statement a portal runs, if that changes the session.
+func (s *session) bindPortal(portal []byte, statement *preparedStatement) {
+	if statement == nil || !statement.class.changesSession() {
+		delete(s.portals, string(portal))
+		return
+	}
+	if s.portals == nil {
+		s.portals = make(map[string]*preparedStatement)
+	}
+	s.portals[string(portal)] = statement
+}
+
+// includeExecute notes the changes of a portal. A portal that is bound but not
+// executed changes nothing.
+func (s *session) includeExecute(m *message) error {
+	portal, _, found := bytes.Cut(s.batch.body(*m), zeroByte)
+	if !found {
+		return malformed("Execute")
+	}
+	if statement := s.portals[string(portal)]; statement != nil {
+		s.noteChanges(&statement.class)
 	}
-	r.include(&m.statement.class)
-	s.noteChanges(&m.statement.class)
 	return nil
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -17,6 +17,10 @@
 	maxRerunWait   = 100 * time.Millisecond
 )
 
+// maxKeptHeld is the size of the buffer for held messages that an idle session
+// keeps, in bytes.
+const maxKeptHeld = 4 << 10
+
 // codeReadOnly is the SQLSTATE with which a replica or a fenced primary
 // refuses a write. It proves that nothing ran.
 const codeReadOnly = "25006"
@@ -129,7 +133,16 @@
 // endRequest forgets what is kept of a request while it runs.
 func (s *session) endRequest() {
 	s.dropUnparsed()
+	if s.tx == backend.TxIdle && !s.flushOpen() {
+		clear(s.portals)
+	}
 	s.batch.reset()
+	if cap(s.operation) > keptCapacity {
+		s.operation = nil
+	}
+	if len(s.held) == 0 && cap(s.held) > maxKeptHeld {
+		s.held = nil
+	}
 }
 
 // runRequest relays a request, on several servers if nothing ran on the first.
@@ -272,18 +285,27 @@
 }
 
 // ensureToken gets a position before the first read of a session that brought
-// no token and wrote nothing.
+// no token and wrote nothing, and before the first read after one that only the
+// primary could run. A primary reports no position after a read; that of a barrier covers
+// what the read saw.
 func (s *session) ensureToken(r *request) error {
 	config := &s.server.config
-	if s.hasToken || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
+	isCovered := s.hasToken && s.readAt.IsZero()
+	if isCovered || r.access == AccessWrite || r.maxAge > 0 || config.Barrier == nil {
 		return nil
 	}
-	position, err := config.Barrier.Barrier(s.ctx, s.group, s.arrivedAt)
+	since := s.arrivedAt
+	if s.readAt.After(since) {
+		since = s.readAt
+	}
+	position, err := config.Barrier.Barrier(s.ctx, s.group, since)
 	if err != nil {
 		return acquireError(err)
 	}
-	s.token = Token{Group: s.group, Seen: position}
+	s.token, _ = s.token.moveSeen(position)
+	s.token.Group = s.group
 	s.hasToken = true
+	s.readAt = time.Time{}
 	return nil
 }
 
@@ -321,6 +343,11 @@
 		s.release(conn.Reusable())
 	}
 	if !moved {
+		// A read that only fell back to the primary is left out. While replicas
+		// lag it would keep the session's later reads on the primary too.
+		if primary && r.access == AccessWrite {
+			s.readAt = s.server.config.Now()
+		}
 		return s.ready(true)
 	}
 	if !primary {
