fix: check ports and fault commands of the demo before anything starts

A fault command with a missing or superfluous argument was reported as an unknown database or carried out. Change: open all listeners before the first instance starts and close them after an error; check arguments against the help text. Tests of package demo. Conclusion: a busy port is reported at once. That an instance which is stopped right after its start does not end remains a fault of package instance.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -208,8 +208,13 @@
 	if err != nil {
 		return err
 	}
-	for number := range d.options.Instances {
-		if err := d.startInstance(number); err != nil {
+	listeners, err := d.listenAll()
+	if err != nil {
+		return err
+	}
+	for number, opened := range listeners {
+		if err := d.startInstance(number, opened); err != nil {
+			closeAll(listeners[number:])
 			return err
 		}
 	}
@@ -259,14 +264,10 @@
 	return nil
 }
 
-func (d *Demo) startInstance(number int) error {
+func (d *Demo) startInstance(number int, listeners instance.Listeners) error {
 	id := fleet.InstanceID(fmt.Sprintf("demo-%d", number+1))
 	dataCentres := d.dataCentres()
 	dataCentre := dataCentres[number%len(dataCentres)]
-	listeners, err := d.listen(number)
-	if err != nil {
-		return err
-	}
 	configured, err := d.settingsOf(id, dataCentre, listeners)
 	if err != nil {
 		return &Error{Op: "settings of " + string(id), Kind: KindStart, Err: err}
@@ -322,6 +323,27 @@
 	return &Error{Op: "end instance", Kind: KindCommand, Err: fmt.Errorf("unknown instance %q", id)}
 }
 
+// listenAll opens the listeners of all instances before the first one starts,
+// so that a busy port is reported at once and starts nothing.
+func (d *Demo) listenAll() ([]instance.Listeners, error) {
+	var all []instance.Listeners
+	for number := range d.options.Instances {
+		opened, err := d.listen(number)
+		if err != nil {
+			closeAll(all)
+			return nil, err
+		}
+		all = append(all, opened)
+	}
+	return all, nil
+}
+
+func closeAll(all []instance.Listeners) {
+	for _, listeners := range all {
+		closeListeners(listeners)
+	}
+}
+
 // listen opens the listeners of an instance. Only callers get a port of the options.
 func (d *Demo) listen(number int) (instance.Listeners, error) {
 	host, portText, err := net.SplitHostPort(d.options.Listen)
@@ -340,6 +362,9 @@
 	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			for _, earlier := range opened {
+				_ = earlier.Close()
+			}
 			return instance.Listeners{}, &Error{Op: "listen", Kind: KindStart, Err: err}
 		}
 		opened = append(opened, listener)
--- a/demo/fault.go
+++ b/demo/fault.go
@@ -29,10 +29,10 @@
 	if len(words) == 0 {
 		return nil
 	}
-	argument := ""
-	if len(words) > 1 {
-		argument = words[1]
+	if err := checkArguments(words); err != nil {
+		return err
 	}
+	argument := words[len(words)-1]
 	switch words[0] {
 	case "crash-primary":
 		return d.withPrimary(argument, func(_ *standin.Group, primary *standin.Server) { primary.Crash() })
@@ -52,12 +52,33 @@
 		return d.Stop(fleet.InstanceID(argument))
 	case "stop-store":
 		d.platform.SetOutage(standin.OutageFail)
-	default:
-		return &Error{Op: "fault", Kind: KindCommand, Err: fmt.Errorf("unknown command %q", words[0])}
 	}
 	return nil
 }
 
+// checkArguments checks a command against the list in FaultHelp.
+func checkArguments(words []string) error {
+	fail := func(err error) error { return &Error{Op: "fault", Kind: KindCommand, Err: err} }
+	for line := range strings.Lines(FaultHelp) {
+		usage := strings.Fields(line)
+		if usage[0] != words[0] {
+			continue
+		}
+		name := usage[1]
+		takesOne := name == strings.ToUpper(name)
+		switch {
+		case takesOne && len(words) == 1:
+			return fail(fmt.Errorf("%s: argument %s is missing", words[0], name))
+		case takesOne && len(words) > 2:
+			return fail(fmt.Errorf("%s: unexpected argument %q", words[0], words[2]))
+		case !takesOne && len(words) > 1:
+			return fail(fmt.Errorf("%s: unexpected argument %q", words[0], words[1]))
+		}
+		return nil
+	}
+	return fail(fmt.Errorf("unknown command %q; help lists the commands", words[0]))
+}
+
 func (d *Demo) withPrimary(database string, apply func(*standin.Group, *standin.Server)) error {
 	group := d.Group(fleet.GroupID(database))
 	if group == nil {
