fix: let the last error reach a caller that still sends

Cause: a connection closed with unread input is reset by TCP, so the error before it can be lost; TestMalformedMessages/CloseBadKind saw no SQLSTATE once under load. Conclusion: also a 57P01 at a planned stop is no longer lost that way.

--- a/caller/server.go
+++ b/caller/server.go
@@ -177,10 +177,12 @@
 	defer s.leave()
 	session, err := s.openSession(conn)
 	if err != nil {
+		linger(conn)
 		return
 	}
 	defer s.remove(session)
 	session.run()
+	linger(session.conn)
 }
 
 // Sessions returns the number of open sessions.
