fix: end COPY through the extended protocol without Sync

Cause: the new test showed that a COPY after Flush hung until the answer timeout: the server keeps its answer until Sync or Flush, and the proxy waited for the answer first. A Sync inside the data of a COPY was taken for its end. Change: the proxy sends a Flush of its own after the data; a Sync inside the data ends nothing. Conclusion: TestExtendedCopy covers Sync before and after the data, with a fake that drops the Sync as PostgreSQL does; the stand-in has no extended COPY. TestSavepointSettings confirms that a SET that was rolled back is not replayed, since the connection is pinned.

--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -25,7 +25,9 @@
 
 // reply is what the fake server answers to one statement.
 type reply struct {
-	code     string
+	code string
+	// copyIn asks for COPY data in the extended protocol.
+	copyIn   bool
 	hangUp   bool
 	partial  int
 	position string
@@ -185,6 +187,27 @@
 	return c.ready()
 }
 
+// receiveCopy takes COPY data to its end. As in PostgreSQL, a Sync on the way
+// is dropped.
+func (c *fakeConn) receiveCopy() bool {
+	c.backend.Send(&pgproto3.CopyInResponse{})
+	if c.backend.Flush() != nil {
+		return false
+	}
+	for {
+		message, err := c.backend.Receive()
+		if err != nil {
+			return false
+		}
+		switch m := message.(type) {
+		case *pgproto3.CopyData:
+			c.copied = append(c.copied, m.Data...)
+		case *pgproto3.CopyDone:
+			return true
+		}
+	}
+}
+
 func (c *fakeConn) execute(sql string, describe bool) bool {
 	c.server.mu.Lock()
 	c.server.log = append(c.server.log, sql)
@@ -203,6 +226,9 @@
 		c.fail(r.code)
 		return true
 	}
+	if r.copyIn && !c.receiveCopy() {
+		return false
+	}
 	switch verb, _, _ := strings.Cut(strings.ToUpper(sql), " "); verb {
 	case "BEGIN":
 		c.tx = 'T'
--- a/caller/prepared_test.go
+++ b/caller/prepared_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -121,3 +122,64 @@
 		t.Errorf("barriers (-want +got):\n%s", diff)
 	}
 }
+
+// TestSavepointSettings guards against a SET that was rolled back to a
+// savepoint being replayed on another connection, and against the connection
+// that holds the settings being lost.
+func TestSavepointSettings(t *testing.T) {
+	for name, mode := range modes() {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, writes, nil)
+			first, second := d.connect(t, mode), d.connect(t, mode)
+			inTransaction := []string{"begin", "savepoint a", "set statement_timeout = '7s'", "rollback to a", "commit"}
+			for _, sql := range inTransaction {
+				mustExec(t, first, sql)
+			}
+			mustExec(t, second, "select 2")
+			mustExec(t, first, "select 1")
+			if diff := cmp.Diff(append(inTransaction, "select 2", "select 1"), d.primary.statements()); diff != "" {
+				t.Errorf("statements on the backend server (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(uint32(2), d.primary.connections()); diff != "" {
+				t.Errorf("connections to the backend server (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestExtendedCopy guards against answers and connections that get out of step
+// when COPY runs through the extended protocol, where the server drops a Sync
+// that comes before the data.
+func TestExtendedCopy(t *testing.T) {
+	script := func(sql string) reply {
+		if strings.HasPrefix(sql, "copy") {
+			return reply{copyIn: true, tag: "COPY 1", position: "1/8"}
+		}
+		return oneRow("primary")(sql)
+	}
+	for name, syncFirst := range map[string]bool{"SyncAfterData": false, "SyncBeforeData": true} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, script, nil)
+			hijacked, err := d.connect(t).PgConn().Hijack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer hijacked.Conn.Close()
+			messages := []backend.Encoder{&pgproto3.Parse{Query: "copy c from stdin"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+			if syncFirst {
+				messages = append(messages, &pgproto3.Sync{})
+			} else {
+				messages = append(messages, &pgproto3.Flush{})
+			}
+			messages = append(messages, &pgproto3.CopyData{Data: []byte("1\n")}, &pgproto3.CopyDone{}, &pgproto3.Sync{})
+			ask(t, hijacked, messages...)
+			got := ask(t, hijacked, &pgproto3.Query{String: "select 1"})
+			if diff := cmp.Diff("primary", got); diff != "" {
+				t.Errorf("row after the COPY (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]string{"copy c from stdin", "select 1"}, d.primary.statements()); diff != "" {
+				t.Errorf("statements (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -270,6 +270,7 @@
 		return err
 	}
 	_ = s.conn.SetReadDeadline(s.server.config.Now().Add(s.server.config.IdleTimeout))
+	ended := false
 	for {
 		frame, err := s.reader.Next()
 		if err != nil {
@@ -294,10 +295,19 @@
 			return err
 		}
 		// In an extended query the server drops the Sync that came before the
-		// data, so the one after the data is passed on too.
-		if r.simple || !r.synced || frame.Type == 'S' {
-			return conn.Flush()
+		// data, so the one after the data is passed on too. A Sync inside the
+		// data ends nothing.
+		ended = ended || frame.Type != 'S'
+		if !ended || !r.simple && r.synced && frame.Type != 'S' {
+			continue
+		}
+		if !r.synced {
+			// Without Sync the server keeps its answer until it is asked for it.
+			if err := sendNamed(conn, 'H'); err != nil {
+				return err
+			}
 		}
+		return conn.Flush()
 	}
 }
 
