--- a/instance/router.go
+++ b/instance/router.go
@@ -31,6 +31,8 @@
 	Barrier(ctx context.Context, arrived time.Time) (fleet.Position, error)
 	// ReportFailure notes that a connection to a server failed.
 	ReportFailure(server fleet.ServerID)
+	// ReportRefusal notes that the server taken for the primary refused a write.
+	ReportRefusal()
 }
 
 // pool is what the router needs of the pool of backend connections.
@@ -147,6 +149,9 @@
 		if err != nil {
 			return nil, routeError("find primary", err)
 		}
+		if server == request.Exclude {
+			routed.control.ReportRefusal()
+		}
 		lease, err := r.tryServers(ctx, routed, request, []fleet.ServerID{server})
 		if lease != nil || isFinal(ctx, err) {
 			return lease, err
