fix: end requests on servers that cannot answer, bound withdrawn keys to 3 s

Change: when another server leads, requests on an unreachable server end after the detection time; withdrawn keys have a bound of their own; Serve after Drain returns; the view of each group is watched for events.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -62,6 +62,8 @@
 	address string
 	id      fleet.ServerID
 	idle    []*Conn
+	// inUse holds the leases that were not released.
+	inUse   map[*PoolLease]struct{}
 	lastErr error
 	next    WaiterID
 	retry   *time.Timer
@@ -150,6 +152,22 @@
 	return p.await(ctx, now, s, id, w)
 }
 
+// Abort closes the connections to a server that are in use, and returns their
+// number. It is for a server that can't answer any more, so that its requests
+// end before the answer timeout.
+func (p *Pool) Abort(server fleet.ServerID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		return 0
+	}
+	for lease := range s.inUse {
+		_ = lease.conn.Close()
+	}
+	return len(s.inUse)
+}
+
 // Close closes all idle connections and refuses further requests.
 func (p *Pool) Close() {
 	p.cancel()
@@ -211,7 +229,7 @@
 	defer p.mu.Unlock()
 	s := p.servers[server]
 	if s == nil {
-		s = &poolServer{address: address, id: server, waiters: make(map[WaiterID]*waiter)}
+		s = &poolServer{address: address, id: server, inUse: make(map[*PoolLease]struct{}), waiters: make(map[WaiterID]*waiter)}
 		s.state = NewPoolState(limits, p.config.MaxOpening, p.config.QueueLimit)
 		p.servers[server] = s
 	}
@@ -250,6 +268,7 @@
 		return
 	}
 	l.released = true
+	delete(l.server.inUse, l)
 	healthy = healthy && l.conn.Reusable() && l.conn.config.Address == l.server.address && !l.server.state.Draining()
 	if healthy {
 		l.server.idle = append(l.server.idle, l.conn)
@@ -293,7 +312,9 @@
 	conn := s.idle[last]
 	s.idle[last] = nil
 	s.idle = s.idle[:last]
-	return &PoolLease{conn: conn, pool: p, primary: primary, server: s}
+	lease := &PoolLease{conn: conn, pool: p, primary: primary, server: s}
+	s.inUse[lease] = struct{}{}
+	return lease
 }
 
 // open opens one connection for an ActionOpen.
--- a/caller/events.go
+++ b/caller/events.go
@@ -15,6 +15,8 @@
 	EventCommitNotRun EventName = "CommitNotRun"
 	// EventCommitUnknown means that the outcome of a commit isn't known.
 	EventCommitUnknown EventName = "CommitUnknown"
+	// EventKeyWithdrawn means that a session ends because its key was withdrawn.
+	EventKeyWithdrawn EventName = "KeyWithdrawn"
 	// EventRetry means that a request is rerun on another server.
 	EventRetry EventName = "Retry"
 	// EventSessionClosed means that this side closed a session.
--- a/caller/server.go
+++ b/caller/server.go
@@ -22,6 +22,7 @@
 	defaultRequestTimeout = 5 * time.Second
 	defaultStartupTimeout = 10 * time.Second
 	defaultStopBound      = 30 * time.Second
+	defaultWithdrawBound  = 3 * time.Second
 	defaultWriteTimeout   = 30 * time.Second
 )
 
@@ -73,10 +74,12 @@
 	Router Router
 	// StartupTimeout bounds start-up and authentication. Zero means 10 s.
 	StartupTimeout time.Duration
-	// StopBound bounds a transaction whose key was withdrawn. Zero means 30 s.
-	StopBound time.Duration
 	// TLS returns the current TLS settings. Nil means no TLS.
 	TLS func() *tls.Config
+	// StopBound bounds a transaction at a planned stop. Zero means 30 s.
+	StopBound time.Duration
+	// WithdrawBound bounds a transaction whose key was withdrawn. Zero means 3 s.
+	WithdrawBound time.Duration
 	// WriteTimeout bounds each write to a caller. Zero means 30 s.
 	WriteTimeout time.Duration
 }
@@ -140,11 +143,12 @@
 
 // Recheck asks for each session whether its key is still valid, and closes the
 // idle ones whose key isn't. The others are closed at the end of their
-// statement or transaction, at most StopBound later.
+// statement or transaction, at most WithdrawBound later.
 func (s *Server) Recheck() {
 	for _, session := range s.snapshot() {
 		if !s.config.Credentials.KeyValid(session.workspace, session.key) {
-			session.stop("the key was withdrawn", s.config.Now().Add(s.config.StopBound))
+			s.record(Event{Group: session.group, Name: EventKeyWithdrawn, Workspace: session.workspace})
+			session.stop("the key was withdrawn", s.config.Now().Add(s.config.WithdrawBound))
 		}
 	}
 }
@@ -154,6 +158,9 @@
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listener = listener
+	if s.draining {
+		_ = listener.Close()
+	}
 	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
@@ -292,6 +299,7 @@
 	c.RequestTimeout = orDefault(c.RequestTimeout, defaultRequestTimeout)
 	c.StartupTimeout = orDefault(c.StartupTimeout, defaultStartupTimeout)
 	c.StopBound = orDefault(c.StopBound, defaultStopBound)
+	c.WithdrawBound = orDefault(c.WithdrawBound, defaultWithdrawBound)
 	c.WriteTimeout = orDefault(c.WriteTimeout, defaultWriteTimeout)
 	if c.Jitter == nil {
 		c.Jitter = rand.Float64
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -37,8 +37,8 @@
 		Now:             i.config.Now,
 		RequestTimeout:  configured.Limits.QueueTimeout,
 		Router:          i.router,
-		StartupTimeout:  configured.Timeouts.Startup,
 		StopBound:       configured.Timeouts.StopBound,
+		StartupTimeout:  configured.Timeouts.Startup,
 	}
 }
 
--- a/instance/recorder.go
+++ b/instance/recorder.go
@@ -52,6 +52,10 @@
 
 // RecordDetection records a change in the judgement of a primary.
 func (r *recorder) RecordDetection(id fleet.GroupID, detection group.Detection) {
+	if detection.Term == 0 {
+		// No primary was known yet, as at each start.
+		return
+	}
 	number := event.PrimarySuspected
 	if detection.Health == group.Healthy {
 		number = event.PrimaryHeard
@@ -131,6 +135,8 @@
 		return event.CommitLost, true
 	case caller.EventCommitUnknown:
 		return event.OutcomeUnknown, true
+	case caller.EventKeyWithdrawn:
+		return event.KeyWithdrawn, true
 	case caller.EventRetry:
 		return event.RequestRetried, true
 	case caller.EventSessionClosed:
--- a/instance/run.go
+++ b/instance/run.go
@@ -85,6 +85,9 @@
 			return nil
 		})
 	}
+	for _, section := range i.board.Groups {
+		tasks.Go(func() error { return i.watchGroup(ctx, section) })
+	}
 	tasks.Go(func() error { return serveHTTP(ctx, i.peerServer(), i.peerListener()) })
 	tasks.Go(func() error { return serveHTTP(ctx, i.adminServer(i.newOperator()), i.config.Listeners.Admin) })
 	tasks.Go(func() error {
