--- a/caller/extended.go
+++ b/caller/extended.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"errors"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -21,7 +22,7 @@
 	if s.skipping {
 		return nil
 	}
-	if len(s.batch.data)+len(body) > s.server.config.MaxMessage {
+	if len(s.batch.data)+len(body) > s.server.config.MaxMessage || len(s.batch.messages) >= maxBatchMessages {
 		return &Error{Op: "read", Kind: KindProtocol, Err: errors.New("too much data before Sync")}
 	}
 	s.batch.add(kind, body)
@@ -49,7 +50,8 @@
 	if err := s.include(&r); err != nil {
 		s.takeWriter()
 		defer s.giveWriter()
-		defer s.batch.reset()
+		defer s.endRequest()
+		s.parsed = 0
 		return s.fail(&r, err, s.tx)
 	}
 	return s.serve(&r)
@@ -88,6 +90,8 @@
 			err = s.includeBind(r, m)
 		case 'C', 'D':
 			err = s.includeObject(m)
+		case 'E':
+			err = s.includeExecute(m)
 		}
 		if err != nil {
 			s.dropChanges()
@@ -102,16 +106,51 @@
 	if err != nil {
 		return err
 	}
+	if len(name) > 0 && s.prepared[string(name)] != nil {
+		return &Error{Op: "parse", Kind: KindDuplicateStatement, Err: errors.New("a prepared statement of this name already exists")}
+	}
 	statement.sql, err = s.check(&statement.class, statement.sql)
 	if err != nil {
 		return err
 	}
 	statement.digest()
+	s.dropPrepared(string(name))
+	if s.preparedSize+statement.size() > s.server.config.MaxMessage {
+		return &Error{Op: "parse", Kind: KindUnsupported, Err: errors.New("the session has too many prepared statements")}
+	}
 	s.prepared[string(name)] = statement
+	s.preparedSize += statement.size()
 	m.statement = statement
 	return nil
 }
 
+// dropUnparsed forgets the statements of the batch whose Parse didn't complete.
+// Otherwise a repeated Parse would be refused as a duplicate.
+func (s *session) dropUnparsed() {
+	parses := 0
+	for _, m := range s.batch.messages {
+		if m.kind != 'P' {
+			continue
+		}
+		parses++
+		if parses <= s.parsed {
+			continue
+		}
+		name, _, _ := bytes.Cut(s.batch.body(m), zeroByte)
+		if m.statement != nil && s.prepared[string(name)] == m.statement {
+			s.dropPrepared(string(name))
+		}
+	}
+}
+
+// dropPrepared forgets a statement, if there is one of the name.
+func (s *session) dropPrepared(name string) {
+	if statement := s.prepared[name]; statement != nil {
+		s.preparedSize -= statement.size()
+		delete(s.prepared, name)
+	}
+}
+
 // includeObject takes the object of a Describe or Close. A closed statement
 // stays on the connection for other sessions.
 func (s *session) includeObject(m *message) error {
@@ -121,23 +160,47 @@
 	}
 	m.statement = s.prepared[string(name)]
 	if m.kind == 'C' {
-		delete(s.prepared, string(name))
+		s.dropPrepared(string(name))
 	}
 	return nil
 }
 
 // includeBind takes the statement of a Bind as one that runs.
 func (s *session) includeBind(r *request, m *message) error {
-	_, name, _, err := bindNames(s.batch.body(*m))
+	portal, name, _, err := bindNames(s.batch.body(*m))
 	if err != nil {
 		return err
 	}
 	m.statement = s.prepared[string(name)]
-	if m.statement == nil {
-		return nil
+	s.bindPortal(portal, m.statement)
+	if m.statement != nil {
+		r.include(&m.statement.class)
+	}
+	return nil
+}
+
+// bindPortal notes which statement a portal runs, if that changes the session.
+func (s *session) bindPortal(portal []byte, statement *preparedStatement) {
+	if statement == nil || !statement.class.changesSession() {
+		delete(s.portals, string(portal))
+		return
+	}
+	if s.portals == nil {
+		s.portals = make(map[string]*preparedStatement)
+	}
+	s.portals[string(portal)] = statement
+}
+
+// includeExecute notes the changes of a portal. A portal that is bound but not
+// executed changes nothing.
+func (s *session) includeExecute(m *message) error {
+	portal, _, found := bytes.Cut(s.batch.body(*m), zeroByte)
+	if !found {
+		return malformed("Execute")
+	}
+	if statement := s.portals[string(portal)]; statement != nil {
+		s.noteChanges(&statement.class)
 	}
-	r.include(&m.statement.class)
-	s.noteChanges(&m.statement.class)
 	return nil
 }
 
@@ -296,6 +359,11 @@
 }
 
 func (s *session) popOperations(n int) {
+	for _, done := range s.operation[:n] {
+		if done.kind == 'P' && !done.injected {
+			s.parsed++
+		}
+	}
 	if n > 0 {
 		s.operation = s.operation[:copy(s.operation, s.operation[n:])]
 	}
@@ -335,6 +403,7 @@
 	for _, m := range s.batch.messages {
 		switch m.kind {
 		case 'P':
+			s.parsed++
 			_ = s.writer.Message(&pgproto3.ParseComplete{})
 		case 'B':
 			if m.statement == nil || !isTransactionEnd(m.statement.sql) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -34,6 +34,7 @@
 	conn := s.lease.Conn()
 	s.operation = s.operation[:0]
 	s.rolledBack = false
+	s.parsed = 0
 	if !s.commitTag {
 		s.held = s.held[:0]
 	}
@@ -84,7 +85,7 @@
 
 // relay passes the server's messages on until the answer is complete.
 func (s *session) relay(r *request, conn *backend.Conn) (answer, error) {
-	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle}
+	state := relayState{holding: s.commitTag, inBlock: s.tx != backend.TxIdle && s.begin == ""}
 	for {
 		s.answerLocal()
 		if !r.synced && (len(s.operation) == 0 || state.answer.code != "") {
@@ -234,7 +235,7 @@
 		state.answer.code = failure.Code
 	}
 	s.forgetFailed(conn)
-	if failure.Code == codeReadOnly && !state.inBlock && r.synced && !r.control && !s.pinned && !s.writer.Flushed() {
+	if failure.Code == codeReadOnly && !state.inBlock && r.synced && r.mayFollowRefusal() && !s.pinned && !s.writer.Flushed() {
 		state.answer.failure = &failure
 		state.answer.rerun = true
 		return nil
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -85,12 +85,10 @@
 func (g *fakeGroup) write(id fleet.ServerID) (fleet.Position, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.find(id)
-	if g.down[id] || s.role != group.RolePrimary {
+	if g.down[id] {
 		return fleet.Position{}, false
 	}
-	s.log = append(s.log[:len(s.log):len(s.log)], s.term)
-	return s.position(len(s.log)), true
+	return g.find(id).write()
 }
 
 // requests returns the number of status requests that arrived.
@@ -247,35 +245,43 @@
 	running   sync.WaitGroup
 }
 
-// deploy starts a group and instances inside a synctest bubble and lets them settle.
+// deploy starts a group and instances inside a synctest bubble and lets them
+// settle. They are stopped and checked at the end of the test.
 func deploy(t *testing.T, servers, instances int) *deployment {
 	t.Helper()
 	d := &deployment{group: newFakeGroup(servers)}
 	d.placement.Store(&group.Placement{})
 	d.ctx, d.cancel = context.WithCancel(t.Context())
+	t.Cleanup(func() { d.stop(t) })
+	d.running.Go(func() { d.group.replicate(d.ctx) })
+	d.start(instances, func(instance fleet.InstanceID) []group.ServerConfig {
+		var servers []group.ServerConfig
+		for _, s := range d.group.servers {
+			servers = append(servers, group.ServerConfig{Control: &fakeControl{group: d.group, instance: instance, server: s.id}, ID: s.id})
+		}
+		return servers
+	})
+	time.Sleep(time.Second)
+	return d
+}
+
+// start runs a number of instances with the given servers until the context ends.
+func (d *deployment) start(instances int, servers func(fleet.InstanceID) []group.ServerConfig) {
 	for n := range instances {
 		i := &fakeInstance{
 			deployment: d, id: fleet.InstanceID(rune('1' + n)), section: blackboard.New(group.View{}),
 		}
-		config := group.Config{
+		i.Controller = group.New(group.Config{
 			Clock: fakeClock{}, Epoch: 7, Events: i, Group: "stock", Instance: i.id, Peers: i,
 			Placement: func() group.Placement { return *d.placement.Load() },
-			Random:    rand.New(rand.NewPCG(uint64(n), 1)), Section: i.section, Settings: group.DefaultSettings(),
-		}
-		for _, s := range d.group.servers {
-			config.Servers = append(config.Servers, group.ServerConfig{
-				Control: &fakeControl{group: d.group, instance: i.id, server: s.id}, ID: s.id,
-			})
-		}
-		i.Controller = group.New(config)
+			Random:    rand.New(rand.NewPCG(uint64(n), 1)), Section: i.section, Servers: servers(i.id),
+			Settings: group.DefaultSettings(),
+		})
 		d.instances = append(d.instances, i)
 	}
-	d.running.Go(func() { d.group.replicate(d.ctx) })
 	for _, i := range d.instances {
 		d.running.Go(func() { i.Run(d.ctx) })
 	}
-	time.Sleep(time.Second)
-	return d
 }
 
 // stop ends all goroutines and checks what must hold in each run.
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -178,7 +180,7 @@
 		Client: i.peerClient,
 		Clock:  clock(i.config.Now),
 		Epoch:  i.config.Epoch,
-		Events: func(message string) { i.config.Events.Record(event.RosterInForce, event.Fields{Text: message}) },
+		Events: i.recorder.recordPeer,
 		ForwardCancel: func(processID uint32, secret []byte) bool {
 			return i.callers.Cancel(context.Background(), processID, secret)
 		},
@@ -195,16 +197,30 @@
 }
 
 func (i *Instance) peerClient(address string) nutmegpierv1connect.PeerServiceClient {
-	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, "http://"+address, connect.WithReadMaxBytes(maxPeerMessage))
+	scheme := "http://"
+	if i.config.PeerTLS != nil {
+		scheme = "https://"
+	}
+	return nutmegpierv1connect.NewPeerServiceClient(i.config.PeerHTTP, scheme+address, connect.WithReadMaxBytes(maxPeerMessage), connect.WithInterceptors(&stampInterceptor{events: i.config.Events}))
 }
 
 // peerServer returns the server of the peer listener.
 func (i *Instance) peerServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(nutmegpierv1connect.NewPeerServiceHandler(i.peers, connect.WithReadMaxBytes(maxPeerMessage)))
+	mux.Handle(nutmegpierv1connect.NewPeerServiceHandler(i.peers,
+		connect.WithReadMaxBytes(maxPeerMessage),
+		connect.WithInterceptors(&stampInterceptor{events: i.config.Events})))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
 }
 
+// peerListener returns the listener for other instances, with TLS if it is set up.
+func (i *Instance) peerListener() net.Listener {
+	if i.config.PeerTLS == nil {
+		return i.config.Listeners.Peers
+	}
+	return tls.NewListener(i.config.Listeners.Peers, i.config.PeerTLS)
+}
+
 // adoptSheet puts a newer sheet in force.
 func (i *Instance) adoptSheet(version fleet.SheetVersion, content []byte) {
 	record, parsed, err := parseRecord(content)
@@ -217,7 +233,13 @@
 	if version <= i.board.Sheet.Load().Version {
 		return
 	}
-	i.board.Sheet.Store(SheetInForce{Content: record.Content, Sheet: parsed, Version: version})
+	i.board.Sheet.Store(SheetInForce{
+		Content:   record.Content,
+		Index:     sheet.NewIndex(parsed),
+		Placement: placement(parsed, i.config.Settings.DataCentre),
+		Sheet:     parsed,
+		Version:   version,
+	})
 	i.config.Events.Record(event.SheetInForce, event.Fields{Text: versionText(version)})
 	i.callers.Recheck()
 }
--- a/instance/poolkeeper.go
+++ b/instance/poolkeeper.go
@@ -21,6 +21,7 @@
 	defer ticker.Stop()
 	for {
 		i.applyPermits()
+		i.warmPrimaries()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -38,11 +39,27 @@
 		if !found {
 			return peer.PermitUse{}
 		}
-		i.pool.SetServer(id, server.Address, backend.Limits{Permits: permits, Slots: configured.Slots})
+		i.pool.SetServer(id, server.Address, backend.Limits{Permits: permits, Slots: slotsOf(configured, permits)})
 		return i.permitUse(id)
 	})
 }
 
+// warmPrimaries keeps connections to the primaries open, so that a change of
+// primary is not followed by an opening in the path of each first write.
+func (i *Instance) warmPrimaries() {
+	for number, controller := range i.groups {
+		primary := i.board.Groups[number].Section.Load().Primary
+		for _, server := range controller.settings.Servers {
+			warm := 0
+			if server.Server == primary {
+				permits := i.limits.Permits(server.Server)
+				warm = min(permits, slotsOf(controller.settings, permits))
+			}
+			i.pool.Warm(server.Server, warm)
+		}
+	}
+}
+
 // releasePermits gives up as many of the wanted permits as are not in use.
 func (i *Instance) releasePermits(server fleet.ServerID, wanted int) peer.PermitUse {
 	for range wanted {
@@ -65,6 +82,14 @@
 	}
 }
 
+// slotsOf returns the number of statements that may run on a server at a time.
+func slotsOf(configured settings.Group, permits int) int {
+	if configured.Slots == 0 {
+		return permits
+	}
+	return configured.Slots
+}
+
 func (i *Instance) serverSettings(id fleet.ServerID) (settings.Group, settings.Server, bool) {
 	for _, configured := range i.settings.Load().Groups {
 		for _, server := range configured.Servers {
