test: repeat the write that orders the reads after a fault

Cause: after a crash and a restart of the primary this write can be reported as unknown (40003), which is a true answer; no check uses its effect.

--- a/faultmatrix/steps_test.go
+++ b/faultmatrix/steps_test.go
@@ -219,7 +219,14 @@
 			if injected.heal != nil {
 				injected.heal(f)
 			}
-			f.awaitWrite(f.members[1], "last")
+			f.await("a write after the fault", func() bool {
+				conn, err := f.connect(f.members[1], "")
+				if err != nil {
+					return false
+				}
+				defer conn.Close(context.Background())
+				return f.insert(conn, "last")() == nil
+			})
 			for _, a := range attempts {
 				f.settle(a, f.members[1], injected.serves)
 			}
@@ -305,7 +312,14 @@
 				injected.heal(f)
 			}
 			f.group.CutServer(primary.ID(), false)
-			f.awaitWrite(f.members[1], "last")
+			f.await("a write after the fault", func() bool {
+				conn, err := f.connect(f.members[1], "")
+				if err != nil {
+					return false
+				}
+				defer conn.Close(context.Background())
+				return f.insert(conn, "last")() == nil
+			})
 			for _, a := range attempts {
 				f.settle(a, f.members[1], false)
 			}
