--- a/caller/error.go
+++ b/caller/error.go
@@ -27,6 +27,8 @@
 	KindDuplicateStatement Kind = "DuplicateStatement"
 	// KindForbidden means that the workspace has no such access to the database.
 	KindForbidden Kind = "Forbidden"
+	// KindIdleTransaction means that the caller left a transaction idle for too long.
+	KindIdleTransaction Kind = "IdleTransaction"
 	// KindNotServing means that the instance takes no new work.
 	KindNotServing Kind = "NotServing"
 	// KindPositionLost means that no server can satisfy the session's position.
@@ -88,6 +90,8 @@
 		return "42P05"
 	case KindForbidden:
 		return "42501"
+	case KindIdleTransaction:
+		return "25P03"
 	case KindNotServing:
 		return "57P03"
 	case KindProtocol:
--- a/caller/limit_test.go
+++ b/caller/limit_test.go
@@ -155,3 +155,27 @@
 	l.Lease.Release(healthy)
 	l.released <- healthy
 }
+
+// TestIdleTransaction guards against a caller that opens a transaction and
+// sends nothing more, and so holds a backend connection that others need.
+func TestIdleTransaction(t *testing.T) {
+	d := deploy(t, writes, nil, func(config *caller.Config) { config.TransactionTimeout = 50 * time.Millisecond })
+	conn := d.connect(t)
+	mustExec(t, conn, "begin")
+	hijacked, err := conn.PgConn().Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hijacked.Conn.Close()
+	message, err := hijacked.Frontend.Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	failure, isError := message.(*pgproto3.ErrorResponse)
+	if !isError {
+		t.Fatalf("got %T, want an ErrorResponse", message)
+	}
+	if diff := cmp.Diff([2]string{"25P03", "Outcome: NotRun"}, [2]string{failure.Code, failure.Detail}); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -17,13 +17,14 @@
 
 // Defaults of a server.
 const (
-	defaultIdleTimeout    = time.Hour
-	defaultMaxMessage     = 64 << 20
-	defaultRequestTimeout = 5 * time.Second
-	defaultStartupTimeout = 10 * time.Second
-	defaultStopBound      = 30 * time.Second
-	defaultWithdrawBound  = 3 * time.Second
-	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout        = time.Hour
+	defaultMaxMessage         = 64 << 20
+	defaultRequestTimeout     = 5 * time.Second
+	defaultStartupTimeout     = 10 * time.Second
+	defaultStopBound          = 30 * time.Second
+	defaultTransactionTimeout = time.Minute
+	defaultWithdrawBound      = 3 * time.Second
+	defaultWriteTimeout       = 30 * time.Second
 )
 
 // Buffer sizes in bytes. The read buffer is held by idle sessions, the write
@@ -78,6 +79,9 @@
 	TLS func() *tls.Config
 	// StopBound bounds a transaction at a planned stop. Zero means 30 s.
 	StopBound time.Duration
+	// TransactionTimeout closes a session that sends nothing inside a
+	// transaction, because it holds a connection. Zero means 1 minute.
+	TransactionTimeout time.Duration
 	// WithdrawBound bounds a transaction whose key was withdrawn. Zero means 3 s.
 	WithdrawBound time.Duration
 	// WriteTimeout bounds each write to a caller. Zero means 30 s.
@@ -299,6 +303,7 @@
 	c.RequestTimeout = orDefault(c.RequestTimeout, defaultRequestTimeout)
 	c.StartupTimeout = orDefault(c.StartupTimeout, defaultStartupTimeout)
 	c.StopBound = orDefault(c.StopBound, defaultStopBound)
+	c.TransactionTimeout = orDefault(c.TransactionTimeout, defaultTransactionTimeout)
 	c.WithdrawBound = orDefault(c.WithdrawBound, defaultWithdrawBound)
 	c.WriteTimeout = orDefault(c.WriteTimeout, defaultWriteTimeout)
 	if c.Jitter == nil {
--- a/caller/session.go
+++ b/caller/session.go
@@ -184,11 +184,13 @@
 
 // closeReason says why this side closes the session. The caller holds mu.
 func (s *session) closeReason() error {
-	reason := s.stopped
-	if reason == "" {
-		reason = "the session was idle for too long"
+	switch {
+	case s.stopped != "":
+		return &Error{Op: "await", Kind: KindClosed, Err: errors.New(s.stopped)}
+	case !s.isBetweenRequests():
+		return &Error{Op: "await", Kind: KindIdleTransaction, Err: errors.New("the session was idle in a transaction for too long; the transaction is rolled back")}
 	}
-	return &Error{Op: "await", Kind: KindClosed, Err: errors.New(reason)}
+	return &Error{Op: "await", Kind: KindClosed, Err: errors.New("the session was idle for too long")}
 }
 
 // end gives back what the session holds. A transaction that is still open is
@@ -280,7 +282,11 @@
 
 // readDeadline returns until when to wait for the caller. The caller holds mu.
 func (s *session) readDeadline() time.Time {
-	deadline := s.server.config.Now().Add(s.server.config.IdleTimeout)
+	bound := s.server.config.IdleTimeout
+	if !s.isBetweenRequests() {
+		bound = min(bound, s.server.config.TransactionTimeout)
+	}
+	deadline := s.server.config.Now().Add(bound)
 	switch {
 	case s.stopped == "":
 		return deadline
--- a/faultmatrix/network_test.go
+++ b/faultmatrix/network_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
@@ -102,3 +103,13 @@
 	_, _ = c.network.sent.Write(p)
 	return c.Conn.Write(p)
 }
+
+// SyscallConn gives the socket to the check of idle connections, as the dialer
+// of a real instance does.
+func (c *recordedConn) SyscallConn() (syscall.RawConn, error) {
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return nil, errors.New("the connection has no socket")
+	}
+	return socket.SyscallConn()
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -141,10 +141,11 @@
 
 // Timeouts holds the time bounds of an instance.
 type Timeouts struct {
-	CommitBound   time.Duration
-	FreshWait     time.Duration
-	Idle          time.Duration
-	Startup       time.Duration
-	StopBound     time.Duration
-	ValidityLease time.Duration
+	CommitBound       time.Duration
+	FreshWait         time.Duration
+	Idle              time.Duration
+	IdleInTransaction time.Duration
+	Startup           time.Duration
+	StopBound         time.Duration
+	ValidityLease     time.Duration
 }
--- a/settings/table.go
+++ b/settings/table.go
@@ -75,6 +75,7 @@
 		{"Time to find out whether a commit took effect before its outcome is reported as unknown.", true, durations("Timeouts.CommitBound", "5s", 10*time.Millisecond, 10*time.Minute), UnitDuration},
 		{"Time that a read waits for a fresh replica before it goes to the primary.", true, durations("Timeouts.FreshWait", "20ms", 0, 10*time.Second), UnitDuration},
 		{"Time after which an idle caller session outside a transaction is closed. 0s means never.", false, durations("Timeouts.Idle", "0s", 0, 7*24*time.Hour), UnitDuration},
+		{"Time after which a caller session that sends nothing inside a transaction is closed. The transaction is rolled back.", false, durations("Timeouts.IdleInTransaction", "1m", 100*time.Millisecond, 24*time.Hour), UnitDuration},
 		{"Time that a caller has for start-up and authentication.", false, durations("Timeouts.Startup", "10s", 10*time.Millisecond, 10*time.Minute), UnitDuration},
 		{"Time that running transactions have to finish at a planned stop.", true, durations("Timeouts.StopBound", "30s", 0, time.Hour), UnitDuration},
 		{"Time for which the instance serves after it last proved that its sheet is in force.", false, durations("Timeouts.ValidityLease", "3s", 100*time.Millisecond, time.Minute), UnitDuration},
