revert: do not count a missing connection as load

Cause: replica choice preferred replicas to which the instance had a connection, to spare the move of a permit. The preference keeps each instance on one replica, so its requests queue for the permits there instead of moving to the other one. Conclusion: reverted.

--- a/instance/router.go
+++ b/instance/router.go
@@ -19,10 +19,6 @@
 // retryPause is the time between attempts while a group changes its primary.
 const retryPause = 5 * time.Millisecond
 
-// missingConnectionLoad is the load that a missing connection counts as. Opening
-// one takes about as long as a few statements.
-const missingConnectionLoad = 4
-
 // groupControl is what the router needs of the controller of a group.
 type groupControl interface {
 	// AwaitCommit waits until the outcome of a write is known.
@@ -215,22 +211,12 @@
 		Strategy:  r.strategy,
 	}
 	for _, server := range routed.servers {
-		choice.Loads = append(choice.Loads, group.Load{Outstanding: outstanding(r.pool.Counts(server)), Server: server})
+		counts := r.pool.Counts(server)
+		choice.Loads = append(choice.Loads, group.Load{Outstanding: counts.InUse + counts.Waiting, Server: server})
 	}
 	return choice
 }
 
-// outstanding returns the load of a server as its pool has it. A server without
-// a connection counts as busier, because its permit may have to come from a
-// peer and its connection has to be opened.
-func outstanding(counts backend.Counts) int {
-	load := counts.InUse + counts.Waiting
-	if counts.Idle+counts.InUse == 0 {
-		load += missingConnectionLoad
-	}
-	return load
-}
-
 // newRandom returns a source for one decision, because sources are not safe
 // for concurrent use.
 func (r *router) newRandom() *rand.Rand {
