--- a/cmd/measurecmd.go
+++ b/cmd/measurecmd.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"time"
+	"unicode"
 
 	"github.com/spf13/cobra"
 
@@ -47,11 +48,23 @@
 	}
 	children := []*cobra.Command{all, compare}
 	for _, name := range measure.Scenarios() {
-		children = append(children, newMeasureRunCmd(strings.ToLower(name), "Run the scenario "+name, []string{name}))
+		children = append(children, newMeasureRunCmd(kebabCase(name), "Run the scenario "+name, []string{name}))
 	}
 	return newGroupCmd("measure", "Run load and experiments on instances and stand-ins in this process", children...)
 }
 
+// kebabCase returns a name in Pascal case as the name of a command.
+func kebabCase(name string) string {
+	var text strings.Builder
+	for i, letter := range name {
+		if i > 0 && unicode.IsUpper(letter) {
+			text.WriteByte('-')
+		}
+		text.WriteRune(unicode.ToLower(letter))
+	}
+	return text.String()
+}
+
 func newMeasureRunCmd(use, short string, scenarios []string) *cobra.Command {
 	local := &measureOptions{scenarios: scenarios}
 	command := &cobra.Command{
