--- a/event/snapshot.go
+++ b/event/snapshot.go
@@ -27,10 +27,10 @@
 	var packed bytes.Buffer
 	writer := gzip.NewWriter(&packed)
 	if err := json.NewEncoder(writer).Encode(snapshot{Events: events, Format: snapshotFormat}); err != nil {
-		return nil, fmt.Errorf("event: encode snapshot: %w", err)
+		return nil, &Error{Op: "encode snapshot", Kind: KindEncode, Err: err}
 	}
 	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("event: encode snapshot: %w", err)
+		return nil, &Error{Op: "encode snapshot", Kind: KindEncode, Err: err}
 	}
 	return packed.Bytes(), nil
 }
@@ -39,14 +39,18 @@
 func DecodeSnapshot(packed []byte) ([]Event, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, fmt.Errorf("event: decode snapshot: %w", err)
+		return nil, &Error{Op: "decode snapshot", Kind: KindMalformed, Err: err}
 	}
 	var content snapshot
 	if err := json.NewDecoder(io.LimitReader(reader, maxSnapshotBytes)).Decode(&content); err != nil {
-		return nil, fmt.Errorf("event: decode snapshot: %w", err)
+		return nil, &Error{Op: "decode snapshot", Kind: KindMalformed, Err: err}
 	}
 	if content.Format != snapshotFormat {
-		return nil, fmt.Errorf("event: decode snapshot: format is %d, want %d", content.Format, snapshotFormat)
+		return nil, &Error{
+			Op:   "decode snapshot",
+			Kind: KindMalformed,
+			Err:  fmt.Errorf("format is %d, want %d", content.Format, snapshotFormat),
+		}
 	}
 	return content.Events, nil
 }
--- a/event/stamp.go
+++ b/event/stamp.go
@@ -46,15 +46,15 @@
 func ParseStamp(text string) (Stamp, error) {
 	wallText, countText, found := strings.Cut(text, ".")
 	if !found {
-		return Stamp{}, fmt.Errorf("stamp %q: want wall.count", text)
+		return Stamp{}, &Error{Op: "parse stamp", Kind: KindMalformed, Err: fmt.Errorf("stamp %q: want wall.count", text)}
 	}
 	wall, err := strconv.ParseInt(wallText, 10, 64)
 	if err != nil {
-		return Stamp{}, fmt.Errorf("stamp %q: wall: %w", text, err)
+		return Stamp{}, &Error{Op: "parse stamp", Kind: KindMalformed, Err: fmt.Errorf("stamp %q: wall: %w", text, err)}
 	}
 	count, err := strconv.ParseUint(countText, 10, 32)
 	if err != nil {
-		return Stamp{}, fmt.Errorf("stamp %q: count: %w", text, err)
+		return Stamp{}, &Error{Op: "parse stamp", Kind: KindMalformed, Err: fmt.Errorf("stamp %q: count: %w", text, err)}
 	}
 	return Stamp{Count: uint32(count), Wall: wall}, nil
 }
--- a/fleet/history.go
+++ b/fleet/history.go
@@ -27,10 +27,10 @@
 	for _, part := range strings.Split(text, ",") {
 		start, err := parseTermStart(part)
 		if err != nil {
-			return nil, fmt.Errorf("history %q: %w", text, err)
+			return nil, &Error{Op: "parse history", Kind: KindMalformed, Err: fmt.Errorf("%q: %w", text, err)}
 		}
 		if n := len(history); n > 0 && (start.Term <= history[n-1].Term || start.First < history[n-1].First) {
-			return nil, fmt.Errorf("history %q: term %d is out of order", text, start.Term)
+			return nil, &Error{Op: "parse history", Kind: KindMalformed, Err: fmt.Errorf("%q: term %d is out of order", text, start.Term)}
 		}
 		history = append(history, start)
 	}
