fix: report a lease that lapsed during admission as not serving

Cause: a request far inside its rate was refused with 53400 once, with a slow store under load; the lease can lapse between the check and the admission. Change: a refusal is checked against the lease once more.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -29,7 +29,7 @@
 		Committer:       i.router,
 		Credentials:     &credentials{now: i.config.Now, sheet: i.board.Sheet},
 		Events:          i.recorder,
-		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, service: i.service},
+		Gate:            &gate{lifecycle: i.board.Lifecycle, limits: i.limits, metrics: i.metrics, now: i.config.Now, service: i.service},
 		IdleTimeout:     idleTimeout(configured.Timeouts.Idle),
 		MaxMessage:      configured.Limits.MaxMessageBytes,
 		MaxSessions:     configured.Limits.MaxSessions,
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -26,6 +26,7 @@
 	lifecycle *blackboard.Section[Lifecycle]
 	limits    limits
 	metrics   *metrics
+	now       func() time.Time
 	service   *service
 }
 
@@ -38,6 +39,11 @@
 		return caller.Decision{}
 	}
 	decision := g.limits.Admit(now, id)
+	if !decision.Admitted && !g.limits.Valid(g.now()) {
+		// The lease lapsed in between; the workspace is not over its rate.
+		g.metrics.refusedNotServing.Add(1)
+		return caller.Decision{}
+	}
 	if counts := g.metrics.workspace(id); decision.Admitted {
 		counts.admitted.Add(1)
 	} else {
