--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -253,3 +255,24 @@
 		t.Errorf("sum after failover (-want +got):\n%s", diff)
 	}
 }
+
+// TestWriteOnPausedPrimaryEnds guards against a write that waits for the answer
+// timeout (1 min here) of a primary that another server has replaced.
+func TestWriteOnPausedPrimaryEnds(t *testing.T) {
+	f := newFixture(t, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	conn := connect(ctx, t, f.urls[0])
+	if _, err := conn.Exec(ctx, "INSERT INTO die_runs (press, sheets) VALUES ('press-1', 1)"); err != nil {
+		t.Fatal(err)
+	}
+	f.group.Primary().Pause(true)
+	_, err := conn.Exec(ctx, "INSERT INTO die_runs (press, sheets) VALUES ('press-1', 2)")
+	var answered *pgconn.PgError
+	if !errors.As(err, &answered) {
+		t.Fatalf("error is %v, want an answer of the proxy", err)
+	}
+	if diff := cmp.Diff([]string{"40003", "Outcome: Unknown"}, []string{answered.Code, answered.Detail}); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/instance/peerlist.go
@@ -0,0 +1,36 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/peer"
+	"github.com/nutmegpier/nutmegpier/platform"
+)
+
+// peerList gives the peers the platform's list of instances.
+type peerList struct {
+	list    platform.InstanceList
+	timeout time.Duration
+}
+
+var _ peer.InstanceList = &peerList{}
+
+// List returns the listed instances.
+func (l *peerList) List(ctx context.Context) ([]peer.Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	instances, err := l.list.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var listed []peer.Listed
+	for _, instance := range instances {
+		listed = append(listed, peer.Listed{
+			Address:  instance.PeerAddress,
+			Instance: instance.ID,
+			Leaving:  instance.State == platform.InstanceLeaving,
+		})
+	}
+	return listed, nil
+}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -6,17 +6,13 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
-	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
-	"github.com/nutmegpier/nutmegpier/group"
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/platform"
 	"github.com/nutmegpier/nutmegpier/settings"
 	"github.com/nutmegpier/nutmegpier/sheet"
 	"github.com/nutmegpier/nutmegpier/workspace"
@@ -26,153 +22,6 @@
 // holds a sheet.
 const maxPeerMessage = 4 << 20
 
-// peerTable gives the peers the rows of the platform's table.
-type peerTable struct {
-	table   platform.Table
-	timeout time.Duration
-}
-
-var _ peer.Table = &peerTable{}
-
-// Read returns the rows that exist.
-func (t *peerTable) Read(ctx context.Context, keys []string) ([]peer.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout)
-	defer cancel()
-	rows, err := t.table.Read(ctx, keys...)
-	if err != nil {
-		return nil, err
-	}
-	return peerRows(rows), nil
-}
-
-// Write writes all rows if all conditions hold.
-func (t *peerTable) Write(ctx context.Context, conditions []peer.Condition, rows []peer.Row) (bool, []peer.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout)
-	defer cancel()
-	var wanted []platform.Condition
-	for _, condition := range conditions {
-		wanted = append(wanted, platform.Condition{Key: condition.Key, Revision: platform.Revision(condition.Revision)})
-	}
-	var written []platform.Row
-	for _, row := range rows {
-		written = append(written, platform.Row{Key: row.Key, Value: row.Value})
-	}
-	applied, after, err := t.table.Write(ctx, wanted, written)
-	if err != nil {
-		return false, nil, err
-	}
-	return applied, peerRows(after), nil
-}
-
-func peerRows(rows []platform.Row) []peer.Row {
-	var result []peer.Row
-	for _, row := range rows {
-		result = append(result, peer.Row{Key: row.Key, Revision: uint64(row.Revision), Value: row.Value})
-	}
-	return result
-}
-
-// peerList gives the peers the platform's list of instances.
-type peerList struct {
-	list    platform.InstanceList
-	timeout time.Duration
-}
-
-var _ peer.InstanceList = &peerList{}
-
-// List returns the listed instances.
-func (l *peerList) List(ctx context.Context) ([]peer.Listed, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
-	defer cancel()
-	instances, err := l.list.Instances(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var listed []peer.Listed
-	for _, instance := range instances {
-		listed = append(listed, peer.Listed{
-			Address:  instance.PeerAddress,
-			Instance: instance.ID,
-			Leaving:  instance.State == platform.InstanceLeaving,
-		})
-	}
-	return listed, nil
-}
-
-// groupPeers tells group controllers what other instances know.
-type groupPeers struct {
-	now   func() time.Time
-	peers *peer.Controller
-	self  fleet.InstanceID
-}
-
-var _ group.Peers = &groupPeers{}
-
-// Live returns the instances believed to be live, this one included.
-func (g *groupPeers) Live() []fleet.InstanceID {
-	live := []fleet.InstanceID{g.self}
-	for _, member := range g.peers.LiveInstances() {
-		if member.Instance != g.self {
-			live = append(live, member.Instance)
-		}
-	}
-	slices.Sort(live)
-	return live
-}
-
-// Suspicions returns the newest reports of other instances on a group.
-func (g *groupPeers) Suspicions(id fleet.GroupID) []group.SuspicionReport {
-	var reports []group.SuspicionReport
-	for _, suspicion := range g.peers.Suspicions() {
-		if suspicion.Group != id {
-			continue
-		}
-		reports = append(reports, group.SuspicionReport{
-			Instance: suspicion.By.Instance,
-			Received: g.now(),
-			Silence:  suspicion.Silence,
-			Term:     suspicion.Term,
-		})
-	}
-	return reports
-}
-
-// shares gives the gate the shares of this instance.
-type shares struct {
-	peers *peer.Controller
-}
-
-var _ limits = &shares{}
-
-// Admit decides on one request. Before it refuses, it asks the peers for
-// shares once.
-func (s *shares) Admit(now time.Time, id fleet.WorkspaceID) workspace.Decision {
-	if decision := s.peers.Admit(now, id); decision.Admitted {
-		return decision
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shareWait)
-	defer cancel()
-	return s.peers.AdmitOrAsk(ctx, id)
-}
-
-// Permits returns the number of connections that may be open to a server.
-func (s *shares) Permits(server fleet.ServerID) int {
-	return s.peers.Permits(server)
-}
-
-// Share returns the share of a workspace's limit that is held now.
-func (s *shares) Share(id fleet.WorkspaceID) workspace.Share {
-	return s.peers.Share(id)
-}
-
-// Valid reports whether the instance may serve at this time.
-func (s *shares) Valid(now time.Time) bool {
-	return s.peers.Valid(now)
-}
-
-// shareWait bounds the time that a request waits for shares of peers.
-const shareWait = 50 * time.Millisecond
-
 // newPeers returns the controller for the other instances.
 func (i *Instance) newPeers() *peer.Controller {
 	timeout := i.config.Settings.Platform.Timeout
