fix: hold each commit of a lease that was chosen as primary

Cause: found by reading. The router asked the view a second time whether the chosen server is the primary. A change of the view in between made the lease of a write that of a replica, whose commit is passed on without majority evidence. Ruled out: the caller's side, which holds what the lease says. Change: the choice itself says what a server was chosen as; a read counts as on a primary if the server was primary before or after the candidates were found. Conclusion: go test -race ./instance passes. No test brings the race about yet.

--- a/instance/router.go
+++ b/instance/router.go
@@ -128,11 +128,14 @@
 		Written: request.Token.Written,
 	}
 	for {
+		before := routed.view.Load().Primary
 		candidates, err := routed.control.AwaitFresh(ctx, need, r.choice(routed), r.timeouts().FreshWait)
 		if err != nil {
 			return nil, routeError("choose replica", err)
 		}
-		lease, err := r.tryServers(ctx, routed, request, candidates)
+		after := routed.view.Load().Primary
+		isPrimary := func(server fleet.ServerID) bool { return server == before || server == after }
+		lease, err := r.tryServers(ctx, routed, request, candidates, isPrimary)
 		if lease != nil || isFinal(ctx, err) {
 			return lease, err
 		}
@@ -152,7 +155,8 @@
 		if server == request.Exclude {
 			routed.control.ReportRefusal()
 		}
-		lease, err := r.tryServers(ctx, routed, request, []fleet.ServerID{server})
+		chosen := func(fleet.ServerID) bool { return true }
+		lease, err := r.tryServers(ctx, routed, request, []fleet.ServerID{server}, chosen)
 		if lease != nil || isFinal(ctx, err) {
 			return lease, err
 		}
@@ -163,9 +167,10 @@
 }
 
 // tryServers returns a lease of the first server that gives a connection. The
-// error is that of the last one that was tried.
-func (r *router) tryServers(ctx context.Context, routed routedGroup, request caller.Request, servers []fleet.ServerID) (caller.Lease, error) {
-	primary := routed.view.Load().Primary
+// error is that of the last one that was tried. IsPrimary tells what a server
+// was chosen as: only commits on a primary's lease wait for their evidence, so
+// a change of the view after the choice must not turn it into a replica's.
+func (r *router) tryServers(ctx context.Context, routed routedGroup, request caller.Request, servers []fleet.ServerID, isPrimary func(fleet.ServerID) bool) (caller.Lease, error) {
 	var last error = &caller.Error{
 		Op:      "acquire",
 		Kind:    caller.KindBackendLost,
@@ -177,7 +182,7 @@
 			continue
 		}
 		poolRequest := r.poolRequest(server, request)
-		poolRequest.Primary = server == primary
+		poolRequest.Primary = isPrimary(server)
 		lease, err := r.pool.Acquire(ctx, r.now(), poolRequest)
 		if err == nil {
 			return lease, nil
