fix: run the tests in virtual time without the race detector

Also: package platform becomes metastore, so that platform can become the adapter of an installation; routes of the sheet gain group, consistency, age, timeouts and priority; the first part of the session core.

--- /dev/null
+++ b/backend/pool_race_test.go
@@ -0,0 +1,46 @@
+package backend_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// TestPoolConcurrentUse guards against data races between requests, permits
+// and drains of one pool, in real time, and against a connection that is in
+// use twice. The tests in virtual time run without the race detector.
+func TestPoolConcurrentUse(t *testing.T) {
+	s := &script{reply: done}
+	pool := backend.NewPool(backend.PoolConfig{Connect: s.connect, Starved: func(fleet.ServerID) {}})
+	defer pool.Close()
+	pool.SetServer("s1", "a", backend.Limits{Permits: 3, Slots: 2})
+	var users sync.WaitGroup
+	for range 8 {
+		users.Go(func() {
+			for range 50 {
+				lease, err := pool.Acquire(context.Background(), time.Now(), poolRequest(time.Minute))
+				if err != nil {
+					t.Errorf("Acquire() = %v", err)
+					return
+				}
+				if counts := pool.Counts("s1"); counts.InUse > 2 {
+					t.Errorf("%d connections in use, want at most 2", counts.InUse)
+				}
+				lease.Release(true)
+			}
+		})
+	}
+	users.Go(func() {
+		for permits := range 50 {
+			pool.SetServer("s1", "a", backend.Limits{Permits: 1 + permits%3, Slots: 2})
+			pool.Warm("s1", permits%3)
+			pool.GivePermit("s1")
+			pool.SetServer("s1", "a", backend.Limits{Permits: 3, Slots: 2})
+		}
+	})
+	users.Wait()
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,7 +18,7 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/instance"
 	"github.com/nutmegpier/nutmegpier/operator"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/standin"
 )
 
@@ -281,11 +281,11 @@
 	if err != nil {
 		return &Error{Op: "open " + string(id), Kind: KindStart, Err: err}
 	}
-	d.platform.AddInstance(platform.Instance{
+	d.platform.AddInstance(metastore.Instance{
 		DataCentre:  dataCentre,
 		ID:          id,
 		PeerAddress: configured.Listen.Peers,
-		State:       platform.InstanceLive,
+		State:       metastore.InstanceLive,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &runningInstance{
--- a/demo/external.go
+++ b/demo/external.go
@@ -10,7 +10,7 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/instance"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 )
 
 // External is an instance that runs as a process of its own before the
@@ -45,11 +45,11 @@
 	if err := os.WriteFile(name, encoded, 0o600); err != nil {
 		return External{}, &Error{Op: "write settings", Kind: KindStart, Err: err}
 	}
-	d.platform.AddInstance(platform.Instance{
+	d.platform.AddInstance(metastore.Instance{
 		DataCentre:  dataCentre,
 		ID:          id,
 		PeerAddress: file.Listen.Peers,
-		State:       platform.InstanceLive,
+		State:       metastore.InstanceLive,
 	})
 	external := External{AdminURL: "http://" + file.Listen.Admin, Settings: name}
 	for _, key := range d.keys {
--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package group_test
 
 import (
--- a/instance/archive.go
+++ b/instance/archive.go
@@ -12,7 +12,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/operator"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 )
 
 const (
@@ -88,7 +88,7 @@
 		return err
 	}
 	var index archiveIndex
-	condition := platform.Condition{Key: key}
+	condition := metastore.Condition{Key: key}
 	if len(rows) > 0 {
 		condition.Revision = rows[0].Revision
 		if err := json.Unmarshal(rows[0].Value, &index); err != nil {
@@ -103,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	applied, _, err := a.platform.Write(ctx, []platform.Condition{condition}, []platform.Row{{Key: key, Value: value}})
+	applied, _, err := a.platform.Write(ctx, []metastore.Condition{condition}, []metastore.Row{{Key: key, Value: value}})
 	if err != nil {
 		return err
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,7 +19,7 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/group"
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/settings"
 )
 
@@ -32,9 +32,9 @@
 
 // Platform is what an instance needs of the platform.
 type Platform interface {
-	platform.InstanceList
-	platform.Objects
-	platform.Table
+	metastore.InstanceList
+	metastore.Objects
+	metastore.Table
 }
 
 // Config holds what an instance depends on. All fields but BackendPassword,
--- a/instance/open.go
+++ b/instance/open.go
@@ -14,7 +14,7 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/settings"
 )
 
@@ -66,7 +66,7 @@
 			TLSClientConfig:     security.peerClient,
 		}},
 		PeerTLS:  security.peerServer,
-		Platform: platform.NewClient(&http.Client{}, configured.Platform.URL),
+		Platform: metastore.NewClient(&http.Client{}, configured.Platform.URL),
 		Random:   random,
 		Settings: configured,
 	})
--- a/instance/peerlist.go
+++ b/instance/peerlist.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 )
 
 // peerList gives the peers the platform's list of instances.
 type peerList struct {
-	list    platform.InstanceList
+	list    metastore.InstanceList
 	timeout time.Duration
 }
 
@@ -29,7 +29,7 @@
 		listed = append(listed, peer.Listed{
 			Address:  instance.PeerAddress,
 			Instance: instance.ID,
-			Leaving:  instance.State == platform.InstanceLeaving,
+			Leaving:  instance.State == metastore.InstanceLeaving,
 		})
 	}
 	return listed, nil
--- a/instance/peertable.go
+++ b/instance/peertable.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 )
 
 // peerTable gives the peers the rows of the platform's table.
 type peerTable struct {
-	table   platform.Table
+	table   metastore.Table
 	timeout time.Duration
 }
 
@@ -31,13 +31,13 @@
 func (t *peerTable) Write(ctx context.Context, conditions []peer.Condition, rows []peer.Row) (bool, []peer.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
-	var wanted []platform.Condition
+	var wanted []metastore.Condition
 	for _, condition := range conditions {
-		wanted = append(wanted, platform.Condition{Key: condition.Key, Revision: platform.Revision(condition.Revision)})
+		wanted = append(wanted, metastore.Condition{Key: condition.Key, Revision: metastore.Revision(condition.Revision)})
 	}
-	var written []platform.Row
+	var written []metastore.Row
 	for _, row := range rows {
-		written = append(written, platform.Row{Key: row.Key, Value: row.Value})
+		written = append(written, metastore.Row{Key: row.Key, Value: row.Value})
 	}
 	applied, after, err := t.table.Write(ctx, wanted, written)
 	if err != nil {
@@ -46,7 +46,7 @@
 	return applied, peerRows(after), nil
 }
 
-func peerRows(rows []platform.Row) []peer.Row {
+func peerRows(rows []metastore.Row) []peer.Row {
 	var result []peer.Row
 	for _, row := range rows {
 		result = append(result, peer.Row{Key: row.Key, Revision: uint64(row.Revision), Value: row.Value})
--- a/instance/publisher.go
+++ b/instance/publisher.go
@@ -10,7 +10,7 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/operator"
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
@@ -33,7 +33,7 @@
 type publisher struct {
 	holders holders
 	now     func() time.Time
-	table   platform.Table
+	table   metastore.Table
 	usage   func() sheet.Usage
 }
 
@@ -48,7 +48,7 @@
 	afterBase sheet.ReadBack
 	head      peer.Head
 	record    sheet.Record
-	revision  platform.Revision
+	revision  metastore.Revision
 	sheet     sheet.Sheet
 }
 
@@ -177,11 +177,11 @@
 	if err != nil {
 		return "", fmt.Errorf("encode head row: %w", err)
 	}
-	conditions := []platform.Condition{
+	conditions := []metastore.Condition{
 		{Key: peer.HeadKey, Revision: stored.revision},
 		{Key: peer.SheetKey(version)},
 	}
-	rows := []platform.Row{
+	rows := []metastore.Row{
 		{Key: peer.HeadKey, Value: head},
 		{Key: peer.SheetKey(version), Value: encoded},
 	}
--- a/platform/client.go
+++ b/metastore/client.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
--- a/platform/error.go
+++ b/metastore/error.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import "fmt"
 
@@ -27,9 +27,9 @@
 // Error returns the text of the error.
 func (e *Error) Error() string {
 	if e.Err == nil {
-		return fmt.Sprintf("platform: %s: %s", e.Op, e.Kind)
+		return fmt.Sprintf("metastore: %s: %s", e.Op, e.Kind)
 	}
-	return fmt.Sprintf("platform: %s: %s: %v", e.Op, e.Kind, e.Err)
+	return fmt.Sprintf("metastore: %s: %s: %v", e.Op, e.Kind, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/platform/platform.go
+++ b/metastore/metastore.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform: its transactional table, its
+// Package metastore speaks to the store of an installation: its transactional table, its
 // object store and its list of instances.
-package platform
+package metastore
 
 import (
 	"context"
--- a/peer/controller_test.go
+++ b/peer/controller_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package peer_test
 
 import (
@@ -51,6 +53,12 @@
 	}
 }
 
+// settle lets virtual time pass.
+func (d *deployment) settle(duration time.Duration) {
+	time.Sleep(duration)
+	synctest.Wait()
+}
+
 func bubble(t *testing.T, test func(t *testing.T, d *deployment)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/primacy/promotion.go
@@ -0,0 +1,266 @@
+package primacy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+const (
+	// catchUpBound is how long a handover waits for a replica that has all of
+	// the old primary's log. Replicas are tens of milliseconds behind.
+	catchUpBound = time.Second
+	// promoteBound is how long an ordered promotion may take before the order
+	// is given again: twice the longest one in use.
+	promoteBound = 2 * time.Second
+	// statusBound is how long statuses are waited for before the choice is
+	// made among the servers that answered.
+	statusBound = 700 * time.Millisecond
+	// targetBound is how long a target may stay silent before another one is
+	// chosen. An order that was lost takes effect within seconds or never.
+	targetBound = 8 * time.Second
+)
+
+// Role is what a server says of itself.
+type Role string
+
+// Roles of servers.
+const (
+	RolePrimary Role = "Primary"
+	RoleReplica Role = "Replica"
+)
+
+// Server is what the leader knows of one server of a group.
+type Server struct {
+	// Eligible is false for servers that leave or stand in a data centre that
+	// is out of service.
+	Eligible bool
+	ID       fleet.ServerID
+	// Position is the end of the received log.
+	Position fleet.Position
+	// Registered is false for servers that are not listed any more.
+	Registered bool
+	Role       Role
+	// StatusAt is when the status was asked for that Position and Role come
+	// from; zero means never.
+	StatusAt time.Time
+	Term     fleet.Term
+}
+
+// Member is what the leader knows of one instance.
+type Member struct {
+	// Left is the generation that the instance has confirmed to have left.
+	Left Generation
+	// Live is false once the instance's own lease has certainly ended.
+	Live bool
+	// Unreachable says that the instance can't reach the primary.
+	Unreachable bool
+}
+
+// Situation is all that the leader's next step depends on.
+type Situation struct {
+	// Changed is when the leader first saw the record's present generation.
+	Changed time.Time
+	// Members are all instances, the leader included.
+	Members []Member
+	// Ordered is when the leader last ordered the promotion of the target.
+	Ordered time.Time
+	// Record is the zero Record if there is none.
+	Record  Record
+	Servers []Server
+}
+
+// StepKind says what the leader does next.
+type StepKind string
+
+// Kinds of steps.
+const (
+	// StepNone waits.
+	StepNone StepKind = "None"
+	// StepPromote orders the promotion of the target.
+	StepPromote StepKind = "Promote"
+	// StepStatus asks all servers of the group for their status.
+	StepStatus StepKind = "Status"
+	// StepWrite writes the next record.
+	StepWrite StepKind = "Write"
+)
+
+// Step is what the leader does next.
+type Step struct {
+	Kind   StepKind
+	Record Record
+	Target fleet.ServerID
+}
+
+// Decide returns the leader's next step for one group.
+func Decide(now time.Time, s Situation) Step {
+	switch {
+	case s.Record.Generation == 0:
+		return s.first(now)
+	case s.Record.Phase == PhaseServing:
+		return s.serving(now)
+	case s.Record.Target != "":
+		return s.promoting(now)
+	default:
+		return s.changing(now)
+	}
+}
+
+// first finds the primary of a group without a record.
+func (s Situation) first(now time.Time) Step {
+	if !s.fresh(now) {
+		return Step{Kind: StepStatus}
+	}
+	primary, found := s.leading()
+	if !found {
+		return Step{Kind: StepStatus}
+	}
+	return Step{Kind: StepWrite, Record: Record{Generation: 1, Phase: PhaseServing, Primary: primary.ID, Term: primary.Term}}
+}
+
+// serving starts a change when the primary is to be replaced.
+func (s Situation) serving(now time.Time) Step {
+	primary, known := s.server(s.Record.Primary)
+	next := Record{Generation: s.Record.Generation + 1, Phase: PhaseChanging, Primary: s.Record.Primary, Term: s.Record.Term}
+	if other, found := s.leading(); found && other.ID != s.Record.Primary && other.Term > s.Record.Term {
+		next.Reason = ReasonReplaced
+		return Step{Kind: StepWrite, Record: next}
+	}
+	if !s.hasCandidate() {
+		return Step{Kind: StepNone}
+	}
+	switch {
+	case s.unreachable():
+		next.Reason = ReasonFailure
+	case known && primary.Registered && !primary.Eligible:
+		next.Reason = ReasonHandover
+	default:
+		return Step{Kind: StepNone}
+	}
+	return Step{Kind: StepWrite, Record: next}
+}
+
+// changing waits until nobody uses the old primary, and chooses the target.
+func (s Situation) changing(now time.Time) Step {
+	if !s.allLeft(now) {
+		return Step{Kind: StepNone}
+	}
+	if !s.statusSince(s.Changed) && now.Before(s.Changed.Add(statusBound)) {
+		return Step{Kind: StepStatus}
+	}
+	target, found := s.candidate()
+	if !found {
+		return Step{Kind: StepStatus}
+	}
+	old, known := s.server(s.Record.Primary)
+	if known && s.Record.Reason == ReasonHandover && old.StatusAt.After(s.Changed) &&
+		target.Position.Compare(old.Position) < 0 && now.Before(s.Changed.Add(catchUpBound)) {
+		return Step{Kind: StepStatus}
+	}
+	next := s.Record
+	next.Target = target.ID
+	return Step{Kind: StepWrite, Record: next}
+}
+
+// promoting orders the promotion of the recorded target and waits for it.
+func (s Situation) promoting(now time.Time) Step {
+	target, known := s.server(s.Record.Target)
+	if known && target.Role == RolePrimary && target.Term > s.Record.Term && target.StatusAt.After(s.Changed) {
+		return Step{Kind: StepWrite, Record: Record{
+			Generation: s.Record.Generation + 1, Phase: PhaseServing, Primary: target.ID, Term: target.Term,
+		}}
+	}
+	gone := !known || !target.Registered
+	if now.After(s.Changed.Add(targetBound)) && (gone || target.StatusAt.Before(now.Add(-statusBound))) {
+		next := s.Record
+		next.Target = ""
+		next.Generation++
+		return Step{Kind: StepWrite, Record: next}
+	}
+	if s.Ordered.IsZero() || now.Sub(s.Ordered) >= promoteBound {
+		return Step{Kind: StepPromote, Target: s.Record.Target}
+	}
+	return Step{Kind: StepStatus}
+}
+
+// allLeft reports whether no instance uses the old primary any more: each has
+// confirmed, or its lease has certainly ended.
+func (s Situation) allLeft(now time.Time) bool {
+	if !now.Before(s.Changed.Add(LeaseTime + LeaseMargin)) {
+		return true
+	}
+	return !slices.ContainsFunc(s.Members, func(m Member) bool { return m.Live && m.Left < s.Record.Generation })
+}
+
+// unreachable reports whether at least half of the live instances, and one at
+// least, can't reach the primary.
+func (s Situation) unreachable() bool {
+	live, cut := 0, 0
+	for _, m := range s.Members {
+		if m.Live {
+			live++
+			if m.Unreachable {
+				cut++
+			}
+		}
+	}
+	return cut > 0 && 2*cut >= live
+}
+
+// leading returns the server that leads the latest term.
+func (s Situation) leading() (Server, bool) {
+	return best(s.Servers, func(server Server) bool { return server.Role == RolePrimary && !server.StatusAt.IsZero() })
+}
+
+func (s Situation) hasCandidate() bool {
+	return slices.ContainsFunc(s.Servers, func(server Server) bool {
+		return server.Registered && server.Eligible && server.ID != s.Record.Primary
+	})
+}
+
+// candidate returns the server with the longest log of those that answered
+// since the change, and can take the lead. A server that leads a later term
+// already comes first.
+func (s Situation) candidate() (Server, bool) {
+	if leading, found := s.leading(); found && leading.Term > s.Record.Term && leading.StatusAt.After(s.Changed) {
+		return leading, true
+	}
+	return best(s.Servers, func(server Server) bool {
+		return server.Registered && server.Eligible && server.ID != s.Record.Primary && server.StatusAt.After(s.Changed)
+	})
+}
+
+func best(servers []Server, accepted func(Server) bool) (Server, bool) {
+	var candidates []Server
+	for _, server := range servers {
+		if accepted(server) {
+			candidates = append(candidates, server)
+		}
+	}
+	if len(candidates) == 0 {
+		return Server{}, false
+	}
+	return slices.MaxFunc(candidates, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Term, b.Term), a.Position.Compare(b.Position), cmp.Compare(b.ID, a.ID))
+	}), true
+}
+
+// fresh reports whether all registered servers answered a moment ago.
+func (s Situation) fresh(now time.Time) bool {
+	return len(s.Servers) > 0 && s.statusSince(now.Add(-statusBound))
+}
+
+func (s Situation) statusSince(since time.Time) bool {
+	return !slices.ContainsFunc(s.Servers, func(server Server) bool { return server.Registered && !server.StatusAt.After(since) })
+}
+
+func (s Situation) server(id fleet.ServerID) (Server, bool) {
+	for _, server := range s.Servers {
+		if server.ID == id {
+			return server, true
+		}
+	}
+	return Server{}, false
+}
--- /dev/null
+++ b/primacy/samples.go
@@ -0,0 +1,75 @@
+package primacy
+
+import (
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+const (
+	// sampleSpacing is the least time between two kept samples. It is small
+	// against the ages that routes accept, and bounds the ring.
+	sampleSpacing = 50 * time.Millisecond
+	// sampleKeep is how long samples are kept: the largest age of a route in
+	// use, 2.5 s, and some more.
+	sampleKeep = 4 * time.Second
+)
+
+type sample struct {
+	position fleet.Position
+	time     time.Time
+}
+
+// Samples are positions of a group's log, each seen at the primary. A log that
+// holds a position holds all commits that were acknowledged before the
+// sample's time. It isn't safe for concurrent use.
+type Samples struct {
+	samples []sample
+}
+
+// Add notes that the primary's log ended at a position, at a time when it was
+// the only primary. A sample of an earlier term than the newest is dropped.
+func (s *Samples) Add(position fleet.Position, at time.Time) {
+	n := len(s.samples)
+	if n > 0 {
+		newest := s.samples[n-1]
+		if position.Term < newest.position.Term || at.Before(newest.time) {
+			return
+		}
+		if position.Term > newest.position.Term {
+			// Positions of an earlier term may have been rolled back.
+			s.samples = s.samples[:0]
+		}
+	}
+	n = len(s.samples)
+	if n >= 2 && at.Sub(s.samples[n-2].time) < sampleSpacing {
+		s.samples[n-1] = sample{position: position, time: at}
+		return
+	}
+	s.samples = append(s.samples, sample{position: position, time: at})
+	expired := 0
+	for expired < len(s.samples)-1 && at.Sub(s.samples[expired].time) > sampleKeep {
+		expired++
+	}
+	s.samples = append(s.samples[:0], s.samples[expired:]...)
+}
+
+// Oldest returns the first position that was seen at or after a time. It asks
+// least of a replica.
+func (s *Samples) Oldest(notBefore time.Time) (fleet.Position, bool) {
+	for _, candidate := range s.samples {
+		if !candidate.time.Before(notBefore) {
+			return candidate.position, true
+		}
+	}
+	return fleet.Position{}, false
+}
+
+// Newest returns the last position and its time, or zero.
+func (s *Samples) Newest() (fleet.Position, time.Time) {
+	if len(s.samples) == 0 {
+		return fleet.Position{}, time.Time{}
+	}
+	newest := s.samples[len(s.samples)-1]
+	return newest.position, newest.time
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,334 @@
+package session
+
+import (
+	"crypto/sha256"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/sheet"
+)
+
+const (
+	// maxAttempts bounds the servers that one statement is offered to: each of
+	// a group of three, and the primary once more after a change.
+	maxAttempts = 4
+	// retryPause is the first pause after a server that was busy; it doubles.
+	// It is about the work of one statement.
+	retryPause = 15 * time.Millisecond
+)
+
+// Clock returns the present time.
+type Clock func() time.Time
+
+// Credentials are what a caller presents when it connects.
+type Credentials struct {
+	Database fleet.GroupID
+	// Key is the digest of the caller's key.
+	Key [sha256.Size]byte
+}
+
+// Observer is told how requests end.
+type Observer interface {
+	// Observe takes the outcome of one statement. Attempts counts the servers
+	// that it was offered to; latency is the whole time in the instance.
+	Observe(now time.Time, statement Statement, need Need, server fleet.ServerID, attempts int, latency time.Duration, err *Error)
+}
+
+// Config is what a session depends on.
+type Config struct {
+	Clock    Clock
+	Gate     Gate
+	Observer Observer
+	// Pause waits for a span of time.
+	Pause  func(time.Duration)
+	Router Router
+}
+
+// Session is one caller's session. It isn't safe for concurrent use.
+type Session struct {
+	config      Config
+	credentials Credentials
+	// lastServer ran the last statement.
+	lastServer  fleet.ServerID
+	own         fleet.Position
+	prepared    map[string]Template
+	seen        fleet.Position
+	state       State
+	transaction *transaction
+	values      map[string]string
+}
+
+// transaction is one that the caller began.
+type transaction struct {
+	access Access
+	began  time.Time
+	// lease is nil until the first statement, and after the transaction failed.
+	lease Lease
+	need  Need
+	wrote bool
+}
+
+// Open returns the session of a caller that may use the database.
+func Open(config Config, credentials Credentials) (*Session, *Error) {
+	if _, err := config.Gate.Check(config.Clock(), credentials); err != nil {
+		return nil, err
+	}
+	return &Session{
+		config:      config,
+		credentials: credentials,
+		prepared:    map[string]Template{},
+		state:       StateIdle,
+		values:      map[string]string{},
+	}, nil
+}
+
+// Close ends the session. An open transaction is rolled back.
+func (s *Session) Close() {
+	s.endTransaction(false)
+}
+
+// Expire fails a transaction that was idle for too long. Nothing of it is kept.
+func (s *Session) Expire() {
+	if s.state == StateTransaction {
+		s.endTransaction(false)
+		s.state = StateFailed
+	}
+}
+
+// State returns the state between requests.
+func (s *Session) State() State {
+	return s.state
+}
+
+// Do answers one request.
+func (s *Session) Do(statement Statement) Result {
+	if s.state == StateFailed && statement.Kind != StatementCommit && statement.Kind != StatementRollback {
+		return s.failed(&Error{Err: errors.New("the transaction failed; end it first"), Kind: KindMalformed, Op: "run"})
+	}
+	switch statement.Kind {
+	case StatementBegin, StatementBeginRead:
+		return s.begin(statement)
+	case StatementCommit:
+		return s.commit(statement)
+	case StatementDeallocate:
+		delete(s.prepared, statement.Name)
+		return s.done()
+	case StatementExecute, StatementRead, StatementWrite:
+		return s.run(statement)
+	case StatementPrepare:
+		s.prepared[statement.Name] = statement.Template
+		return s.done()
+	case StatementRollback:
+		s.endTransaction(true)
+		return s.done()
+	case StatementSet:
+		s.setValue(statement.Name, statement.Value)
+		return s.done()
+	default:
+		return s.failed(&Error{Err: errors.New("unknown statement"), Kind: KindMalformed, Op: "run"})
+	}
+}
+
+// setValue replaces the map, because leases may hold the earlier one.
+func (s *Session) setValue(name, value string) {
+	s.values = maps.Clone(s.values)
+	s.values[name] = value
+}
+
+func (s *Session) done() Result {
+	return Result{Position: s.seen, State: s.state}
+}
+
+func (s *Session) failed(err *Error) Result {
+	return Result{Err: err, Position: s.seen, State: s.state}
+}
+
+func (s *Session) begin(statement Statement) Result {
+	now := s.config.Clock()
+	if s.state != StateIdle {
+		return s.failed(&Error{Err: errors.New("a transaction is open"), Kind: KindMalformed, Op: "begin"})
+	}
+	access, err := s.admit(now)
+	if err != nil {
+		s.observe(now, now, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
+		return s.failed(err)
+	}
+	need := s.need(now, access, statement)
+	need.Write = statement.Kind == StatementBegin
+	s.transaction = &transaction{access: access, began: now, need: need}
+	s.state = StateTransaction
+	return s.done()
+}
+
+// admit checks the caller and takes one operation from its limit.
+func (s *Session) admit(now time.Time) (Access, *Error) {
+	access, err := s.config.Gate.Check(now, s.credentials)
+	if err != nil {
+		return access, err
+	}
+	return access, s.config.Gate.Admit(now, access.Workspace)
+}
+
+func (s *Session) need(now time.Time, access Access, statement Statement) Need {
+	return Need{
+		Deadline:  now.Add(access.Route.StatementTimeout.Duration()),
+		Own:       s.own,
+		Request:   statement.ID,
+		Route:     access.Route,
+		Since:     now,
+		Workspace: access.Workspace,
+	}
+}
+
+// run answers a read or write, inside or outside a transaction.
+func (s *Session) run(statement Statement) Result {
+	start := s.config.Clock()
+	template, err := s.templateOf(statement)
+	if err != nil {
+		return s.inTransaction(start, statement, err)
+	}
+	if s.state == StateTransaction {
+		return s.runInTransaction(start, statement, template)
+	}
+	access, err := s.admit(start)
+	if err != nil {
+		s.observe(start, start, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
+		return s.failed(err)
+	}
+	need := s.need(start, access, statement)
+	need.Write = writes(statement, template)
+	attempts := 0
+	reply, err := s.attempt(&need, &attempts, statement.Kind == StatementWrite || need.Write, func(lease Lease) (Reply, *Error) {
+		return s.runOn(lease, need, statement, template)
+	})
+	s.observe(start, s.config.Clock(), statement, need, attempts, err)
+	if err != nil {
+		return s.failed(err)
+	}
+	return s.succeeded(reply)
+}
+
+func (s *Session) succeeded(reply Reply) Result {
+	s.seen = reply.Position
+	return Result{Position: reply.Position, Rows: reply.Rows, Signature: reply.Signature, State: s.state}
+}
+
+// attempt offers a request to servers until one answers for good. A request
+// that writes is offered again only if it did not run.
+func (s *Session) attempt(need *Need, attempts *int, write bool, try func(Lease) (Reply, *Error)) (Reply, *Error) {
+	pause := retryPause
+	for {
+		lease, err := s.config.Router.Acquire(*need)
+		if err != nil {
+			return Reply{}, err
+		}
+		*attempts++
+		s.lastServer = lease.Server()
+		reply, err := try(lease)
+		if err == nil {
+			return reply, nil
+		}
+		again := err.Kind.NotRun() || (!write && err.Kind != KindTimeout && err.Kind != KindNoStatement)
+		now := s.config.Clock()
+		if !again || *attempts >= maxAttempts || !now.Add(pause).Before(need.Deadline) {
+			return Reply{}, s.readOutcome(write, err)
+		}
+		avoid := map[fleet.ServerID]bool{lease.Server(): true}
+		maps.Copy(avoid, need.Avoid)
+		need.Avoid = avoid
+		if err.Kind == KindBusy || need.Write || need.Route.Consistency == sheet.ConsistencyPrimary {
+			s.config.Pause(pause)
+			pause *= 2
+		}
+	}
+}
+
+// readOutcome turns an unknown outcome of a read into one that promises that
+// nothing is kept, because a read keeps nothing.
+func (s *Session) readOutcome(write bool, err *Error) *Error {
+	if write || err.Kind != KindUnknown {
+		return err
+	}
+	return &Error{Err: err.Err, Kind: KindBusy, Op: err.Op, RetryAfter: err.RetryAfter}
+}
+
+// runOn runs a single statement on a connection and gives it back.
+func (s *Session) runOn(lease Lease, need Need, statement Statement, template *Template) (Reply, *Error) {
+	defer lease.Release()
+	if err := s.align(lease, need.Deadline, template, nil); err != nil {
+		return Reply{}, err
+	}
+	command := commandOf(statement, template)
+	if !need.Write {
+		command.After = lease.After()
+	}
+	if need.Write && !lease.Exclusive(s.config.Clock()) {
+		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "run"}
+	}
+	reply, failure := lease.Run(need.Deadline, []Command{command})
+	if failure != nil {
+		return Reply{}, errorOf("run", failure)
+	}
+	if !lease.Exclusive(s.config.Clock()) {
+		return Reply{}, &Error{Err: errors.New("the primary may have been replaced before it answered"), Kind: KindUnknown, Op: "run"}
+	}
+	if need.Write {
+		s.own = reply.Position
+	}
+	return reply, nil
+}
+
+// align gives the connection the session's values, and what must follow.
+func (s *Session) align(lease Lease, deadline time.Time, template *Template, after []Command) *Error {
+	commands := append(lease.State().Align(s.values, template), after...)
+	if len(commands) == 0 {
+		return nil
+	}
+	if _, failure := lease.Run(deadline, commands); failure != nil {
+		err := errorOf("prepare connection", failure)
+		if err.Kind == KindUnknown || err.Kind == KindTimeout {
+			// None of these commands writes, so nothing of the request has run.
+			err.Kind = KindBusy
+		}
+		return err
+	}
+	return nil
+}
+
+func errorOf(op string, failure *RunError) *Error {
+	return &Error{Err: errors.New(failure.Text), Kind: failure.Kind, Op: op}
+}
+
+// commandOf returns the command that runs a statement on a server.
+func commandOf(statement Statement, template *Template) Command {
+	if template != nil {
+		statement.Name = template.serverName()
+	}
+	return Command{Statement: statement}
+}
+
+func (s *Session) templateOf(statement Statement) (*Template, *Error) {
+	if statement.Kind != StatementExecute {
+		return nil, nil
+	}
+	template, known := s.prepared[statement.Name]
+	if !known {
+		return nil, &Error{Err: errors.New("no such prepared statement"), Kind: KindNoStatement, Op: "execute"}
+	}
+	return &template, nil
+}
+
+func writes(statement Statement, template *Template) bool {
+	return statement.Kind == StatementWrite || (template != nil && template.Write)
+}
+
+func (s *Session) observe(start, now time.Time, statement Statement, need Need, attempts int, err *Error) {
+	need.Request = statement.ID
+	server := s.lastServer
+	if attempts == 0 {
+		server = ""
+	}
+	s.config.Observer.Observe(now, statement, need, server, attempts, now.Sub(start), err)
+}
--- a/sheet/parse.go
+++ b/sheet/parse.go
@@ -13,8 +13,12 @@
 	maxIterations  = 1_000_000
 	// maxKeyProblems bounds the report of keys in a sheet.
 	maxKeyProblems = 100
-	maxRate        = 10_000_000
-	maxWeight      = 1000
+	// maxPriority is far above the few classes of requests in use.
+	maxPriority = 1000
+	maxRate     = 10_000_000
+	// maxRouteMilliseconds bounds ages and timeouts of routes to a day.
+	maxRouteMilliseconds = 24 * 60 * 60 * 1000
+	maxWeight            = 1000
 	// minIterations is the smallest count that SCRAM-SHA-256 (RFC 7677) recommends.
 	minIterations = 4096
 )
@@ -24,16 +28,25 @@
 	return []document.Rule{
 		{Path: "DataCentres[].DataCentre", Format: document.FormatName, Required: true},
 		{Path: "DataCentres[].State", Choices: []string{string(StateInService), string(StateOut)}, Default: string(StateInService)},
+		{Path: "Databases[].ColdRate", Min: 0, Max: maxRate},
 		{Path: "Databases[].Connections", Min: 0, Max: maxConnections},
 		{Path: "Databases[].Database", Format: document.FormatName, Required: true},
 		{Path: "Format", Min: FormatVersion, Max: FormatVersion, Required: true},
+		{Path: "Routes[].Consistency", Choices: []string{string(ConsistencyBoundedAge), string(ConsistencyPrimary), string(ConsistencyReadYourWrites)}, Default: string(ConsistencyReadYourWrites)},
 		{Path: "Routes[].Database", Format: document.FormatName, Required: true},
+		{Path: "Routes[].Group", Format: document.FormatName},
+		{Path: "Routes[].MaxAge", Min: 0, Max: maxRouteMilliseconds},
+		{Path: "Routes[].Priority", Min: 0, Max: maxPriority},
+		{Path: "Routes[].StatementTimeout", Min: 0, Max: maxRouteMilliseconds},
+		{Path: "Routes[].TargetLatency", Min: 0, Max: maxRouteMilliseconds},
 		{Path: "Servers[].Server", Format: document.FormatName, Required: true},
 		{Path: "Servers[].State", Choices: []string{string(StateInService), string(StateLeaving)}, Default: string(StateInService)},
+		{Path: "TransactionIdle", Min: 0, Max: maxRouteMilliseconds},
 		{Path: "Workspaces[].Burst", Min: 0, Max: maxRate, Required: true},
 		{Path: "Workspaces[].Databases", Required: true},
 		{Path: "Workspaces[].Databases[]", Format: document.FormatName, Required: true},
 		{Path: "Workspaces[].Iterations", Min: minIterations, Max: maxIterations, Default: "4096"},
+		{Path: "Workspaces[].Keys[].Digest", Format: document.FormatBase64Sum, Secret: true},
 		{Path: "Workspaces[].Keys[].KeyID", Format: document.FormatName, Required: true},
 		{Path: "Workspaces[].Keys[].NotAfter", Format: document.FormatTime},
 		{Path: "Workspaces[].Keys[].ServerKey", Format: document.FormatBase64Sum, Required: true, Secret: true},
--- a/sheet/sheet.go
+++ b/sheet/sheet.go
@@ -2,7 +2,11 @@
 // key verifiers and the decisions on publishing it.
 package sheet
 
-import "github.com/nutmegpier/nutmegpier/fleet"
+import (
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
 
 // FormatVersion is the version of the sheet format that this package reads.
 const FormatVersion = 1
@@ -20,14 +24,40 @@
 	StateOut State = "Out"
 )
 
+// Consistency says how recent the log must be that a read of a route runs on.
+type Consistency string
+
+// Kinds of consistency.
+const (
+	// ConsistencyBoundedAge lets a read miss commits younger than the route's
+	// MaxAge.
+	ConsistencyBoundedAge Consistency = "BoundedAge"
+	// ConsistencyPrimary lets a read miss no commit.
+	ConsistencyPrimary Consistency = "Primary"
+	// ConsistencyReadYourWrites lets a read miss commits of other sessions
+	// that are younger than the route's MaxAge, and none of its own session.
+	ConsistencyReadYourWrites Consistency = "ReadYourWrites"
+)
+
+// Milliseconds is a span of time on a sheet.
+type Milliseconds int64
+
+// Duration returns the span.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
 // Sheet is the configuration that operators publish.
 type Sheet struct {
 	DataCentres []DataCentre `json:",omitempty"`
 	Databases   []Database   `json:",omitempty"`
 	Format      int
-	Routes      []Route     `json:",omitempty"`
-	Servers     []Server    `json:",omitempty"`
-	Workspaces  []Workspace `json:",omitempty"`
+	Routes      []Route  `json:",omitempty"`
+	Servers     []Server `json:",omitempty"`
+	// TransactionIdle ends a transaction that its caller leaves idle for
+	// longer; zero means the bound of the settings.
+	TransactionIdle Milliseconds `json:",omitempty"`
+	Workspaces      []Workspace  `json:",omitempty"`
 }
 
 // DataCentre says whether a data centre is in service. Data centres that are
@@ -39,17 +69,33 @@
 
 // Database overrides settings of a database.
 type Database struct {
+	// ColdRate is the number of requests a second that a backend server gets
+	// over all instances until it is warm; zero means no bound.
+	ColdRate float64 `json:",omitempty"`
 	// Connections is the connection budget over all instances; zero means the
 	// budget of the settings.
 	Connections int
 	Database    fleet.GroupID
 }
 
-// Route says who may use a database besides the workspaces that list it.
+// Route says which group serves a database, how recent its reads are, and who
+// may use it besides the workspaces that list it.
 type Route struct {
-	Database fleet.GroupID
+	// Consistency is that of the reads; empty means ReadYourWrites.
+	Consistency Consistency `json:",omitempty"`
+	Database    fleet.GroupID
+	// Group serves the database; empty means the group of the same name.
+	Group fleet.GroupID `json:",omitempty"`
+	// MaxAge is the age from which on a read misses no commit of others.
+	MaxAge Milliseconds `json:",omitempty"`
 	// OpenToAll lets each authenticated workspace read the database.
 	OpenToAll bool
+	// Priority orders waiting requests; zero is the highest.
+	Priority int `json:",omitempty"`
+	// StatementTimeout bounds one statement; zero means no bound.
+	StatementTimeout Milliseconds `json:",omitempty"`
+	// TargetLatency is the time in which a request should be answered.
+	TargetLatency Milliseconds `json:",omitempty"`
 }
 
 // Server says whether a backend server takes new work. Servers that are not
@@ -79,7 +125,10 @@
 
 // Key is the SCRAM-SHA-256 verifier of a key. The key cannot be derived from it.
 type Key struct {
-	KeyID string
+	// Digest is the SHA-256 sum of a random key in base64, for callers that
+	// send the key itself; empty means that only the verifier is known.
+	Digest string `json:",omitempty"`
+	KeyID  string
 	// NotAfter is the time in RFC 3339 form from which the key is refused;
 	// empty means never.
 	NotAfter string `json:",omitempty"`
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -16,7 +16,7 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 	nutmegpierv1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
 	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
-	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/metastore"
 )
 
 // Outage is the way in which the table and the objects are unavailable.
@@ -51,14 +51,14 @@
 	changed     chan struct{}
 	counts      CallCounts
 	delay       time.Duration
-	frozen      []platform.Instance
-	instances   map[fleet.InstanceID]platform.Instance
+	frozen      []metastore.Instance
+	instances   map[fleet.InstanceID]metastore.Instance
 	isFrozen    bool
 	listOutage  Outage
 	loseAnswers int
 	objects     map[string][]byte
 	outage      Outage
-	rows        map[string]platform.Row
+	rows        map[string]metastore.Row
 }
 
 var _ nutmegpierv1connect.PlatformServiceHandler = &Platform{}
@@ -67,11 +67,11 @@
 func NewPlatform() *Platform {
 	p := &Platform{
 		changed:    make(chan struct{}),
-		instances:  make(map[fleet.InstanceID]platform.Instance),
+		instances:  make(map[fleet.InstanceID]metastore.Instance),
 		listOutage: OutageNone,
 		objects:    make(map[string][]byte),
 		outage:     OutageNone,
-		rows:       make(map[string]platform.Row),
+		rows:       make(map[string]metastore.Row),
 	}
 	_, p.handler = nutmegpierv1connect.NewPlatformServiceHandler(p)
 	return p
@@ -107,7 +107,7 @@
 }
 
 // AddInstance adds an instance to the list, or replaces its entry.
-func (p *Platform) AddInstance(instance platform.Instance) {
+func (p *Platform) AddInstance(instance metastore.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.instances[instance.ID] = instance
@@ -245,8 +245,8 @@
 }
 
 // sortedInstances returns the instances by id. The caller holds mu.
-func (p *Platform) sortedInstances() []platform.Instance {
-	var instances []platform.Instance
+func (p *Platform) sortedInstances() []metastore.Instance {
+	var instances []metastore.Instance
 	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
 		instances = append(instances, p.instances[id])
 	}
@@ -333,7 +333,7 @@
 
 // write stores a row. The caller holds mu.
 func (p *Platform) write(row *nutmegpierv1.Row) {
-	p.rows[row.GetKey()] = platform.Row{
+	p.rows[row.GetKey()] = metastore.Row{
 		Key:      row.GetKey(),
 		Revision: p.rows[row.GetKey()].Revision + 1,
 		Value:    slices.Clone(row.GetValue()),
