--- /dev/null
+++ b/cmd/gatewayd/main.go
@@ -0,0 +1,8 @@
+// Command gatewayd runs an instance on the users' platform.
+package main
+
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -17,8 +17,8 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/instance"
-	"github.com/nutmegpier/nutmegpier/operator"
 	"github.com/nutmegpier/nutmegpier/metastore"
+	"github.com/nutmegpier/nutmegpier/operator"
 	"github.com/nutmegpier/nutmegpier/standin"
 )
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,6 +44,10 @@
 	TransferRecovered    Number = 311
 	StoreUnavailable     Number = 320
 	StoreAvailable       Number = 321
+	EntryRefused         Number = 330
+	LeaderChanged        Number = 331
+	MembershipLost       Number = 332
+	MembershipGained     Number = 333
 	PrimarySuspected     Number = 401
 	PrimaryHeard         Number = 402
 	PromotionStarted     Number = 403
@@ -52,6 +56,7 @@
 	PromotionLost        Number = 406
 	PrimaryChanged       Number = 407
 	HandoverStarted      Number = 408
+	PromotionOrdered     Number = 409
 	ServerUnreachable    Number = 410
 	ServerReachable      Number = 411
 	SessionOpened        Number = 501
@@ -64,6 +69,9 @@
 	CancelForwarded      Number = 508
 	CommitLost           Number = 509
 	RequestRetried       Number = 510
+	RequestEnded         Number = 511
+	RequestFailed        Number = 512
+	LinesSuppressed      Number = 513
 	ConnectionOpened     Number = 601
 	ConnectionClosed     Number = 602
 	ConnectionFailed     Number = 603
@@ -106,6 +114,10 @@
 		entry(TransferRecovered, "TransferRecovered", LevelWarning, "A transfer of shares was not confirmed and was settled by query.", "Text"),
 		entry(StoreUnavailable, "StoreUnavailable", LevelWarning, "The platform's store does not answer. Traffic continues; publishing fails.", "Text"),
 		entry(StoreAvailable, "StoreAvailable", LevelInfo, "The platform's store answers again.", "Text"),
+		entry(EntryRefused, "EntryRefused", LevelWarning, "A row of the store can't be read and is passed over.", "Server", "Text"),
+		entry(LeaderChanged, "LeaderChanged", LevelInfo, "This instance became, or is no more, the one that orders promotions.", "Text"),
+		entry(MembershipLost, "MembershipLost", LevelWarning, "The instance's own row was not written for too long. It uses no primary and no rate.", "Text"),
+		entry(MembershipGained, "MembershipGained", LevelInfo, "The instance's own row was written."),
 		entry(PrimarySuspected, "PrimarySuspected", LevelWarning, "The primary of a database may have failed.", "Database", "Server", "Term", "Text"),
 		entry(PrimaryHeard, "PrimaryHeard", LevelInfo, "A suspected primary answers again in the same term.", "Database", "Server", "Term"),
 		entry(PromotionStarted, "PromotionStarted", LevelWarning, "This instance began a promotion and asks the servers for a promise.", "Database", "Term", "Text"),
@@ -114,6 +126,7 @@
 		entry(PromotionLost, "PromotionLost", LevelInfo, "Another instance holds the term, or no majority answered.", "Database", "Term", "Text"),
 		entry(PrimaryChanged, "PrimaryChanged", LevelInfo, "This instance learned of a new primary.", "Database", "Position", "Server", "Term"),
 		entry(HandoverStarted, "HandoverStarted", LevelInfo, "A planned handover of the primary began.", "Database", "Server", "Term", "Text"),
+		entry(PromotionOrdered, "PromotionOrdered", LevelWarning, "The platform was told to promote a server.", "Database", "Server", "Text"),
 		entry(ServerUnreachable, "ServerUnreachable", LevelWarning, "A backend server does not answer this instance.", "Database", "Server", "Text"),
 		entry(ServerReachable, "ServerReachable", LevelInfo, "A backend server answers again.", "Database", "Server"),
 		entry(SessionOpened, "SessionOpened", LevelDebug, "A caller's session was authenticated.", "Database", "Session", "Workspace"),
@@ -126,6 +139,9 @@
 		entry(CancelForwarded, "CancelForwarded", LevelDebug, "A cancel request was passed to the instance that has the session.", "Session", "Text"),
 		entry(CommitLost, "CommitLost", LevelWarning, "A commit was lost in a change of primary and did certainly not take effect.", "Database", "Position", "Server", "Session", "Term", "Workspace"),
 		entry(RequestRetried, "RequestRetried", LevelDebug, "A request that did not run, or is idempotent, runs again on another server.", "Database", "Server", "Session", "Text", "Workspace"),
+		entry(RequestEnded, "RequestEnded", LevelInfo, "A request succeeded. Only some are logged.", "Database", "Request", "Server", "Text", "Workspace"),
+		entry(RequestFailed, "RequestFailed", LevelWarning, "A request was refused, failed, or has an unknown outcome.", "Database", "Request", "Server", "Text", "Workspace"),
+		entry(LinesSuppressed, "LinesSuppressed", LevelInfo, "Lines about requests were left out to bound the volume. Text holds their number.", "Text"),
 		entry(ConnectionOpened, "ConnectionOpened", LevelDebug, "A connection to a backend server was opened.", "Database", "Server"),
 		entry(ConnectionClosed, "ConnectionClosed", LevelDebug, "A connection to a backend server was closed.", "Database", "Server", "Text"),
 		entry(ConnectionFailed, "ConnectionFailed", LevelWarning, "A connection to a backend server was lost or could not be opened.", "Database", "Server", "Text"),
--- a/event/event.go
+++ b/event/event.go
@@ -12,6 +12,7 @@
 type Fields struct {
 	Database  fleet.GroupID     `json:",omitempty"`
 	Position  fleet.Position    `json:",omitzero"`
+	Request   string            `json:",omitempty"`
 	Server    fleet.ServerID    `json:",omitempty"`
 	Session   string            `json:",omitempty"`
 	Term      fleet.Term        `json:",omitempty"`
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -143,6 +143,7 @@
 		}
 	}
 	put("Database", string(e.Database))
+	put("Request", e.Request)
 	put("Server", string(e.Server))
 	put("Session", e.Session)
 	put("Text", e.Text)
@@ -158,6 +159,7 @@
 
 func redact(fields Fields) Fields {
 	fields.Database = fleet.GroupID(sheet.Redact(string(fields.Database)))
+	fields.Request = sheet.Redact(fields.Request)
 	fields.Server = fleet.ServerID(sheet.Redact(string(fields.Server)))
 	fields.Session = sheet.Redact(fields.Session)
 	fields.Text = sheet.Redact(fields.Text)
--- /dev/null
+++ b/feed/calibration.go
@@ -0,0 +1,31 @@
+package feed
+
+import "time"
+
+// Calibration relates the store's steady clock to that of the instance, so
+// that an answer that came after a long wait proves more than the time at
+// which it was asked for. It isn't safe for concurrent use.
+type Calibration struct {
+	// earliest is the latest known bound: the instance's time at the store's
+	// time zero is not before it.
+	earliest time.Time
+	known    bool
+}
+
+// Observe takes in an answer and returns a time at or before the moment at
+// which the store made it. The store made it between sent and received, which
+// bounds the difference of the clocks; the bound of another answer holds as
+// well, because neither clock jumps. A store clock that went back starts anew.
+func (c *Calibration) Observe(sent, received time.Time, storeTime time.Duration) time.Time {
+	earliest := sent.Add(-storeTime)
+	if !c.known || earliest.After(c.earliest) {
+		c.earliest, c.known = earliest, true
+	}
+	moment := c.earliest.Add(storeTime)
+	if moment.After(received) {
+		// The clocks do not run alike: trust this answer alone.
+		c.earliest = earliest
+		return sent
+	}
+	return moment
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/pool"
+	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/sheet"
+)
+
+const (
+	// recordTable holds the records of primaries.
+	recordTable Table = "nutmegpier-primaries"
+
+	// sheetWait is how long the store holds a call for changes of the sheet.
+	// Each answer proves that the sheet is the newest, so the wait must leave
+	// room for a lost answer inside the key lease.
+	sheetWait = 1500 * time.Millisecond
+	// serverWait is the same for backend servers, which need no proof.
+	serverWait = 5 * time.Second
+	// recordWait is the same for records of primaries: see primacy.LeaseTime.
+	recordWait = 1500 * time.Millisecond
+	// answerSlack is added to the wait before a call counts as unanswered.
+	answerSlack = 900 * time.Millisecond
+	// readBound bounds a call that reads a whole table.
+	readBound = 1500 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after a call that failed.
+	firstRetry = 60 * time.Millisecond
+	maxRetry   = 400 * time.Millisecond
+)
+
+// follower keeps a copy of one table and hands on what changes.
+type follower struct {
+	calibration feed.Calibration
+	gateway     *Gateway
+	lost        bool
+	mirror      *feed.Mirror
+	table       Table
+	wait        time.Duration
+}
+
+func (g *Gateway) newFollower(table Table, wait time.Duration) *follower {
+	return &follower{gateway: g, mirror: feed.NewMirror(), table: table, wait: wait}
+}
+
+// follow calls apply after each answer until the context ends. Changed is
+// empty if the answer only proves that nothing has changed.
+func (f *follower) follow(ctx context.Context, apply func(now time.Time, changed []feed.Row)) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		changed, err := f.next(ctx, f.wait)
+		now := f.gateway.config.Clock()
+		if err != nil {
+			f.note(err)
+			f.gateway.jitteredPause(ctx, retry)
+			retry = min(2*retry, maxRetry)
+			continue
+		}
+		f.note(nil)
+		retry = firstRetry
+		apply(now, changed)
+	}
+	return nil
+}
+
+// next makes one call.
+func (f *follower) next(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
+	clock := f.gateway.config.Clock
+	var snapshot feed.Snapshot
+	var err error
+	sent := clock()
+	if f.mirror.Loaded() {
+		bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
+		snapshot, err = f.gateway.config.Store.Changes(bounded, f.table, f.mirror.Revision(), wait)
+		cancel()
+		var known *Error
+		if errors.As(err, &known) && known.Kind == KindHistory {
+			sent = clock()
+			snapshot, err = f.read(ctx)
+		}
+	} else {
+		snapshot, err = f.read(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return f.mirror.Apply(snapshot, f.calibration.Observe(sent, clock(), snapshot.StoreTime)), nil
+}
+
+func (f *follower) read(ctx context.Context) (feed.Snapshot, error) {
+	bounded, cancel := context.WithTimeout(ctx, readBound)
+	defer cancel()
+	return f.gateway.config.Store.Read(bounded, f.table)
+}
+
+// note logs when the store is lost and when it is back.
+func (f *follower) note(err error) {
+	if (err != nil) == f.lost {
+		return
+	}
+	f.lost = err != nil
+	if f.lost {
+		f.gateway.config.Log.Record(event.StoreUnavailable, event.Fields{Text: string(f.table) + ": " + err.Error()})
+		return
+	}
+	f.gateway.config.Log.Record(event.StoreAvailable, event.Fields{Text: string(f.table)})
+}
+
+// jitteredPause waits for a span between a half and the whole one, so that
+// instances do not call in step.
+func (g *Gateway) jitteredPause(ctx context.Context, span time.Duration) bool {
+	g.mu.Lock()
+	part := 0.5 + g.random.Float64()/2
+	g.mu.Unlock()
+	return pause(ctx, time.Duration(float64(span)*part))
+}
+
+func (g *Gateway) followSheet(ctx context.Context) error {
+	f := g.newFollower(g.config.Source.SheetTable(), sheetWait)
+	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
+		if len(changed) > 0 {
+			update, found, err := g.config.Source.Sheet(f.mirror.Rows())
+			if err != nil {
+				g.config.Log.Record(event.SheetRefused, event.Fields{Text: err.Error()})
+				return
+			}
+			if found {
+				g.adoptSheet(update)
+			}
+		}
+		g.mu.Lock()
+		if g.routing != nil {
+			g.sheetAt = f.mirror.Proof()
+		}
+		g.mu.Unlock()
+	})
+}
+
+func (g *Gateway) adoptSheet(update SheetUpdate) {
+	g.mu.Lock()
+	if g.routing != nil && update.Version < g.routing.Version {
+		g.mu.Unlock()
+		return
+	}
+	g.routing = sheet.NewRouting(update.Version, update.Sheet)
+	g.announce()
+	g.mu.Unlock()
+	g.config.Log.Record(event.SheetInForce, event.Fields{Text: versionText(update.Version)})
+	g.divideLimits(g.config.Clock())
+	g.setPoolServers()
+}
+
+func (g *Gateway) followServers(ctx context.Context) error {
+	f := g.newFollower(g.config.Source.ServerTable(), serverWait)
+	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
+		for _, row := range changed {
+			g.adoptServer(now, row)
+		}
+		if len(changed) > 0 {
+			g.setPoolServers()
+		}
+	})
+}
+
+func (g *Gateway) adoptServer(now time.Time, row feed.Row) {
+	id := fleet.ServerID(row.Key)
+	server, err := BackendServer{}, error(nil)
+	if !row.Deleted {
+		server, err = g.config.Source.Server(row)
+	}
+	if err != nil {
+		g.config.Log.Record(event.EntryRefused, event.Fields{Server: id, Text: err.Error()})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer g.announce()
+	if row.Deleted || err != nil {
+		delete(g.servers, id)
+		return
+	}
+	known := g.servers[id]
+	if known == nil || known.Born != server.Born || known.Address != server.Address {
+		known = &backendServer{}
+		g.servers[id] = known
+		delete(g.health, id)
+	}
+	if server.Leaving && !known.Leaving {
+		known.leavingSince = now
+	}
+	known.BackendServer = server
+	known.coldUntil = now.Add(server.ColdFor)
+	known.coldSpent = nil
+	if rate := g.coldRate(server.Group); rate > 0 && server.ColdFor > 0 {
+		known.coldSpent = &coldBucket{counted: now, rate: rate / float64(g.members.liveCount())}
+	}
+}
+
+// setPoolServers tells the pool which servers there are, and how many
+// connections this instance may hold to each.
+func (g *Gateway) setPoolServers() {
+	g.mu.Lock()
+	instances := g.members.liveCount()
+	var servers []pool.Server
+	for id, server := range g.servers {
+		limit := g.config.Settings.connectionLimit(g.databaseConnections(server.Group), instances)
+		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Limit: limit})
+	}
+	g.mu.Unlock()
+	g.pool.SetServers(g.config.Clock(), servers)
+}
+
+func (g *Gateway) coldRate(group fleet.GroupID) float64 {
+	if g.routing == nil {
+		return 0
+	}
+	return g.routing.Database(group).ColdRate
+}
+
+func (g *Gateway) databaseConnections(group fleet.GroupID) int {
+	if g.routing == nil {
+		return 0
+	}
+	return g.routing.Database(group).Connections
+}
+
+func (g *Gateway) followRecords(ctx context.Context) error {
+	f := g.newFollower(recordTable, recordWait)
+	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
+		for _, row := range changed {
+			if row.Deleted {
+				continue
+			}
+			record, err := primacy.Decode(row.Value)
+			if err != nil {
+				g.config.Log.Record(event.EntryRefused, event.Fields{Text: row.Key + ": " + err.Error()})
+				continue
+			}
+			g.adoptRecord(now, record, row.Revision, f.mirror.Proof())
+		}
+		g.proveRecords(f.mirror.Proof())
+	})
+}
+
+func (g *Gateway) adoptRecord(now time.Time, record primacy.Record, revision feed.Revision, proof time.Time) {
+	g.mu.Lock()
+	state := g.group(record.Group)
+	known := state.watch.Record()
+	state.watch.Observe(now, record, g.boundProof(proof))
+	if revision > state.revision {
+		state.revision = revision
+	}
+	g.announce()
+	g.mu.Unlock()
+	if known == record {
+		return
+	}
+	number := event.PrimaryChanged
+	if record.Phase == primacy.PhaseChanging {
+		number = event.PrimarySuspected
+	}
+	g.config.Log.Record(number, event.Fields{Database: record.Group, Server: record.Primary, Term: record.Term, Text: string(record.Reason)})
+	g.wake()
+}
+
+// proveRecords says that all known records were the newest ones at a time. An
+// instance whose own row is not written may not be waited for by a change of
+// primary, so its proof is no later than that.
+func (g *Gateway) proveRecords(proof time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.recordsAt = proof
+	g.proveLocked()
+}
+
+func (g *Gateway) proveLocked() {
+	proof := g.boundProof(g.members.recordsAt)
+	for _, state := range g.groups {
+		state.watch.Prove(proof)
+	}
+}
+
+// boundProof returns the time up to which a look at the records lets the
+// instance use primaries. A look from before the own row was visible proves
+// nothing, because a change may not have waited for this instance.
+func (g *Gateway) boundProof(proof time.Time) time.Time {
+	switch {
+	case proof.Before(g.ownSince):
+		return time.Time{}
+	case g.ownAt.Before(proof):
+		return g.ownAt
+	default:
+		return proof
+	}
+}
--- /dev/null
+++ b/gateway/gate.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+var (
+	_ session.Gate     = &Gateway{}
+	_ session.Observer = &Gateway{}
+	_ session.Router   = &Gateway{}
+)
+
+// notLeasedRetry is when a caller may come back that was refused because the
+// store can't be reached: the time of a few calls.
+const notLeasedRetry = 500 * time.Millisecond
+
+// Admit takes one operation from the limit of the workspace.
+func (g *Gateway) Admit(now time.Time, workspace fleet.WorkspaceID) *session.Error {
+	if workspace == "" {
+		return nil
+	}
+	decision := g.limits.admit(now, workspace)
+	if decision.Admitted {
+		return nil
+	}
+	return &session.Error{Err: errors.New("the workspace is over its rate"), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
+}
+
+// Check returns what a caller may do now.
+func (g *Gateway) Check(now time.Time, credentials session.Credentials) (session.Access, *session.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.routing == nil {
+		return session.Access{}, &session.Error{Err: errors.New("no sheet was read yet"), Kind: session.KindBusy, Op: "check", RetryAfter: notLeasedRetry}
+	}
+	route, known := g.routing.Route(credentials.Database)
+	if !known {
+		return session.Access{}, &session.Error{Err: errors.New("no such database"), Kind: session.KindNoDatabase, Op: "check"}
+	}
+	access := session.Access{Route: route}
+	access.Workspace, known = g.routing.Owner(credentials.Key)
+	if route.OpenToAll {
+		return access, nil
+	}
+	if !g.keysLeased(now) {
+		return access, &session.Error{Err: errors.New("the sheet can't be proved to be the newest one"), Kind: session.KindBusy, Op: "check", RetryAfter: notLeasedRetry}
+	}
+	if !known {
+		return access, &session.Error{Err: errors.New("the key is not accepted"), Kind: session.KindUnauthorized, Op: "check"}
+	}
+	return access, nil
+}
+
+// Observe counts and logs the outcome of one statement.
+func (g *Gateway) Observe(now time.Time, statement session.Statement, need session.Need, server fleet.ServerID, attempts int, latency time.Duration, err *session.Error) {
+	observeRequest(need.Route.Database, latency, err)
+	if err == nil {
+		return
+	}
+	fields := event.Fields{
+		Database:  need.Route.Database,
+		Request:   string(statement.ID),
+		Server:    server,
+		Text:      requestText(statement, need, attempts, latency, err),
+		Workspace: need.Workspace,
+	}
+	g.config.Log.Request(now, event.RequestFailed, fields)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,290 @@
+// Package gateway composes an instance that places requests by route: it
+// follows the sheet, the backend servers and the records of primaries in the
+// platform's store, and gives sessions their connections.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/pool"
+	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/sheet"
+)
+
+// Table names a table of the store.
+type Table string
+
+// Write is one row of a transaction. The condition is that the row still has
+// the revision; zero means that it is absent.
+type Write struct {
+	Key string
+	// Remove drops the row.
+	Remove   bool
+	Revision feed.Revision
+	Table    Table
+	Value    []byte
+}
+
+// WriteResult is the answer to a transaction.
+type WriteResult struct {
+	// Applied is false if a condition did not hold.
+	Applied bool
+	// Current are the present rows of the conditions, if it was not applied.
+	Current []CurrentRow
+	// Revision is the revision of the written rows.
+	Revision feed.Revision
+}
+
+// CurrentRow is a row as it is now.
+type CurrentRow struct {
+	feed.Row
+	Table Table
+}
+
+// Store is the platform's store. A call that ends without an answer may have
+// been performed, or may be performed later if its conditions still hold.
+type Store interface {
+	// Changes waits for changes after a revision. A KindHistory error means
+	// that the store has forgotten them.
+	Changes(ctx context.Context, table Table, after feed.Revision, wait time.Duration) (feed.Snapshot, error)
+	// Read returns all rows of a table.
+	Read(ctx context.Context, table Table) (feed.Snapshot, error)
+	// Write writes all rows if all conditions hold, and none otherwise.
+	Write(ctx context.Context, writes []Write) (WriteResult, error)
+}
+
+// SheetUpdate is the sheet as operators have published it.
+type SheetUpdate struct {
+	Sheet   sheet.Sheet
+	Version fleet.SheetVersion
+}
+
+// BackendServer is a backend server as it registers itself.
+type BackendServer struct {
+	Address string
+	// Born tells the runs of one server apart.
+	Born int64
+	// ColdFor is how much longer the server stays slow after its start.
+	ColdFor    time.Duration
+	DataCentre fleet.DataCentre
+	Group      fleet.GroupID
+	ID         fleet.ServerID
+	Leaving    bool
+	Primary    bool
+	Slots      int
+}
+
+// Source decodes what operators and backend servers write to the store.
+type Source interface {
+	// Server decodes the entry of a backend server.
+	Server(row feed.Row) (BackendServer, error)
+	// ServerTable is where backend servers register.
+	ServerTable() Table
+	// Sheet decodes the newest sheet. It reports false if there is none yet.
+	Sheet(rows map[string]feed.Row) (SheetUpdate, bool, error)
+	// SheetTable is where operators publish.
+	SheetTable() Table
+}
+
+// Promoter gives promotion orders to the platform.
+type Promoter interface {
+	Promote(ctx context.Context, group fleet.GroupID, server fleet.ServerID, holder fleet.InstanceID, token primacy.Token) error
+}
+
+// ServerStatus is a backend server's own report.
+type ServerStatus struct {
+	Position fleet.Position
+	Role     primacy.Role
+	Term     fleet.Term
+}
+
+// Control speaks to backend servers besides the sessions' connections.
+type Control interface {
+	// Healthy reports whether the server answers.
+	Healthy(ctx context.Context, server pool.Server) bool
+	// Status asks for the server's report.
+	Status(ctx context.Context, server pool.Server) (ServerStatus, error)
+	// StepDown tells a primary of a lower term to become a replica.
+	StepDown(ctx context.Context, server pool.Server, term fleet.Term) error
+}
+
+// Config is what a gateway depends on.
+type Config struct {
+	Clock    session.Clock
+	Control  Control
+	Dialer   pool.Dialer
+	Epoch    fleet.Epoch
+	Instance fleet.InstanceID
+	Log      *Log
+	Promoter Promoter
+	Settings Settings
+	Source   Source
+	Store    Store
+}
+
+// Gateway is one instance. Its controllers share the fields below; each says
+// who writes it.
+type Gateway struct {
+	config Config
+	limits *limits
+	pool   *pool.Pool
+
+	// routing is written by the sheet's follower.
+	mu      sync.Mutex
+	changed chan struct{}
+	routing *sheet.Routing
+	sheetAt time.Time
+	// servers is written by the servers' follower.
+	servers map[fleet.ServerID]*backendServer
+	// groups is written by the records' follower.
+	groups map[fleet.GroupID]*groupState
+	// ownAt is when the last write of the instance's own row was sent that
+	// succeeded; written by the membership controller.
+	ownAt time.Time
+	// ownSince is when the row was first written that was renewed ever since.
+	ownSince time.Time
+	members  memberView
+	// health is written by whoever talks to a server.
+	health map[fleet.ServerID]*serverHealth
+	random *rand.Rand
+
+	// news wakes the membership controller and the promoter.
+	news     chan struct{}
+	draining bool
+}
+
+// backendServer is a registered server with what the instance measured of it.
+type backendServer struct {
+	BackendServer
+	coldUntil time.Time
+	coldSpent *coldBucket
+	inFlight  int
+	// leavingSince is when the server was first seen to leave.
+	leavingSince time.Time
+	// lagUntil keeps reads from a replica that lacked a position.
+	lagBackoff time.Duration
+	lagUntil   time.Time
+	latency    time.Duration
+}
+
+// groupState is what the instance knows of one group's primary.
+type groupState struct {
+	revision feed.Revision
+	samples  primacy.Samples
+	watch    primacy.Watch
+}
+
+// New returns an instance that has read nothing yet.
+func New(config Config) *Gateway {
+	g := &Gateway{
+		changed: make(chan struct{}),
+		config:  config,
+		groups:  map[fleet.GroupID]*groupState{},
+		health:  map[fleet.ServerID]*serverHealth{},
+		limits:  newLimits(config.Instance),
+		members: newMemberView(config.Instance, config.Epoch),
+		news:    make(chan struct{}, 1),
+		random:  rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
+		servers: map[fleet.ServerID]*backendServer{},
+	}
+	g.pool = pool.New(config.Dialer, config.Clock)
+	return g
+}
+
+// Run runs the controllers until the context ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return g.followSheet(ctx) })
+	tasks.Go(func() error { return g.followServers(ctx) })
+	tasks.Go(func() error { return g.followRecords(ctx) })
+	tasks.Go(func() error { return g.keepMembership(ctx) })
+	tasks.Go(func() error { return g.promote(ctx) })
+	tasks.Go(func() error { return g.probe(ctx) })
+	tasks.Go(func() error { return g.sweep(ctx) })
+	err := tasks.Wait()
+	g.pool.Close()
+	return err
+}
+
+// Drain makes the instance not ready.
+func (g *Gateway) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// Ready reports whether the instance should get new callers.
+func (g *Gateway) Ready(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.draining && g.routing != nil && g.keysLeased(now) && len(g.servers) > 0 && len(g.groups) > 0
+}
+
+// TransactionIdle is the time after which an idle transaction is ended.
+func (g *Gateway) TransactionIdle() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.routing == nil || g.routing.TransactionIdle() == 0 {
+		return g.config.Settings.TransactionIdle
+	}
+	return g.routing.TransactionIdle()
+}
+
+// keysLeased reports whether the sheet was proved to be the newest recently
+// enough to accept keys. The caller holds the lock.
+func (g *Gateway) keysLeased(now time.Time) bool {
+	return now.Before(g.sheetAt.Add(g.config.Settings.KeyLease))
+}
+
+// wake tells the membership controller that its row must be written now.
+func (g *Gateway) wake() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+// announce wakes requests that wait for a change of servers or records. The
+// caller holds the lock.
+func (g *Gateway) announce() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Gateway) group(id fleet.GroupID) *groupState {
+	state := g.groups[id]
+	if state == nil {
+		state = &groupState{}
+		g.groups[id] = state
+	}
+	return state
+}
+
+// sweep closes connections that are idle for long.
+func (g *Gateway) sweep(ctx context.Context) error {
+	const interval = 5 * time.Second
+	for pause(ctx, interval) {
+		g.pool.Sweep(g.config.Clock())
+	}
+	return nil
+}
+
+// pause waits, and reports false if the context ended.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/sheet"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+const (
+	// demandWindow smooths the demand that instances report to each other:
+	// short enough to follow a workspace that sends many times its usual.
+	demandWindow = 1500 * time.Millisecond
+	// shareDelay is how long a larger share is held back, so that the
+	// instances that give it up have seen the change first. Rows are read
+	// about once a second.
+	shareDelay = 1500 * time.Millisecond
+	// startLevel is the time for which a new share is filled, so that a
+	// restarted instance does not grant a second burst.
+	startLevel = 500 * time.Millisecond
+)
+
+// limits admits operations of workspaces on one instance. It is safe for
+// concurrent use.
+type limits struct {
+	mu         sync.Mutex
+	demand     map[fleet.WorkspaceID]*demandMeter
+	limiter    *workspace.Limiter
+	shares     map[fleet.WorkspaceID]*shareHistory
+	unlimited  bool
+	workspaces map[fleet.WorkspaceID]sheet.Limits
+}
+
+// demandMeter is an exponential average of requests a second.
+type demandMeter struct {
+	counted time.Time
+	rate    float64
+}
+
+// shareHistory holds back increases of a share.
+type shareHistory struct {
+	past []pastShare
+}
+
+type pastShare struct {
+	fraction float64
+	time     time.Time
+}
+
+func newLimits(fleet.InstanceID) *limits {
+	return &limits{
+		demand:  map[fleet.WorkspaceID]*demandMeter{},
+		limiter: workspace.NewLimiter(),
+		shares:  map[fleet.WorkspaceID]*shareHistory{},
+	}
+}
+
+// admit takes one operation of a workspace.
+func (l *limits) admit(now time.Time, id fleet.WorkspaceID) workspace.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	meter := l.demand[id]
+	if meter == nil {
+		meter = &demandMeter{counted: now}
+		l.demand[id] = meter
+	}
+	meter.add(now, 1)
+	return l.limiter.Admit(now, id)
+}
+
+// renew sets the end of the time for which the instance may admit.
+func (l *limits) renew(now, validUntil time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Renew(now, validUntil)
+}
+
+// demands returns the requests a second that were asked for.
+func (l *limits) demands(now time.Time) []WorkspaceDemand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var demands []WorkspaceDemand
+	for id, meter := range l.demand {
+		meter.add(now, 0)
+		const negligible = 0.05
+		if meter.rate >= negligible {
+			demands = append(demands, WorkspaceDemand{Rate: math.Round(meter.rate*10) / 10, Workspace: id})
+		}
+	}
+	return demands
+}
+
+// divide sets the shares from the demand that each live instance reported, the
+// own one first. Without a recent view of the others, only the part that is
+// divided equally is certain.
+func (l *limits) divide(now time.Time, sheetLimits map[fleet.WorkspaceID]sheet.Limits, reported [][]WorkspaceDemand, recent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byWorkspace := map[fleet.WorkspaceID][]float64{}
+	for i, demands := range reported {
+		for _, d := range demands {
+			all := byWorkspace[d.Workspace]
+			if all == nil {
+				all = make([]float64, len(reported))
+				byWorkspace[d.Workspace] = all
+			}
+			all[i] = d.Rate
+		}
+	}
+	for id, limit := range sheetLimits {
+		fraction := workspace.EqualShare(len(reported))
+		if recent && len(reported) > 0 {
+			all := byWorkspace[id]
+			if all == nil {
+				all = make([]float64, len(reported))
+			}
+			fraction = workspace.DemandShare(all[0], all)
+		}
+		l.set(now, id, limit, fraction)
+	}
+	for id := range l.shares {
+		if _, known := sheetLimits[id]; !known {
+			delete(l.shares, id)
+			delete(l.demand, id)
+			l.limiter.Remove(id)
+		}
+	}
+}
+
+func (l *limits) set(now time.Time, id fleet.WorkspaceID, limit sheet.Limits, fraction float64) {
+	history := l.shares[id]
+	first := history == nil
+	if first {
+		history = &shareHistory{}
+		l.shares[id] = history
+	}
+	effective := history.effective(now, fraction)
+	share := workspace.Share{
+		Capacity: math.Max(1, limit.Burst*effective),
+		Rate:     limit.Rate * effective,
+	}
+	if limit.Rate <= 0 {
+		share.Capacity = 0
+	}
+	if first {
+		share.Level = math.Min(share.Capacity, 1+share.Rate*startLevel.Seconds())
+	} else {
+		share.Level = l.limiter.Share(now, id).Level
+	}
+	l.limiter.Set(now, id, share)
+}
+
+// effective returns the least share of the last moments.
+func (h *shareHistory) effective(now time.Time, fraction float64) float64 {
+	h.past = append(h.past, pastShare{fraction: fraction, time: now})
+	for len(h.past) > 1 && now.Sub(h.past[1].time) >= shareDelay {
+		h.past = h.past[1:]
+	}
+	least := fraction
+	for _, past := range h.past {
+		least = math.Min(least, past.fraction)
+	}
+	return least
+}
+
+func (m *demandMeter) add(now time.Time, requests float64) {
+	if elapsed := now.Sub(m.counted); elapsed > 0 {
+		m.rate *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+		m.counted = now
+	}
+	m.rate += requests / demandWindow.Seconds()
+}
--- /dev/null
+++ b/gateway/membership.go
@@ -0,0 +1,380 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/primacy"
+)
+
+const (
+	// memberTable holds a row for each instance, and that of the leader.
+	memberTable Table = "nutmegpier-instances"
+	// leaderKey is the leader's row. No instance has this name, because names
+	// begin with a letter or digit.
+	leaderKey = ".leader"
+
+	// beatInterval is the time between two writes of the own row. Four of
+	// them fit in the lease, so three lost answers in a row cost nothing.
+	beatInterval = time.Second
+	// newsInterval is the least time between two writes.
+	newsInterval = 40 * time.Millisecond
+	// writeBound bounds a write.
+	writeBound = 1200 * time.Millisecond
+	// memberForget is when the row of a silent instance is dropped from the
+	// shares: its lease has certainly ended by then.
+	memberForget = primacy.LeaseTime + primacy.LeaseMargin + memberPoll
+	// memberPoll is the time between two looks at the other instances.
+	memberPoll = time.Second
+	// viewBound is the age from which the view of the others is too old to
+	// divide limits by demand.
+	viewBound = 2500 * time.Millisecond
+)
+
+// WorkspaceDemand is what one instance is asked for by one workspace.
+type WorkspaceDemand struct {
+	// Rate is in operations a second.
+	Rate      float64
+	Workspace fleet.WorkspaceID
+}
+
+// GroupLeft says that an instance does not use a group's primary any more.
+type GroupLeft struct {
+	Generation primacy.Generation
+	Group      fleet.GroupID
+}
+
+// MemberRow is what an instance tells the others.
+type MemberRow struct {
+	// Beat changes with each write.
+	Beat        uint64
+	Demand      []WorkspaceDemand `json:",omitempty"`
+	Epoch       fleet.Epoch
+	Left        []GroupLeft      `json:",omitempty"`
+	Unreachable []fleet.ServerID `json:",omitempty"`
+}
+
+// memberView is what an instance knows of all instances. The gateway's lock
+// guards it.
+type memberView struct {
+	beat       uint64
+	epoch      fleet.Epoch
+	leaderRev  feed.Revision
+	leadership *primacy.Leadership
+	leading    bool
+	left       map[fleet.GroupID]primacy.Generation
+	members    map[fleet.InstanceID]*member
+	ownRev     feed.Revision
+	// readAt is when the last look at the table was sent that was answered.
+	readAt time.Time
+	// recordsAt is the proof of the records of primaries.
+	recordsAt time.Time
+	self      fleet.InstanceID
+}
+
+// member is another instance.
+type member struct {
+	revision feed.Revision
+	row      MemberRow
+	// seen is when the row was first seen in its present state.
+	seen time.Time
+}
+
+func newMemberView(self fleet.InstanceID, epoch fleet.Epoch) memberView {
+	return memberView{
+		epoch:      epoch,
+		leadership: primacy.NewLeadership(self, epoch),
+		left:       map[fleet.GroupID]primacy.Generation{},
+		members:    map[fleet.InstanceID]*member{},
+		self:       self,
+	}
+}
+
+// live reports whether the lease of an instance may still run.
+func (v *memberView) live(m *member) bool {
+	return v.readAt.Sub(m.seen) < memberForget
+}
+
+// liveCount returns the number of live instances, this one included.
+func (v *memberView) liveCount() int {
+	count := 1
+	for id, m := range v.members {
+		if id != v.self && v.live(m) {
+			count++
+		}
+	}
+	return count
+}
+
+// keepMembership writes the own row and reads those of the others.
+func (g *Gateway) keepMembership(ctx context.Context) error {
+	f := g.newFollower(memberTable, 0)
+	for ctx.Err() == nil {
+		if err := g.lookAtMembers(ctx, f); err != nil {
+			f.note(err)
+			g.jitteredPause(ctx, firstRetry)
+			continue
+		}
+		f.note(nil)
+		break
+	}
+	nextBeat, nextLook := time.Time{}, g.config.Clock().Add(memberPoll)
+	for ctx.Err() == nil {
+		now := g.config.Clock()
+		if !now.Before(nextBeat) {
+			nextBeat = now.Add(beatInterval)
+			if !g.beat(ctx, now) {
+				nextBeat = now.Add(beatInterval / 4)
+			}
+		}
+		if now = g.config.Clock(); !now.Before(nextLook) {
+			nextLook = now.Add(memberPoll)
+			f.note(g.lookAtMembers(ctx, f))
+		}
+		g.divideLimits(now)
+		if g.awaitNews(ctx, min(nextBeat.Sub(now), nextLook.Sub(now))) {
+			g.leaveChanged(g.config.Clock())
+			nextBeat = time.Time{}
+		}
+	}
+	return nil
+}
+
+// awaitNews waits, and reports whether there is something to tell.
+func (g *Gateway) awaitNews(ctx context.Context, span time.Duration) bool {
+	if !pause(ctx, newsInterval) {
+		return false
+	}
+	timer := time.NewTimer(max(0, span-newsInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.news:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// leaveChanged notes which primaries the instance has left. While one can't be
+// left yet, it looks again a moment later.
+func (g *Gateway) leaveChanged(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, state := range g.groups {
+		if state.watch.Record().Phase != primacy.PhaseChanging {
+			continue
+		}
+		generation, confirmed := state.watch.Leave(now)
+		if !confirmed {
+			g.wake()
+			continue
+		}
+		g.members.left[id] = generation
+	}
+}
+
+// beat writes the own row, and the leader's row when it is due. It reports
+// false if the row is not known to be written.
+func (g *Gateway) beat(ctx context.Context, now time.Time) bool {
+	g.mu.Lock()
+	writes := []Write{g.ownWrite(now)}
+	leader, lead := g.members.leadership.Next(now)
+	if lead {
+		if content, err := leader.EncodeLeader(); err == nil {
+			writes = append(writes, Write{Key: leaderKey, Revision: g.members.leaderRev, Table: memberTable, Value: content})
+		}
+	}
+	g.mu.Unlock()
+
+	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	defer cancel()
+	result, err := g.config.Store.Write(bounded, writes)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	if !result.Applied {
+		g.observeConflict(now, result.Current)
+		return false
+	}
+	g.members.ownRev = result.Revision
+	g.noteOwnRow(now)
+	if lead {
+		g.members.leaderRev = result.Revision
+		g.members.leadership.Written(now, leader)
+	}
+	g.proveLocked()
+	g.noteLeading(now)
+	return true
+}
+
+// noteOwnRow says that the own row was written by a call sent at a time.
+func (g *Gateway) noteOwnRow(sent time.Time) {
+	if g.ownAt.IsZero() || sent.Sub(g.ownAt) >= primacy.LeaseTime {
+		// The row may have counted as silent: begin anew once it is visible.
+		g.ownSince = g.config.Clock()
+		g.config.Log.Record(event.MembershipGained, event.Fields{})
+	}
+	g.ownAt = sent
+}
+
+func (g *Gateway) ownWrite(now time.Time) Write {
+	g.members.beat++
+	row := MemberRow{Beat: g.members.beat, Demand: g.limits.demands(now), Epoch: g.members.epoch}
+	for id, generation := range g.members.left {
+		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
+	}
+	for id, health := range g.health {
+		if health.unreachable {
+			row.Unreachable = append(row.Unreachable, id)
+		}
+	}
+	slices.SortFunc(row.Left, func(a, b GroupLeft) int { return cmp.Compare(a.Group, b.Group) })
+	slices.Sort(row.Unreachable)
+	content, err := json.Marshal(row)
+	if err != nil {
+		g.config.Log.Record(event.EntryRefused, event.Fields{Text: "own row: " + err.Error()})
+	}
+	return Write{Key: string(g.members.self), Revision: g.members.ownRev, Table: memberTable, Value: content}
+}
+
+// observeConflict learns the present rows after a write that was not applied.
+func (g *Gateway) observeConflict(now time.Time, current []CurrentRow) {
+	for _, row := range current {
+		switch row.Key {
+		case string(g.members.self):
+			g.members.ownRev = row.Revision
+		case leaderKey:
+			g.observeLeader(now, row.Row)
+		}
+	}
+}
+
+func (g *Gateway) observeLeader(now time.Time, row feed.Row) {
+	g.members.leaderRev = row.Revision
+	leader := primacy.Leader{}
+	if len(row.Value) > 0 && !row.Deleted {
+		var err error
+		if leader, err = primacy.DecodeLeader(row.Value); err != nil {
+			g.config.Log.Record(event.EntryRefused, event.Fields{Text: leaderKey + ": " + err.Error()})
+		}
+	}
+	g.members.leadership.Observe(now, leader)
+	g.noteLeading(now)
+}
+
+func (g *Gateway) noteLeading(now time.Time) {
+	token, leading := g.members.leadership.Token(now)
+	if leading == g.members.leading {
+		return
+	}
+	g.members.leading = leading
+	text := "not leading"
+	if leading {
+		text = "leading with token " + strconv.FormatUint(uint64(token), 10)
+	}
+	g.config.Log.Record(event.LeaderChanged, event.Fields{Text: text})
+}
+
+// lookAtMembers reads what the other instances tell.
+func (g *Gateway) lookAtMembers(ctx context.Context, f *follower) error {
+	sent := g.config.Clock()
+	changed, err := f.next(ctx, 0)
+	if err != nil {
+		return err
+	}
+	now := g.config.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.members.liveCount()
+	leaderSeen := false
+	for _, row := range changed {
+		if row.Key == leaderKey {
+			leaderSeen = true
+			if row.Revision >= g.members.leaderRev {
+				g.observeLeader(now, row)
+			}
+			continue
+		}
+		g.observeMember(now, row)
+	}
+	if !leaderSeen {
+		if row, found := f.mirror.Row(leaderKey); !found {
+			g.members.leadership.Observe(now, primacy.Leader{})
+		} else if row.Revision >= g.members.leaderRev {
+			g.observeLeader(now, row)
+		}
+	}
+	g.members.readAt = sent
+	if count := g.members.liveCount(); count != before {
+		go g.setPoolServers()
+	}
+	return nil
+}
+
+func (g *Gateway) observeMember(now time.Time, row feed.Row) {
+	id := fleet.InstanceID(row.Key)
+	if row.Deleted {
+		delete(g.members.members, id)
+		return
+	}
+	var decoded MemberRow
+	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+		g.config.Log.Record(event.EntryRefused, event.Fields{Text: row.Key + ": " + err.Error()})
+		return
+	}
+	if id == g.members.self && row.Revision > g.members.ownRev {
+		g.members.ownRev = row.Revision
+	}
+	// Two copies of the table are kept, and one may be behind the other.
+	if known := g.members.members[id]; known != nil && known.revision >= row.Revision {
+		return
+	}
+	g.members.members[id] = &member{revision: row.Revision, row: decoded, seen: now}
+}
+
+// divideLimits sets the shares of the limits from what the instances report.
+func (g *Gateway) divideLimits(now time.Time) {
+	g.mu.Lock()
+	if g.routing == nil {
+		g.mu.Unlock()
+		return
+	}
+	reported := [][]WorkspaceDemand{g.limits.demands(now)}
+	for id, m := range g.members.members {
+		if id != g.members.self && g.members.live(m) {
+			reported = append(reported, m.row.Demand)
+		}
+	}
+	recent := now.Sub(g.members.readAt) < viewBound
+	until := g.ownAt
+	if g.sheetAt.Before(until) {
+		until = g.sheetAt
+	}
+	sheetLimits := g.routing.Limits()
+	g.mu.Unlock()
+	g.limits.renew(now, until.Add(primacy.LeaseTime))
+	g.limits.divide(now, sheetLimits, reported, recent)
+}
+
+// Leave drops the own row at a planned stop, so that the others divide the
+// limits anew and no change of a primary waits for this instance.
+func (g *Gateway) Leave(ctx context.Context) {
+	g.mu.Lock()
+	write := Write{Key: string(g.members.self), Remove: true, Revision: g.members.ownRev, Table: memberTable}
+	g.ownAt = time.Time{}
+	g.mu.Unlock()
+	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
+		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "leave: " + err.Error()})
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"expvar"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+// latencyBounds are the upper bounds of the latency histogram in
+// milliseconds, around the target latencies of the routes in use.
+var latencyBounds = []float64{5, 10, 20, 40, 80, 150, 250, 500, 1000, 2000}
+
+// Counters and histograms of the process, in the form of expvar.
+var (
+	requestsByOutcome = expvar.NewMap("RequestsByOutcome")
+	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
+	storeCalls        = expvar.NewMap("StoreCalls")
+)
+
+// observeRequest counts a request under its database and outcome.
+func observeRequest(database fleet.GroupID, latency time.Duration, err *session.Error) {
+	outcome := "Served"
+	if err != nil {
+		outcome = string(err.Kind)
+	}
+	requestsByOutcome.Add(string(database)+" "+outcome, 1)
+	requestLatency.Add(latencyBucket(latency), 1)
+}
+
+func latencyBucket(latency time.Duration) string {
+	milliseconds := float64(latency) / float64(time.Millisecond)
+	for _, bound := range latencyBounds {
+		if milliseconds <= bound {
+			return fmt.Sprintf("le %g", bound)
+		}
+	}
+	return "more"
+}
+
+// CountStoreCall counts a call to the store by its outcome.
+func CountStoreCall(call string, err error) {
+	if err != nil {
+		call += " failed"
+	}
+	storeCalls.Add(call, 1)
+}
+
+// requestText says what decided the outcome of a request.
+func requestText(statement session.Statement, need session.Need, attempts int, latency time.Duration, err *session.Error) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s: %v; attempts %d, after %d ms", statement.Kind, err.Kind, err.Err, attempts, latency.Milliseconds())
+	if err.RetryAfter > 0 {
+		fmt.Fprintf(&text, ", retry after %d ms", err.RetryAfter.Milliseconds())
+	}
+	if !need.Own.IsZero() {
+		text.WriteString(", own position " + need.Own.String())
+	}
+	return text.String()
+}
--- a/instance/archive.go
+++ b/instance/archive.go
@@ -11,8 +11,8 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
-	"github.com/nutmegpier/nutmegpier/operator"
 	"github.com/nutmegpier/nutmegpier/metastore"
+	"github.com/nutmegpier/nutmegpier/operator"
 )
 
 const (
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,8 +18,8 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/group"
-	"github.com/nutmegpier/nutmegpier/peer"
 	"github.com/nutmegpier/nutmegpier/metastore"
+	"github.com/nutmegpier/nutmegpier/peer"
 	"github.com/nutmegpier/nutmegpier/settings"
 )
 
--- a/instance/peerlist.go
+++ b/instance/peerlist.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/nutmegpier/nutmegpier/peer"
 	"github.com/nutmegpier/nutmegpier/metastore"
+	"github.com/nutmegpier/nutmegpier/peer"
 )
 
 // peerList gives the peers the platform's list of instances.
--- a/instance/peertable.go
+++ b/instance/peertable.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/nutmegpier/nutmegpier/peer"
 	"github.com/nutmegpier/nutmegpier/metastore"
+	"github.com/nutmegpier/nutmegpier/peer"
 )
 
 // peerTable gives the peers the rows of the platform's table.
--- a/instance/publisher.go
+++ b/instance/publisher.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/operator"
 	"github.com/nutmegpier/nutmegpier/peer"
-	"github.com/nutmegpier/nutmegpier/metastore"
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,404 @@
+// Package pool keeps connections to backend servers for many sessions.
+// Connections are scarce over all instances together and new ones are dear, so
+// each belongs to one workspace and is kept and reused.
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+const (
+	// idleBound closes connections that were not used for so long, so that
+	// other instances can open theirs.
+	idleBound = 20 * time.Second
+	// growInterval is the time after which a limit that the server lowered by
+	// refusing a connection is raised by one again.
+	growInterval = time.Second
+	// refusedPause is the time after which an opening that the server refused
+	// is tried again: closed connections leave the server's count by then.
+	refusedPause = 25 * time.Millisecond
+	// strangerPatience is how long a waiting request of another workspace
+	// lets requests go first that can use a connection as it is.
+	strangerPatience = 60 * time.Millisecond
+)
+
+// Conn is an open connection to a backend server.
+type Conn interface {
+	// Alive reports whether the connection is still open at both ends, as far
+	// as can be told without sending.
+	Alive() bool
+	Close()
+	// Run sends commands in one batch and returns the answer to the last.
+	Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError)
+}
+
+// Server is a backend server.
+type Server struct {
+	Address string
+	Group   fleet.GroupID
+	ID      fleet.ServerID
+	// Limit is the number of connections that this instance may hold.
+	Limit int
+}
+
+// Dialer opens connections. It returns an error with session.KindBusy if the
+// server takes no further connection.
+type Dialer interface {
+	Dial(deadline time.Time, server Server, workspace fleet.WorkspaceID) (Conn, *session.RunError)
+}
+
+// Held is a connection in use.
+type Held struct {
+	Conn
+	State *session.ConnState
+
+	broken    bool
+	owner     *serverState
+	released  time.Time
+	workspace fleet.WorkspaceID
+}
+
+// Break keeps the connection from being used again.
+func (h *Held) Break() {
+	h.broken = true
+}
+
+// Counts are the numbers of one server.
+type Counts struct {
+	Idle    int
+	Open    int
+	Waiting int
+}
+
+// Pool holds the connections of one instance. It is safe for concurrent use.
+type Pool struct {
+	clock  session.Clock
+	dialer Dialer
+
+	mu      sync.Mutex
+	servers map[fleet.ServerID]*serverState
+	opened  uint64
+}
+
+type serverState struct {
+	grown   time.Time
+	idle    []*Held
+	limit   int
+	open    int
+	server  Server
+	waiting []*waiter
+}
+
+type waiter struct {
+	// granted gets a connection, or nil if the waiter may open one itself.
+	granted   chan *Held
+	since     time.Time
+	workspace fleet.WorkspaceID
+}
+
+// New returns a pool without servers.
+func New(dialer Dialer, clock session.Clock) *Pool {
+	return &Pool{clock: clock, dialer: dialer, servers: map[fleet.ServerID]*serverState{}}
+}
+
+// SetServers replaces the known servers. Idle connections to servers that are
+// gone, or whose address changed, are closed; those in use when they are
+// released.
+func (p *Pool) SetServers(now time.Time, servers []Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[fleet.ServerID]bool, len(servers))
+	for _, server := range servers {
+		known[server.ID] = true
+		s := p.servers[server.ID]
+		if s != nil && s.server.Address != server.Address {
+			s.closeIdle()
+			s = nil
+		}
+		if s == nil {
+			s = &serverState{grown: now, limit: server.Limit}
+			p.servers[server.ID] = s
+		}
+		if server.Limit != s.server.Limit {
+			s.limit = server.Limit
+		}
+		s.server = server
+	}
+	for id, s := range p.servers {
+		if !known[id] {
+			s.closeIdle()
+			delete(p.servers, id)
+		}
+	}
+}
+
+// Counts returns the numbers of a server.
+func (p *Pool) Counts(server fleet.ServerID) Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		return Counts{}
+	}
+	return Counts{Idle: len(s.idle), Open: s.open, Waiting: len(s.waiting)}
+}
+
+// Opened returns the number of connections that were opened.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// HasIdle reports whether a workspace could use a connection at once.
+func (p *Pool) HasIdle(server fleet.ServerID, workspace fleet.WorkspaceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	return s != nil && slices.ContainsFunc(s.idle, func(h *Held) bool { return h.workspace == workspace })
+}
+
+// Acquire returns a connection of a workspace to a server. Values are those of
+// the session: a connection that holds them already is preferred. The error
+// means that nothing was sent.
+func (p *Pool) Acquire(deadline time.Time, server fleet.ServerID, workspace fleet.WorkspaceID, values map[string]string) (*Held, *session.RunError) {
+	for {
+		now := p.clock()
+		held, w, failure := p.reserve(now, server, workspace, values)
+		if failure != nil {
+			return nil, failure
+		}
+		if held != nil {
+			return held, nil
+		}
+		if w != nil {
+			if held, failure = p.wait(now, deadline, server, w); held != nil || failure != nil {
+				return held, failure
+			}
+		}
+		held, failure, again := p.open(deadline, server, workspace)
+		if !again {
+			return held, failure
+		}
+		time.Sleep(refusedPause)
+		if !p.clock().Before(deadline) {
+			return nil, failure
+		}
+	}
+}
+
+// reserve takes an idle connection, or the right to open one (both results
+// nil), or a place in the queue.
+func (p *Pool) reserve(now time.Time, server fleet.ServerID, workspace fleet.WorkspaceID, values map[string]string) (*Held, *waiter, *session.RunError) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		return nil, nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
+	}
+	s.grow(now)
+	if held := s.takeIdle(workspace, values); held != nil {
+		return held, nil, nil
+	}
+	if s.open < s.limit {
+		s.open++
+		return nil, nil, nil
+	}
+	if len(s.idle) > 0 {
+		// The one that was not used for longest makes room.
+		s.idle[0].Close()
+		s.idle = s.idle[1:]
+		return nil, nil, nil
+	}
+	w := &waiter{granted: make(chan *Held, 1), since: now, workspace: workspace}
+	s.waiting = append(s.waiting, w)
+	return nil, w, nil
+}
+
+func (p *Pool) wait(now, deadline time.Time, server fleet.ServerID, w *waiter) (*Held, *session.RunError) {
+	timer := time.NewTimer(deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case held := <-w.granted:
+		return held, nil
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		if i := slices.Index(s.waiting, w); i >= 0 {
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+			return nil, &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+		}
+	}
+	select {
+	case held := <-w.granted:
+		return held, nil
+	default:
+		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}
+	}
+}
+
+// open opens the connection that reserve or a release made room for. Again is
+// true if the server refuses more connections for now.
+func (p *Pool) open(deadline time.Time, server fleet.ServerID, workspace fleet.WorkspaceID) (held *Held, failure *session.RunError, again bool) {
+	p.mu.Lock()
+	s := p.servers[server]
+	var target Server
+	if s != nil {
+		target = s.server
+	}
+	p.opened++
+	p.mu.Unlock()
+	if s == nil {
+		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}, false
+	}
+	conn, failure := p.dialer.Dial(deadline, target, workspace)
+	if failure == nil {
+		return &Held{Conn: conn, State: session.NewConnState(), owner: s, workspace: workspace}, nil, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.open--
+	full := failure.Kind == session.KindBusy
+	if full {
+		s.limit = max(1, s.open)
+		s.grown = p.clock()
+	}
+	s.wake(p.clock())
+	return nil, failure, full
+}
+
+// Release gives a connection back.
+func (p *Pool) Release(server fleet.ServerID, held *Held) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	s := p.servers[server]
+	if s == nil || s != held.owner {
+		held.Close()
+		return
+	}
+	if held.broken || s.open > s.limit {
+		held.Close()
+		s.open--
+		s.wake(now)
+		return
+	}
+	held.released = now
+	if w := s.next(now, held.workspace); w != nil {
+		if w.workspace == held.workspace {
+			w.granted <- held
+			return
+		}
+		held.Close()
+		w.granted <- nil
+		return
+	}
+	s.idle = append(s.idle, held)
+}
+
+// Sweep closes connections that were idle for long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		for len(s.idle) > 0 && now.Sub(s.idle[0].released) > idleBound {
+			s.idle[0].Close()
+			s.idle = s.idle[1:]
+			s.open--
+		}
+	}
+}
+
+// Drop closes the idle connections to a server.
+func (p *Pool) Drop(server fleet.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		s.closeIdle()
+		s.wake(p.clock())
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		s.closeIdle()
+	}
+}
+
+func (s *serverState) closeIdle() {
+	for _, held := range s.idle {
+		held.Close()
+	}
+	s.open -= len(s.idle)
+	s.idle = nil
+}
+
+// grow raises a limit that a refusal lowered, one step at a time.
+func (s *serverState) grow(now time.Time) {
+	if s.limit < s.server.Limit && now.Sub(s.grown) >= growInterval {
+		s.limit++
+		s.grown = now
+	}
+}
+
+// takeIdle takes the connection of the workspace that was used last, and one
+// that holds the values before one that does not.
+func (s *serverState) takeIdle(workspace fleet.WorkspaceID, values map[string]string) *Held {
+	chosen := -1
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if s.idle[i].workspace != workspace {
+			continue
+		}
+		if s.idle[i].State.Holds(values) {
+			chosen = i
+			break
+		}
+		if chosen < 0 {
+			chosen = i
+		}
+	}
+	if chosen < 0 {
+		return nil
+	}
+	held := s.idle[chosen]
+	s.idle = slices.Delete(s.idle, chosen, chosen+1)
+	if !held.Alive() {
+		held.Close()
+		s.open--
+		return s.takeIdle(workspace, values)
+	}
+	return held
+}
+
+// next removes the waiter whose turn it is: the first of the same workspace,
+// unless the first of all has waited for long.
+func (s *serverState) next(now time.Time, workspace fleet.WorkspaceID) *waiter {
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	chosen := 0
+	if now.Sub(s.waiting[0].since) < strangerPatience {
+		chosen = max(0, slices.IndexFunc(s.waiting, func(w *waiter) bool { return w.workspace == workspace }))
+	}
+	w := s.waiting[chosen]
+	s.waiting = slices.Delete(s.waiting, chosen, chosen+1)
+	return w
+}
+
+// wake lets waiters open connections for which there is room.
+func (s *serverState) wake(now time.Time) {
+	for len(s.waiting) > 0 && s.open < s.limit {
+		s.open++
+		s.next(now, "").granted <- nil
+	}
+}
--- /dev/null
+++ b/workspace/demandshare.go
@@ -0,0 +1,33 @@
+package workspace
+
+// equalPart is the part of a limit that is divided equally, whatever the
+// demand, so that an instance can admit the first requests of a workspace
+// before others know of them.
+const equalPart = 0.25
+
+// DemandShare returns the fraction of a workspace's limit that one instance
+// holds, from its own demand and that of all instances, its own included, in
+// requests a second. The fractions of all instances add up to one.
+func DemandShare(own float64, all []float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	equal := 1 / float64(len(all))
+	sum := 0.0
+	for _, demand := range all {
+		sum += demand
+	}
+	if sum <= 0 {
+		return equal
+	}
+	return equalPart*equal + (1-equalPart)*own/sum
+}
+
+// EqualShare returns the fraction that an instance of n holds for certain,
+// whatever the others demand.
+func EqualShare(n int) float64 {
+	if n <= 0 {
+		return 0
+	}
+	return equalPart / float64(n)
+}
