--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -204,10 +204,10 @@
 // connections this instance may hold to each.
 func (g *Gateway) setPoolServers() {
 	g.mu.Lock()
-	instances := g.members.liveCount()
+	part := g.demandPart(g.config.Clock())
 	var servers []pool.Server
 	for id, server := range g.servers {
-		limit := g.config.Settings.connectionLimit(g.databaseConnections(server.Group), instances)
+		limit := connectionLimit(g.databaseConnections(server.Group), part)
 		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Limit: limit})
 	}
 	g.mu.Unlock()
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -316,7 +317,7 @@
 		}
 	}
 	g.members.readAt = sent
-	if count := g.members.liveCount(); count != before {
+	if count := g.members.liveCount(); count != before || len(changed) > 0 {
 		go g.setPoolServers()
 	}
 	return nil
@@ -343,6 +344,27 @@
 	g.members.members[id] = &member{revision: row.Revision, row: decoded, seen: now}
 }
 
+// demandPart returns the part of all demand that this instance is asked for.
+// The caller holds the lock.
+func (g *Gateway) demandPart(now time.Time) float64 {
+	own := totalDemand(g.limits.demands(now))
+	all := []float64{own}
+	for id, m := range g.members.members {
+		if id != g.members.self && g.members.live(m) {
+			all = append(all, totalDemand(m.row.Demand))
+		}
+	}
+	return workspace.DemandShare(own, all)
+}
+
+func totalDemand(demands []WorkspaceDemand) float64 {
+	total := 0.0
+	for _, demand := range demands {
+		total += demand.Rate
+	}
+	return total
+}
+
 // divideLimits sets the shares of the limits from what the instances report.
 func (g *Gateway) divideLimits(now time.Time) {
 	g.mu.Lock()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/document"
@@ -83,19 +84,18 @@
 }
 
 // connectionLimit returns how many connections to one server this instance may
-// hold, of the budget over all instances. Demand is uneven, so an instance may
-// hold up to twice its part; a server that is full refuses the rest.
-func (s Settings) connectionLimit(budget, instances int) int {
-	if budget <= 0 || instances <= 0 {
+// hold, of the budget over all instances: its part of all demand.
+func connectionLimit(budget int, part float64) int {
+	if budget <= 0 {
 		return minConnections
 	}
-	return max(minConnections, connectionOvercommit*budget/instances)
+	return max(minConnections, int(math.Round(part*float64(budget-connectionReserve))))
 }
 
 const (
 	// minConnections lets a transaction and a statement run side by side.
 	minConnections = 2
-	// connectionOvercommit is the multiple of an equal part that an instance
-	// may hold.
-	connectionOvercommit = 2
+	// connectionReserve is kept of the budget for status queries, and for
+	// connections that a lost instance has left behind.
+	connectionReserve = 2
 )
--- a/session/session.go
+++ b/session/session.go
@@ -121,7 +121,7 @@
 		s.prepared[statement.Name] = statement.Template
 		return s.done()
 	case StatementRollback:
-		s.endTransaction(true)
+		s.endTransaction(false)
 		return s.done()
 	case StatementSet:
 		s.setValue(statement.Name, statement.Value)
