fix: smooth the demand by which limits are divided

Cause: a workspace sends an instance about two operations a second; averaged over 1.5 s, chance moved its share up and down, and the least share of the last moments counts. Ruled out: refusals of the workspace whose limit was lowered (jeba881, 2112 of 2545 lines) are due.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -12,8 +12,10 @@
 
 const (
 	// demandWindow smooths the demand that instances report to each other:
-	// short enough to follow a workspace that sends many times its usual.
-	demandWindow = 1500 * time.Millisecond
+	// long against the time between
+	// two requests of one workspace on one instance (about half a second), so
+	// that chance does not move shares.
+	demandWindow = 6 * time.Second
 	// shareDelay is how long a larger share is held back, so that the
 	// instances that give it up have seen the change first. Rows are read
 	// about once a second.
