--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,8 +30,8 @@
 	// readBound bounds a call that reads a whole table.
 	readBound = 1500 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a call that failed.
-	firstRetry = 60 * time.Millisecond
-	maxRetry   = 400 * time.Millisecond
+	firstRetry = 80 * time.Millisecond
+	maxRetry   = 800 * time.Millisecond
 )
 
 // follower keeps a copy of one table and hands on what changes.
--- a/primacy/leadership.go
+++ b/primacy/leadership.go
@@ -84,7 +84,8 @@
 	switch {
 	case l.holds():
 		return next, now.Sub(l.renewed) >= leaderRenewal
-	case l.row.Instance == "" || now.Sub(l.seen) >= leaderSilence:
+	case l.row.Instance == "" || l.row.Instance == l.instance || now.Sub(l.seen) >= leaderSilence:
+		// An earlier run of this instance has certainly ended.
 		next.Epoch, next.Instance = l.epoch, l.instance
 		next.Token++
 		return next, true
