fix: use primaries at once after a restart, keep the demand of the earlier run

Cause: the first look at the records came before the own row was written and proved nothing, so the next one, 1.5 s later, had to be waited for; and a restarted instance divided limits equally and began with half a second of rate. Records are now read once the own row is written; the own old row gives the demand.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -259,6 +259,11 @@
 }
 
 func (g *Gateway) followRecords(ctx context.Context) error {
+	select {
+	case <-g.joined:
+	case <-ctx.Done():
+		return nil
+	}
 	f := g.newFollower(recordTable, recordWait)
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,10 @@
 	ownAt time.Time
 	// ownSince is when the row was first written that was renewed ever since.
 	ownSince time.Time
+	// joined is closed when the own row is first written. A look at the
+	// records of primaries from before proves nothing.
+	joined   chan struct{}
+	joinOnce sync.Once
 	members  memberView
 	// health is written by whoever talks to a server.
 	health map[fleet.ServerID]*serverHealth
@@ -191,6 +195,7 @@
 		config:  config,
 		groups:  map[fleet.GroupID]*groupState{},
 		health:  map[fleet.ServerID]*serverHealth{},
+		joined:  make(chan struct{}),
 		limits:  newLimits(config.Instance),
 		members: newMemberView(config.Instance, config.Epoch),
 		news:    make(chan struct{}, 1),
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -20,9 +20,10 @@
 	// instances that give it up have seen the change first. Rows are read
 	// about once a second.
 	shareDelay = 1500 * time.Millisecond
-	// startLevel is the time for which a new share is filled, so that a
-	// restarted instance does not grant a second burst.
-	startLevel = 500 * time.Millisecond
+	// startLevel is the time for which a new share is filled: a restart takes
+	// about as long, and the earlier run has admitted nothing meanwhile. A
+	// whole burst would let a restarted instance grant it twice.
+	startLevel = time.Second
 )
 
 // limits admits operations of workspaces on one instance. It is safe for
@@ -73,6 +74,17 @@
 	return l.limiter.Admit(now, id)
 }
 
+// resume takes over the demand that an earlier run of the instance reported.
+func (l *limits) resume(now time.Time, demands []WorkspaceDemand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, d := range demands {
+		if l.demand[d.Workspace] == nil {
+			l.demand[d.Workspace] = &demandMeter{counted: now, rate: d.Rate}
+		}
+	}
+}
+
 // renew sets the end of the time for which the instance may admit.
 func (l *limits) renew(now, validUntil time.Time) {
 	l.mu.Lock()
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -225,6 +225,7 @@
 	if g.ownAt.IsZero() || sent.Sub(g.ownAt) >= primacy.LeaseTime {
 		// The row may have counted as silent: begin anew once it is visible.
 		g.ownSince = g.config.Clock()
+		g.joinOnce.Do(func() { close(g.joined) })
 		g.config.Log.Record(event.MembershipGained, event.Fields{})
 	}
 	g.ownAt = sent
@@ -337,6 +338,9 @@
 	}
 	if id == g.members.self && row.Revision > g.members.ownRev {
 		g.members.ownRev = row.Revision
+		if decoded.Epoch != g.members.epoch {
+			g.limits.resume(now, decoded.Demand)
+		}
 	}
 	// Two copies of the table are kept, and one may be behind the other.
 	if known := g.members.members[id]; known != nil && known.revision >= row.Revision {
