--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,10 +110,10 @@
 type Control interface {
 	// Healthy reports whether the server answers.
 	Healthy(ctx context.Context, server pool.Server) bool
-	// Status asks for the server's report.
-	Status(ctx context.Context, server pool.Server) (ServerStatus, error)
+	// Status asks for the report of the server at the far end.
+	Status(deadline time.Time, conn pool.Conn) (ServerStatus, error)
 	// StepDown tells a primary of a lower term to become a replica.
-	StepDown(ctx context.Context, server pool.Server, term fleet.Term) error
+	StepDown(deadline time.Time, conn pool.Conn, term fleet.Term) error
 }
 
 // Config is what a gateway depends on.
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -203,6 +203,7 @@
 		}
 		report := state.statuses[id]
 		s.Servers = append(s.Servers, primacy.Server{
+			ClaimsLead: server.Primary,
 			Eligible:   !server.Leaving && g.routing != nil && g.routing.IsInService(server.DataCentre),
 			ID:         id,
 			Position:   report.status.Position,
@@ -211,7 +212,10 @@
 			StatusAt:   report.at,
 			Term:       report.status.Term,
 		})
-		servers = append(servers, pool.Server{Address: server.Address, Group: group, ID: id})
+		if !g.isUnreachable(id) {
+			// A round of status calls must not wait for a server that is gone.
+			servers = append(servers, pool.Server{Address: server.Address, Group: group, ID: id})
+		}
 	}
 	return s, known.revision, servers
 }
@@ -242,7 +246,7 @@
 	case primacy.StepPromote:
 		p.order(ctx, group, state, step.Target, token)
 	case primacy.StepStatus:
-		p.poll(ctx, state, servers)
+		p.poll(state, servers)
 	case primacy.StepWrite:
 		p.write(ctx, group, step.Record, revision)
 	}
@@ -250,7 +254,7 @@
 
 // poll asks all servers of a group for their status at once. A primary of an
 // earlier term than the record's is told to step down.
-func (p *promoter) poll(ctx context.Context, state *promotion, servers []pool.Server) {
+func (p *promoter) poll(state *promotion, servers []pool.Server) {
 	var calls sync.WaitGroup
 	now := p.gateway.config.Clock()
 	p.mu.Lock()
@@ -258,24 +262,35 @@
 	record := state.record
 	p.mu.Unlock()
 	for _, server := range servers {
-		calls.Go(func() {
-			bounded, cancel := context.WithTimeout(ctx, statusCallBound)
-			defer cancel()
-			status, err := p.gateway.config.Control.Status(bounded, server)
-			if err != nil {
-				return
-			}
-			p.mu.Lock()
-			state.statuses[server.ID] = serverReport{at: now, status: status}
-			p.mu.Unlock()
-			if status.Role == primacy.RolePrimary && record.Phase == primacy.PhaseServing && status.Term < record.Term {
-				_ = p.gateway.config.Control.StepDown(bounded, server, record.Term)
-			}
-		})
+		calls.Go(func() { p.ask(state, server, record, now) })
 	}
 	calls.Wait()
 }
 
+// ask asks one server for its status.
+func (p *promoter) ask(state *promotion, server pool.Server, record primacy.Record, now time.Time) {
+	g := p.gateway
+	deadline := now.Add(statusCallBound)
+	conn, failure := g.pool.AcquireAny(deadline, server.ID)
+	if failure != nil {
+		return
+	}
+	defer g.pool.Release(server.ID, conn)
+	status, err := g.config.Control.Status(deadline, conn)
+	if err == nil && status.Role == primacy.RolePrimary && record.Phase == primacy.PhaseServing && status.Term < record.Term {
+		err = g.config.Control.StepDown(deadline, conn, record.Term)
+	}
+	if err != nil {
+		if !conn.Alive() {
+			conn.Break()
+		}
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state.statuses[server.ID] = serverReport{at: now, status: status}
+}
+
 func (p *promoter) order(ctx context.Context, group fleet.GroupID, state *promotion, target fleet.ServerID, token primacy.Token) {
 	g := p.gateway
 	now := g.config.Clock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -19,9 +19,12 @@
 	// growInterval is the time after which a limit that the server lowered by
 	// refusing a connection is raised by one again.
 	growInterval = time.Second
-	// refusedPause is the time after which an opening that the server refused
-	// is tried again: closed connections leave the server's count by then.
-	refusedPause = 25 * time.Millisecond
+	// firstRefusedPause and maxRefusedPause bound the time after which an
+	// opening that the server refused is tried again. A connection that its
+	// owner closes leaves the server's count at once, that of an owner which
+	// is cut off after some seconds.
+	firstRefusedPause = 40 * time.Millisecond
+	maxRefusedPause   = 500 * time.Millisecond
 	// strangerPatience is how long a waiting request of another workspace
 	// lets requests go first that can use a connection as it is.
 	strangerPatience = 60 * time.Millisecond
@@ -86,6 +89,11 @@
 }
 
 type serverState struct {
+	// fullUntil is when the server may be asked again that refused a further
+	// connection, and pause the time before that.
+	fullUntil time.Time
+	pause     time.Duration
+
 	grown   time.Time
 	idle    []*Held
 	limit   int
@@ -95,6 +103,10 @@
 }
 
 type waiter struct {
+	// any accepts a connection of each workspace.
+	any bool
+	// again is when to ask anew although nothing was granted, or zero.
+	again time.Time
 	// granted gets a connection, or nil if the waiter may open one itself.
 	granted   chan *Held
 	since     time.Time
@@ -169,6 +181,9 @@
 func (p *Pool) Acquire(deadline time.Time, server fleet.ServerID, workspace fleet.WorkspaceID, values map[string]string) (*Held, *session.RunError) {
 	for {
 		now := p.clock()
+		if !now.Before(deadline) {
+			return nil, &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+		}
 		held, w, failure := p.reserve(now, server, workspace, values)
 		if failure != nil {
 			return nil, failure
@@ -177,19 +192,61 @@
 			return held, nil
 		}
 		if w != nil {
-			if held, failure = p.wait(now, deadline, server, w); held != nil || failure != nil {
-				return held, failure
+			granted := false
+			if held, granted = p.wait(now, deadline, server, w); held != nil {
+				return held, nil
+			}
+			if !granted {
+				continue
 			}
 		}
 		held, failure, again := p.open(deadline, server, workspace)
 		if !again {
 			return held, failure
 		}
-		time.Sleep(refusedPause)
-		if !p.clock().Before(deadline) {
-			return nil, failure
+	}
+}
+
+// controlWorkspace is the owner of connections that were opened for control.
+const controlWorkspace fleet.WorkspaceID = "nutmegpier"
+
+// AcquireAny returns a connection of any workspace, for queries that are not
+// a caller's. It goes before all waiting requests, so that a server whose
+// connections are all in use can still be asked for its status.
+func (p *Pool) AcquireAny(deadline time.Time, server fleet.ServerID) (*Held, *session.RunError) {
+	busy := &session.RunError{Kind: session.KindBusy, Text: "no connection to the server is free"}
+	now := p.clock()
+	p.mu.Lock()
+	s := p.servers[server]
+	if s == nil {
+		p.mu.Unlock()
+		return nil, busy
+	}
+	var w *waiter
+	if len(s.idle) > 0 {
+		held := s.idle[0]
+		s.idle = s.idle[1:]
+		p.mu.Unlock()
+		return held, nil
+	}
+	if s.open < s.limit || s.open == 0 {
+		s.open++
+	} else {
+		w = &waiter{any: true, granted: make(chan *Held, 1), since: now}
+		s.waiting = slices.Insert(s.waiting, 0, w)
+	}
+	p.mu.Unlock()
+	if w != nil {
+		held, granted := p.wait(now, deadline, server, w)
+		if held != nil {
+			return held, nil
+		}
+		if !granted {
+			return nil, busy
 		}
 	}
+	held, failure, _ := p.open(deadline, server, controlWorkspace)
+	return held, failure
 }
 
 // reserve takes an idle connection, or the right to open one (both results
@@ -205,7 +262,8 @@
 	if held := s.takeIdle(workspace, values); held != nil {
 		return held, nil, nil
 	}
-	if s.open < s.limit {
+	full := now.Before(s.fullUntil)
+	if s.open < s.limit && !full {
 		s.open++
 		return nil, nil, nil
 	}
@@ -216,16 +274,25 @@
 		return nil, nil, nil
 	}
 	w := &waiter{granted: make(chan *Held, 1), since: now, workspace: workspace}
+	if full && s.open < s.limit {
+		w.again = s.fullUntil
+	}
 	s.waiting = append(s.waiting, w)
 	return nil, w, nil
 }
 
-func (p *Pool) wait(now, deadline time.Time, server fleet.ServerID, w *waiter) (*Held, *session.RunError) {
-	timer := time.NewTimer(deadline.Sub(now))
+// wait waits for a connection, or for the right to open one (granted without
+// a connection).
+func (p *Pool) wait(now, deadline time.Time, server fleet.ServerID, w *waiter) (held *Held, granted bool) {
+	bound := deadline
+	if !w.again.IsZero() && w.again.Before(deadline) {
+		bound = w.again
+	}
+	timer := time.NewTimer(bound.Sub(now))
 	defer timer.Stop()
 	select {
 	case held := <-w.granted:
-		return held, nil
+		return held, true
 	case <-timer.C:
 	}
 	p.mu.Lock()
@@ -233,14 +300,14 @@
 	if s := p.servers[server]; s != nil {
 		if i := slices.Index(s.waiting, w); i >= 0 {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
-			return nil, &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+			return nil, false
 		}
 	}
 	select {
 	case held := <-w.granted:
-		return held, nil
+		return held, true
 	default:
-		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}
+		return nil, false
 	}
 }
 
@@ -260,6 +327,9 @@
 	}
 	conn, failure := p.dialer.Dial(deadline, target, workspace)
 	if failure == nil {
+		p.mu.Lock()
+		s.pause = 0
+		p.mu.Unlock()
 		return &Held{Conn: conn, State: session.NewConnState(), owner: s, workspace: workspace}, nil, false
 	}
 	p.mu.Lock()
@@ -269,6 +339,8 @@
 	if full {
 		s.limit = max(1, s.open)
 		s.grown = p.clock()
+		s.pause = min(maxRefusedPause, max(firstRefusedPause, 2*s.pause))
+		s.fullUntil = s.grown.Add(s.pause)
 	}
 	s.wake(p.clock())
 	return nil, failure, full
@@ -292,7 +364,7 @@
 	}
 	held.released = now
 	if w := s.next(now, held.workspace); w != nil {
-		if w.workspace == held.workspace {
+		if w.any || w.workspace == held.workspace {
 			w.granted <- held
 			return
 		}
@@ -387,7 +459,7 @@
 		return nil
 	}
 	chosen := 0
-	if now.Sub(s.waiting[0].since) < strangerPatience {
+	if !s.waiting[0].any && now.Sub(s.waiting[0].since) < strangerPatience {
 		chosen = max(0, slices.IndexFunc(s.waiting, func(w *waiter) bool { return w.workspace == workspace }))
 	}
 	w := s.waiting[chosen]
@@ -397,7 +469,7 @@
 
 // wake lets waiters open connections for which there is room.
 func (s *serverState) wake(now time.Time) {
-	for len(s.waiting) > 0 && s.open < s.limit {
+	for len(s.waiting) > 0 && s.open < s.limit && !now.Before(s.fullUntil) {
 		s.open++
 		s.next(now, "").granted <- nil
 	}
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -40,6 +40,9 @@
 	ID       fleet.ServerID
 	// Position is the end of the received log.
 	Position fleet.Position
+	// ClaimsLead says that the server's registration names it as primary. It
+	// comes without a term.
+	ClaimsLead bool
 	// Registered is false for servers that are not listed any more.
 	Registered bool
 	Role       Role
@@ -147,7 +150,7 @@
 	if !s.allLeft(now) {
 		return Step{Kind: StepNone}
 	}
-	if !s.statusSince(s.Changed) && now.Before(s.Changed.Add(statusBound)) {
+	if !s.candidatesSince(s.Changed) && now.Before(s.Changed.Add(statusBound)) {
 		return Step{Kind: StepStatus}
 	}
 	target, found := s.candidate()
@@ -167,9 +170,12 @@
 // promoting orders the promotion of the recorded target and waits for it.
 func (s Situation) promoting(now time.Time) Step {
 	target, known := s.server(s.Record.Target)
-	if known && target.Role == RolePrimary && target.Term > s.Record.Term && target.StatusAt.After(s.Changed) {
+	leads := known && target.Role == RolePrimary && target.Term > s.Record.Term && target.StatusAt.After(s.Changed)
+	// A server that is full answers no status, but its registration tells.
+	claims := known && target.ClaimsLead && !s.Ordered.IsZero()
+	if leads || claims {
 		return Step{Kind: StepWrite, Record: Record{
-			Generation: s.Record.Generation + 1, Phase: PhaseServing, Primary: target.ID, Term: target.Term,
+			Generation: s.Record.Generation + 1, Phase: PhaseServing, Primary: target.ID, Term: max(target.Term, s.Record.Term+1),
 		}}
 	}
 	gone := !known || !target.Registered
@@ -252,6 +258,16 @@
 	return len(s.Servers) > 0 && s.statusSince(now.Add(-statusBound))
 }
 
+// candidatesSince reports whether all servers that can be chosen have answered.
+// In a handover the old primary has as well, because its log must be reached.
+func (s Situation) candidatesSince(since time.Time) bool {
+	return !slices.ContainsFunc(s.Servers, func(server Server) bool {
+		old := server.ID == s.Record.Primary
+		asked := (server.Eligible && !old) || (old && s.Record.Reason == ReasonHandover)
+		return server.Registered && asked && !server.StatusAt.After(since)
+	})
+}
+
 func (s Situation) statusSince(since time.Time) bool {
 	return !slices.ContainsFunc(s.Servers, func(server Server) bool { return server.Registered && !server.StatusAt.After(since) })
 }
