feat: take a part of each limit from a common pool in the store

A fifth of each limit now lies in a row of the store and is taken by whoever needs it, under a condition.

--- a/feed/calibration.go
+++ b/feed/calibration.go
@@ -29,3 +29,9 @@
 	}
 	return moment
 }
+
+// StoreTime returns the store's steady time at a time of the instance. It is
+// ahead by at most the time of the fastest call.
+func (c *Calibration) StoreTime(now time.Time) time.Duration {
+	return now.Sub(c.earliest)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,12 +39,11 @@
 
 // follower keeps a copy of one table and hands on what changes.
 type follower struct {
-	calibration feed.Calibration
-	gateway     *Gateway
-	lost        bool
-	mirror      *feed.Mirror
-	table       Table
-	wait        time.Duration
+	gateway *Gateway
+	lost    bool
+	mirror  *feed.Mirror
+	table   Table
+	wait    time.Duration
 }
 
 func (g *Gateway) newFollower(table Table, wait time.Duration) *follower {
@@ -92,7 +91,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.mirror.Apply(snapshot, f.calibration.Observe(sent, clock(), snapshot.StoreTime)), nil
+	f.gateway.mu.Lock()
+	proof := f.gateway.storeClock.Observe(sent, clock(), snapshot.StoreTime)
+	f.gateway.mu.Unlock()
+	return f.mirror.Apply(snapshot, proof), nil
 }
 
 func (f *follower) read(ctx context.Context) (feed.Snapshot, error) {
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -24,7 +24,10 @@
 	if workspace == "" {
 		return nil
 	}
-	decision := g.limits.admit(now, workspace)
+	decision := g.limits.admit(now, workspace, true)
+	if !decision.Admitted && g.takeSpare(now, workspace) {
+		decision = g.limits.admit(g.config.Clock(), workspace, false)
+	}
 	if decision.Admitted {
 		return nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,10 @@
 	// health is written by whoever talks to a server.
 	health map[fleet.ServerID]*serverHealth
 	random *rand.Rand
+	// spares is written by requests that take from the pools of limits.
+	spares map[fleet.WorkspaceID]*spare
+	// storeClock is written by all followers.
+	storeClock feed.Calibration
 
 	// news wakes the membership controller and the promoter.
 	news     chan struct{}
@@ -201,6 +205,7 @@
 		news:    make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
 		servers: map[fleet.ServerID]*backendServer{},
+		spares:  map[fleet.WorkspaceID]*spare{},
 	}
 	g.pool = pool.New(config.Dialer, config.Clock)
 	return g
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -24,17 +24,24 @@
 	// about as long, and the earlier run has admitted nothing meanwhile. A
 	// whole burst would let a restarted instance grant it twice.
 	startLevel = time.Second
+	// extraLife is how long requests from the common pool may be used.
+	extraLife = 2 * time.Second
 )
 
 // limits admits operations of workspaces on one instance. It is safe for
 // concurrent use.
 type limits struct {
-	mu         sync.Mutex
-	demand     map[fleet.WorkspaceID]*demandMeter
-	limiter    *workspace.Limiter
-	shares     map[fleet.WorkspaceID]*shareHistory
-	unlimited  bool
-	workspaces map[fleet.WorkspaceID]sheet.Limits
+	mu      sync.Mutex
+	demand  map[fleet.WorkspaceID]*demandMeter
+	extra   map[fleet.WorkspaceID]extraRequests
+	limiter *workspace.Limiter
+	shares  map[fleet.WorkspaceID]*shareHistory
+}
+
+// extraRequests are requests from the common pool that are not used yet.
+type extraRequests struct {
+	count float64
+	until time.Time
 }
 
 // demandMeter is an exponential average of requests a second.
@@ -56,13 +63,15 @@
 func newLimits(fleet.InstanceID) *limits {
 	return &limits{
 		demand:  map[fleet.WorkspaceID]*demandMeter{},
+		extra:   map[fleet.WorkspaceID]extraRequests{},
 		limiter: workspace.NewLimiter(),
 		shares:  map[fleet.WorkspaceID]*shareHistory{},
 	}
 }
 
-// admit takes one operation of a workspace.
-func (l *limits) admit(now time.Time, id fleet.WorkspaceID) workspace.Decision {
+// admit takes one operation of a workspace. First is false if the same one is
+// tried again.
+func (l *limits) admit(now time.Time, id fleet.WorkspaceID, first bool) workspace.Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	meter := l.demand[id]
@@ -70,8 +79,14 @@
 		meter = &demandMeter{counted: now}
 		l.demand[id] = meter
 	}
-	meter.add(now, 1)
-	return l.limiter.Admit(now, id)
+	if first {
+		meter.add(now, 1)
+	}
+	decision := l.limiter.Admit(now, id)
+	if !decision.Admitted && l.takeExtra(now, id) {
+		return workspace.Decision{Admitted: true}
+	}
+	return decision
 }
 
 // resume takes over the demand that an earlier run of the instance reported.
@@ -152,9 +167,10 @@
 		l.shares[id] = history
 	}
 	effective := history.effective(now, fraction)
+	divided := effective * (1 - workspace.SparePart)
 	share := workspace.Share{
-		Capacity: math.Max(1, limit.Burst*effective),
-		Rate:     limit.Rate * effective,
+		Capacity: math.Max(1, limit.Burst*divided),
+		Rate:     limit.Rate * divided,
 	}
 	if limit.Rate <= 0 {
 		share.Capacity = 0
@@ -167,6 +183,37 @@
 	l.limiter.Set(now, id, share)
 }
 
+// add keeps requests that were taken from the common pool. Those that are not
+// used soon are lost, so that they do not add up to a second burst.
+func (l *limits) add(now time.Time, id fleet.WorkspaceID, requests float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.extra[id] = extraRequests{count: requests, until: now.Add(extraLife)}
+}
+
+// takeExtra admits one request from what was taken from the pool.
+func (l *limits) takeExtra(now time.Time, id fleet.WorkspaceID) bool {
+	extra := l.extra[id]
+	if extra.count < 1 || !now.Before(extra.until) || !now.Before(l.limiter.ValidUntil()) {
+		return false
+	}
+	extra.count--
+	l.extra[id] = extra
+	return true
+}
+
+// demandOf returns the demand of one workspace in requests a second.
+func (l *limits) demandOf(now time.Time, id fleet.WorkspaceID) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	meter := l.demand[id]
+	if meter == nil {
+		return 0
+	}
+	meter.add(now, 0)
+	return meter.rate
+}
+
 // effective returns the least share of the last moments.
 func (h *shareHistory) effective(now time.Time, fraction float64) float64 {
 	h.past = append(h.past, pastShare{fraction: fraction, time: now})
