fix: spread rows over partitions of the store

Cause: a slow store performs the transactions of one partition one after the other, 3 a second when it is 39 times slower; the rows of nine instances and the pools waited for each other and were refused (429), so leases lapsed.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -16,6 +16,8 @@
 const (
 	// recordTable holds the records of primaries.
 	recordTable Table = "nutmegpier-primaries"
+	// recordPartition holds all of them, because they are read as a whole.
+	recordPartition Partition = "primaries"
 
 	// sheetWait is how long the store holds a call for changes of the sheet.
 	// Each answer proves that the sheet is the newest, so the wait leaves room
@@ -42,12 +44,14 @@
 	gateway *Gateway
 	lost    bool
 	mirror  *feed.Mirror
-	table   Table
-	wait    time.Duration
+	// partitions are those of the table that hold rows.
+	partitions []Partition
+	table      Table
+	wait       time.Duration
 }
 
-func (g *Gateway) newFollower(table Table, wait time.Duration) *follower {
-	return &follower{gateway: g, mirror: feed.NewMirror(), table: table, wait: wait}
+func (g *Gateway) newFollower(table Table, wait time.Duration, partitions ...Partition) *follower {
+	return &follower{gateway: g, mirror: feed.NewMirror(), partitions: partitions, table: table, wait: wait}
 }
 
 // follow calls apply after each answer until the context ends. Changed is
@@ -100,7 +104,7 @@
 func (f *follower) read(ctx context.Context) (feed.Snapshot, error) {
 	bounded, cancel := context.WithTimeout(ctx, readBound)
 	defer cancel()
-	return f.gateway.config.Store.Read(bounded, f.table)
+	return f.gateway.config.Store.Read(bounded, f.table, f.partitions)
 }
 
 // note logs when the store is lost and when it is back.
@@ -126,7 +130,7 @@
 }
 
 func (g *Gateway) followSheet(ctx context.Context) error {
-	f := g.newFollower(g.config.Source.SheetTable(), sheetWait)
+	f := g.newFollower(g.config.Source.SheetTable(), sheetWait, "")
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		if len(changed) > 0 {
 			update, found, err := g.config.Source.Sheet(f.mirror.Rows())
@@ -161,7 +165,7 @@
 }
 
 func (g *Gateway) followServers(ctx context.Context) error {
-	f := g.newFollower(g.config.Source.ServerTable(), serverWait)
+	f := g.newFollower(g.config.Source.ServerTable(), serverWait, "")
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
 			g.adoptServer(now, row)
@@ -266,7 +270,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	f := g.newFollower(recordTable, recordWait)
+	f := g.newFollower(recordTable, recordWait, recordPartition)
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
 			if row.Deleted {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,13 +19,19 @@
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
+// Partition names a part of a table. The store performs the transactions of a
+// partition one after the other, so rows that are written often are spread.
+type Partition string
+
 // Table names a table of the store.
 type Table string
 
 // Write is one row of a transaction. The condition is that the row still has
-// the revision; zero means that it is absent.
+// the revision; zero means that it is absent. All rows of a transaction are in
+// one partition.
 type Write struct {
-	Key string
+	Key       string
+	Partition Partition
 	// Remove drops the row.
 	Remove   bool
 	Revision feed.Revision
@@ -55,8 +61,8 @@
 	// Changes waits for changes after a revision. A KindHistory error means
 	// that the store has forgotten them.
 	Changes(ctx context.Context, table Table, after feed.Revision, wait time.Duration) (feed.Snapshot, error)
-	// Read returns all rows of a table.
-	Read(ctx context.Context, table Table) (feed.Snapshot, error)
+	// Read returns all rows of some partitions of a table.
+	Read(ctx context.Context, table Table, partitions []Partition) (feed.Snapshot, error)
 	// Write writes all rows if all conditions hold, and none otherwise.
 	Write(ctx context.Context, writes []Write) (WriteResult, error)
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -21,6 +23,13 @@
 	// leaderKey is the leader's row. No instance has this name, because names
 	// begin with a letter or digit.
 	leaderKey = ".leader"
+	// leaderPartition holds only the leader's row, which must not wait for
+	// those of the instances.
+	leaderPartition Partition = "leader"
+	// memberPartitionCount is the number of partitions for the own rows: one
+	// alone can't take the rows of nine instances from a store that is forty
+	// times slower than usual, and each is read at a start.
+	memberPartitionCount = 4
 
 	// beatInterval is the time between two writes of the own row. Two of them
 	// fit in the lease, and a failed one is repeated sooner.
@@ -72,8 +81,10 @@
 	leadership *primacy.Leadership
 	leading    bool
 	left       map[fleet.GroupID]primacy.Generation
-	members    map[fleet.InstanceID]*member
-	ownRev     feed.Revision
+	// lost is true once a lapse of the own row was logged.
+	lost    bool
+	members map[fleet.InstanceID]*member
+	ownRev  feed.Revision
 	// readAt is when the last look at the table was sent that was answered.
 	readAt time.Time
 	// recordsAt is the proof of the records of primaries.
@@ -99,6 +110,20 @@
 	}
 }
 
+// memberPartitions returns the partitions of the table of instances.
+func memberPartitions() []Partition {
+	partitions := []Partition{leaderPartition}
+	for i := range memberPartitionCount {
+		partitions = append(partitions, Partition("instances-"+strconv.Itoa(i)))
+	}
+	return partitions
+}
+
+// memberPartition returns the partition of an instance's own row.
+func memberPartition(id fleet.InstanceID) Partition {
+	return Partition("instances-" + strconv.Itoa(int(xxhash.Sum64String(string(id))%memberPartitionCount)))
+}
+
 // live reports whether the lease of an instance may still run.
 func (v *memberView) live(m *member) bool {
 	return v.readAt.Sub(m.seen) < memberForget
@@ -117,7 +142,7 @@
 
 // keepMembership writes the own row and reads those of the others.
 func (g *Gateway) keepMembership(ctx context.Context) error {
-	f := g.newFollower(memberTable, 0)
+	f := g.newFollower(memberTable, 0, memberPartitions()...)
 	for ctx.Err() == nil {
 		if err := g.lookAtMembers(ctx, f); err != nil {
 			f.note(err)
@@ -136,6 +161,7 @@
 				nextBeat = now.Add(beatInterval / 4)
 			}
 		}
+		g.lead(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextLook) {
 			nextLook = now.Add(memberPoll)
 			f.note(g.lookAtMembers(ctx, f))
@@ -184,47 +210,79 @@
 	}
 }
 
-// beat writes the own row, and the leader's row when it is due. It reports
-// false if the row is not known to be written.
+// beat writes the own row. It reports false if the row is not known to be
+// written.
 func (g *Gateway) beat(ctx context.Context, now time.Time) bool {
 	g.mu.Lock()
-	writes := []Write{g.ownWrite(now)}
-	leader, lead := g.members.leadership.Next(now)
-	if lead {
-		if content, err := leader.EncodeLeader(); err == nil {
-			writes = append(writes, Write{Key: leaderKey, Revision: g.members.leaderRev, Table: memberTable, Value: content})
-		}
-	}
+	write := g.ownWrite(now)
 	g.mu.Unlock()
-
-	bounded, cancel := context.WithTimeout(ctx, writeBound)
-	defer cancel()
-	result, err := g.config.Store.Write(bounded, writes)
+	result, err := g.write(ctx, write)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
+		g.noteMembershipLost(now, err)
 		return false
 	}
 	if !result.Applied {
-		g.observeConflict(now, result.Current)
+		for _, row := range result.Current {
+			g.members.ownRev = row.Revision
+		}
 		return false
 	}
 	g.members.ownRev = result.Revision
 	g.noteOwnRow(now)
-	if lead {
-		g.members.leaderRev = result.Revision
-		g.members.leadership.Written(now, leader)
-	}
 	g.proveLocked()
-	g.noteLeading(now)
 	return true
 }
 
+// lead takes or renews the leader's row when that is due.
+func (g *Gateway) lead(ctx context.Context, now time.Time) {
+	g.mu.Lock()
+	leader, due := g.members.leadership.Next(now)
+	content, err := leader.EncodeLeader()
+	write := Write{Key: leaderKey, Partition: leaderPartition, Revision: g.members.leaderRev, Table: memberTable, Value: content}
+	g.mu.Unlock()
+	if !due || err != nil {
+		return
+	}
+	result, err := g.write(ctx, write)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		return
+	}
+	if !result.Applied {
+		for _, row := range result.Current {
+			g.observeLeader(now, row.Row)
+		}
+		return
+	}
+	g.members.leaderRev = result.Revision
+	g.members.leadership.Written(now, leader)
+	g.noteLeading(now)
+}
+
+func (g *Gateway) write(ctx context.Context, write Write) (WriteResult, error) {
+	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	defer cancel()
+	return g.config.Store.Write(bounded, []Write{write})
+}
+
+// noteMembershipLost logs once when the own row was not written for long.
+func (g *Gateway) noteMembershipLost(now time.Time, err error) {
+	if g.members.lost || now.Sub(g.ownAt) < primacy.LeaseTime {
+		return
+	}
+	g.members.lost = true
+	g.config.Log.Record(event.MembershipLost, event.Fields{Text: err.Error()})
+}
+
 // noteOwnRow says that the own row was written by a call sent at a time.
 func (g *Gateway) noteOwnRow(sent time.Time) {
 	if g.ownAt.IsZero() || sent.Sub(g.ownAt) >= primacy.LeaseTime {
 		// The row may have counted as silent: begin anew once it is visible.
 		g.ownSince = g.config.Clock()
+		g.members.lost = false
 		g.joinOnce.Do(func() { close(g.joined) })
 		g.config.Log.Record(event.MembershipGained, event.Fields{})
 	}
@@ -248,19 +306,7 @@
 	if err != nil {
 		g.config.Log.Record(event.EntryRefused, event.Fields{Text: "own row: " + err.Error()})
 	}
-	return Write{Key: string(g.members.self), Revision: g.members.ownRev, Table: memberTable, Value: content}
-}
-
-// observeConflict learns the present rows after a write that was not applied.
-func (g *Gateway) observeConflict(now time.Time, current []CurrentRow) {
-	for _, row := range current {
-		switch row.Key {
-		case string(g.members.self):
-			g.members.ownRev = row.Revision
-		case leaderKey:
-			g.observeLeader(now, row.Row)
-		}
-	}
+	return Write{Key: string(g.members.self), Partition: memberPartition(g.members.self), Revision: g.members.ownRev, Table: memberTable, Value: content}
 }
 
 func (g *Gateway) observeLeader(now time.Time, row feed.Row) {
@@ -398,7 +444,7 @@
 // limits anew and no change of a primary waits for this instance.
 func (g *Gateway) Leave(ctx context.Context) {
 	g.mu.Lock()
-	write := Write{Key: string(g.members.self), Remove: true, Revision: g.members.ownRev, Table: memberTable}
+	write := Write{Key: string(g.members.self), Partition: memberPartition(g.members.self), Remove: true, Revision: g.members.ownRev, Table: memberTable}
 	g.ownAt = time.Time{}
 	g.mu.Unlock()
 	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -61,7 +61,7 @@
 
 // promote orders promotions while this instance leads.
 func (g *Gateway) promote(ctx context.Context) error {
-	p := &promoter{gateway: g, groups: map[fleet.GroupID]*promotion{}, looker: g.newFollower(memberTable, 0)}
+	p := &promoter{gateway: g, groups: map[fleet.GroupID]*promotion{}, looker: g.newFollower(memberTable, 0, memberPartitions()...)}
 	tick := idleTick
 	for pause(ctx, tick) {
 		tick = idleTick
@@ -319,7 +319,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, writeBound)
 	defer cancel()
-	result, err := g.config.Store.Write(bounded, []Write{{Key: string(group), Revision: revision, Table: recordTable, Value: content}})
+	result, err := g.config.Store.Write(bounded, []Write{{Key: string(group), Partition: recordPartition, Revision: revision, Table: recordTable, Value: content}})
 	if err != nil {
 		// It may take effect later; the condition keeps it from undoing more.
 		g.config.Log.Record(event.PromotionLost, event.Fields{Database: group, Text: err.Error()})
--- a/gateway/spare.go
+++ b/gateway/spare.go
@@ -110,7 +110,7 @@
 			g.config.Log.Record(event.EntryRefused, event.Fields{Text: "limit pool: " + err.Error()})
 			return 0, now.Add(sparePause)
 		}
-		result, err := g.config.Store.Write(ctx, []Write{{Key: string(limit.Workspace), Revision: state.revision, Table: spareTable, Value: content}})
+		result, err := g.config.Store.Write(ctx, []Write{{Key: string(limit.Workspace), Partition: Partition("limit-" + string(limit.Workspace)), Revision: state.revision, Table: spareTable, Value: content}})
 		if err != nil {
 			// What was taken is lost if the call was performed.
 			return 0, now.Add(sparePause)
--- a/primacy/leadership.go
+++ b/primacy/leadership.go
@@ -12,14 +12,14 @@
 
 const (
 	// leaderRenewal is the age at which the leader renews its row: often
-	// enough that two lost answers in a row cost nothing.
-	leaderRenewal = time.Second
+	// enough that a lost answer costs nothing.
+	leaderRenewal = 1200 * time.Millisecond
 	// leaderSilence is how long the row stands still before another instance
 	// takes it: three renewals.
-	leaderSilence = 3500 * time.Millisecond
+	leaderSilence = 4000 * time.Millisecond
 	// leaderValid is how long a renewal lets the leader act. The rest up to
 	// leaderSilence covers an order that is on its way.
-	leaderValid = 2500 * time.Millisecond
+	leaderValid = 3000 * time.Millisecond
 )
 
 // Leader is the row that names the instance which orders promotions.
