fix: leave connections free for the time after a loss of power

Cause: after a loss of power the servers count the dark connections of all instances for 3 s; with all but two of 37 in use, restarted instances could open two. They now use 0.6 of the budget together.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -89,13 +89,14 @@
 	if budget <= 0 {
 		return minConnections
 	}
-	return max(minConnections, int(math.Round(part*float64(budget-connectionReserve))))
+	return max(minConnections, int(math.Round(part*connectionPart*float64(budget))))
 }
 
 const (
 	// minConnections lets a transaction and a statement run side by side.
 	minConnections = 2
-	// connectionReserve is kept of the budget for status queries, and for
-	// connections that a lost instance has left behind.
-	connectionReserve = 2
+	// connectionPart is the part of the budget that all instances use together.
+	// The rest is for status queries, and for the time after a loss of power:
+	// a server counts connections whose far end is gone for 3 s more.
+	connectionPart = 0.6
 )
