--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -152,7 +152,7 @@
 	servers := platform.NewDialer(bootTime, func(server fleet.ServerID) bool { return running.ReportSilence(server) })
 	running = gateway.New(gateway.Config{
 		Clock:    bootTime,
-		Control:  platform.NewControl(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}),
+		Control:  platform.NewControl(),
 		Dialer:   servers,
 		Epoch:    epoch,
 		Instance: settings.Instance,
