fix: record each promotion order before it is given

Each order is now counted in the record first; after more than one, no further change starts for the 6 s in which one may come. 30,000 runs of the model pass; four deliberate faults are each found within 160 seeds.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -291,7 +291,7 @@
 	g.mu.Lock()
 	state := g.group(record.Group)
 	known := state.watch.Record()
-	state.watch.Observe(now, record, g.boundProof(proof))
+	state.watch.Observe(now, record, g.presence.Bound(proof))
 	if revision > state.revision {
 		state.revision = revision
 	}
@@ -319,22 +319,8 @@
 }
 
 func (g *Gateway) proveLocked() {
-	proof := g.boundProof(g.members.recordsAt)
+	proof := g.presence.Bound(g.members.recordsAt)
 	for _, state := range g.groups {
 		state.watch.Prove(proof)
 	}
 }
-
-// boundProof returns the time up to which a look at the records lets the
-// instance use primaries. A look from before the own row was visible proves
-// nothing, because a change may not have waited for this instance.
-func (g *Gateway) boundProof(proof time.Time) time.Time {
-	switch {
-	case proof.Before(g.ownSince):
-		return time.Time{}
-	case g.ownAt.Before(proof):
-		return g.ownAt
-	default:
-		return proof
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,11 +152,8 @@
 	servers map[fleet.ServerID]*backendServer
 	// groups is written by the records' follower.
 	groups map[fleet.GroupID]*groupState
-	// ownAt is when the last write of the instance's own row was sent that
-	// succeeded; written by the membership controller.
-	ownAt time.Time
-	// ownSince is when the row was first written that was renewed ever since.
-	ownSince time.Time
+	// presence is written by the membership controller.
+	presence primacy.Presence
 	// joined is closed when the own row is first written. A look at the
 	// records of primaries from before proves nothing.
 	joined   chan struct{}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -38,9 +38,6 @@
 	newsInterval = 40 * time.Millisecond
 	// writeBound bounds a write.
 	writeBound = 1200 * time.Millisecond
-	// memberForget is when the row of a silent instance is dropped from the
-	// shares: its lease has certainly ended by then.
-	memberForget = primacy.LeaseTime + primacy.LeaseMargin + memberPoll
 	// memberPoll is the time between two looks at the other instances.
 	memberPoll = 2 * time.Second
 	// viewBound is the age from which the view of the others is too old to
@@ -126,7 +123,7 @@
 
 // live reports whether the lease of an instance may still run.
 func (v *memberView) live(m *member) bool {
-	return v.readAt.Sub(m.seen) < memberForget
+	return !primacy.IsSilent(v.readAt, m.seen, memberPoll)
 }
 
 // liveCount returns the number of live instances, this one included.
@@ -270,7 +267,7 @@
 
 // noteMembershipLost logs once when the own row was not written for long.
 func (g *Gateway) noteMembershipLost(now time.Time, err error) {
-	if g.members.lost || now.Sub(g.ownAt) < primacy.LeaseTime {
+	if g.members.lost || now.Sub(g.presence.At()) < primacy.LeaseTime {
 		return
 	}
 	g.members.lost = true
@@ -279,14 +276,11 @@
 
 // noteOwnRow says that the own row was written by a call sent at a time.
 func (g *Gateway) noteOwnRow(sent time.Time) {
-	if g.ownAt.IsZero() || sent.Sub(g.ownAt) >= primacy.LeaseTime {
-		// The row may have counted as silent: begin anew once it is visible.
-		g.ownSince = g.config.Clock()
+	if g.presence.Written(sent, g.config.Clock()) {
 		g.members.lost = false
 		g.joinOnce.Do(func() { close(g.joined) })
 		g.config.Log.Record(event.MembershipGained, event.Fields{})
 	}
-	g.ownAt = sent
 }
 
 func (g *Gateway) ownWrite(now time.Time) Write {
@@ -430,7 +424,7 @@
 		}
 	}
 	recent := now.Sub(g.members.readAt) < viewBound
-	until := g.ownAt
+	until := g.presence.At()
 	if g.sheetAt.Before(until) {
 		until = g.sheetAt
 	}
@@ -445,7 +439,7 @@
 func (g *Gateway) Leave(ctx context.Context) {
 	g.mu.Lock()
 	write := Write{Key: string(g.members.self), Partition: memberPartition(g.members.self), Remove: true, Revision: g.members.ownRev, Table: memberTable}
-	g.ownAt = time.Time{}
+	g.presence.End()
 	g.mu.Unlock()
 	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
 		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "leave: " + err.Error()})
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -35,13 +35,16 @@
 
 // promotion is what the leader knows of one group besides the record.
 type promotion struct {
-	busy     bool
-	changed  time.Time
-	ordered  time.Time
-	polled   time.Time
-	record   primacy.Record
-	statuses map[fleet.ServerID]serverReport
-	stepDown map[fleet.ServerID]time.Time
+	busy    bool
+	changed time.Time
+	ordered time.Time
+	// permitted is the record that this instance wrote and whose last order it
+	// has not given yet.
+	permitted primacy.Record
+	polled    time.Time
+	record    primacy.Record
+	statuses  map[fleet.ServerID]serverReport
+	stepDown  map[fleet.ServerID]time.Time
 }
 
 type serverReport struct {
@@ -188,7 +191,7 @@
 		state.changed, state.ordered = now, time.Time{}
 	}
 	state.record = record
-	s := primacy.Situation{Changed: state.changed, Ordered: state.ordered, Record: record}
+	s := primacy.Situation{Changed: state.changed, Ordered: state.ordered, Permitted: record.Target != "" && record == state.permitted, Record: record}
 	for id, m := range g.members.members {
 		s.Members = append(s.Members, p.memberOf(id, m, group, record))
 	}
@@ -248,7 +251,7 @@
 	case primacy.StepStatus:
 		p.poll(state, servers)
 	case primacy.StepWrite:
-		p.write(ctx, group, step.Record, revision)
+		p.write(ctx, group, state, step.Record, revision)
 	}
 }
 
@@ -299,6 +302,7 @@
 	}
 	p.mu.Lock()
 	state.ordered = now
+	state.permitted = primacy.Record{}
 	p.mu.Unlock()
 	g.config.Log.Record(event.PromotionOrdered, event.Fields{Database: group, Server: target})
 	bounded, cancel := context.WithTimeout(ctx, orderBound)
@@ -309,7 +313,7 @@
 }
 
 // write writes the next record under the condition that nobody did before.
-func (p *promoter) write(ctx context.Context, group fleet.GroupID, record primacy.Record, revision feed.Revision) {
+func (p *promoter) write(ctx context.Context, group fleet.GroupID, state *promotion, record primacy.Record, revision feed.Revision) {
 	g := p.gateway
 	record.Group = group
 	content, err := record.Encode()
@@ -327,6 +331,9 @@
 	}
 	now := g.config.Clock()
 	if result.Applied {
+		p.mu.Lock()
+		state.permitted = record
+		p.mu.Unlock()
 		g.adoptRecord(now, record, result.Revision, time.Time{})
 		return
 	}
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -18,6 +18,9 @@
 	// statusBound is how long statuses are waited for before the choice is
 	// made among the servers that answered.
 	statusBound = 700 * time.Millisecond
+	// lateBound is how long after it an order without answer may still take
+	// effect. Calls to the platform's store do so up to 6 s later.
+	lateBound = 6 * time.Second
 	// targetBound is how long a target may stay silent before another one is
 	// chosen. An order that was lost takes effect within seconds or never.
 	targetBound = 8 * time.Second
@@ -70,6 +73,9 @@
 	Members []Member
 	// Ordered is when the leader last ordered the promotion of the target.
 	Ordered time.Time
+	// Permitted says that the leader itself wrote the present record, and has
+	// not given the last of its orders yet.
+	Permitted bool
 	// Record is the zero Record if there is none.
 	Record  Record
 	Servers []Server
@@ -131,7 +137,9 @@
 		next.Reason = ReasonReplaced
 		return Step{Kind: StepWrite, Record: next}
 	}
-	if !s.hasCandidate() {
+	// An order too many may still come and would undo a further change.
+	late := s.Record.Orders > 1 && now.Before(s.Changed.Add(lateBound))
+	if late || !s.hasCandidate() {
 		return Step{Kind: StepNone}
 	}
 	switch {
@@ -164,6 +172,7 @@
 	}
 	next := s.Record
 	next.Target = target.ID
+	next.Orders = 1
 	return Step{Kind: StepWrite, Record: next}
 }
 
@@ -175,19 +184,26 @@
 	claims := known && target.ClaimsLead && !s.Ordered.IsZero()
 	if leads || claims {
 		return Step{Kind: StepWrite, Record: Record{
-			Generation: s.Record.Generation + 1, Phase: PhaseServing, Primary: target.ID, Term: max(target.Term, s.Record.Term+1),
+			Generation: s.Record.Generation + 1, Orders: s.Record.Orders, Phase: PhaseServing,
+			Primary: target.ID, Term: max(target.Term, s.Record.Term+1),
 		}}
 	}
 	gone := !known || !target.Registered
 	if now.After(s.Changed.Add(targetBound)) && (gone || target.StatusAt.Before(now.Add(-statusBound))) {
 		next := s.Record
 		next.Target = ""
+		next.Orders = 0
 		next.Generation++
 		return Step{Kind: StepWrite, Record: next}
 	}
-	if s.Ordered.IsZero() || now.Sub(s.Ordered) >= promoteBound {
+	if s.Permitted {
 		return Step{Kind: StepPromote, Target: s.Record.Target}
 	}
+	if s.Ordered.IsZero() || now.Sub(s.Ordered) >= promoteBound {
+		next := s.Record
+		next.Orders++
+		return Step{Kind: StepWrite, Record: next}
+	}
 	return Step{Kind: StepStatus}
 }
 
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -54,9 +54,12 @@
 type Record struct {
 	Generation Generation
 	Group      fleet.GroupID
-	Phase      Phase
-	Primary    fleet.ServerID
-	Reason     Reason `json:",omitempty"`
+	// Orders is the number of promotion orders that may have been given in the
+	// last change. Each is recorded before it is given.
+	Orders  int `json:",omitempty"`
+	Phase   Phase
+	Primary fleet.ServerID
+	Reason  Reason `json:",omitempty"`
 	// Target is the server that is being promoted. It is recorded before the
 	// order is given, because an order whose answer was lost may take effect
 	// later: another target would then be rolled back.
