--- a/caller/error.go
+++ b/caller/error.go
@@ -128,7 +128,7 @@
 		SeverityUnlocalized: severity,
 		Code:                known.Kind.code(),
 		Message:             known.message(),
-		Detail:              outcome.detail(),
+		Detail:              detail(outcome),
 	}
 	if known.RetryAfter > 0 {
 		answer.Hint = fmt.Sprintf("retry after %d ms", max(1, known.RetryAfter.Milliseconds()))
--- a/caller/outcome.go
+++ b/caller/outcome.go
@@ -1,21 +1,19 @@
 package caller
 
+import core "github.com/nutmegpier/nutmegpier/session"
+
 // Outcome says whether a request ran.
-type Outcome string
+type Outcome = core.Outcome
 
 // Outcomes of a request.
 const (
-	// OutcomeCommitted means that a majority of the group holds the commit.
-	OutcomeCommitted Outcome = "Committed"
-	// OutcomeFailed means that the backend server refused the statement.
-	OutcomeFailed Outcome = "Failed"
-	// OutcomeNotRun means that the request certainly had no effect.
-	OutcomeNotRun Outcome = "NotRun"
-	// OutcomeUnknown means that the request may or may not have had effect.
-	OutcomeUnknown Outcome = "Unknown"
+	OutcomeCommitted = core.OutcomeCommitted
+	OutcomeFailed    = core.OutcomeFailed
+	OutcomeNotRun    = core.OutcomeNotRun
+	OutcomeUnknown   = core.OutcomeUnknown
 )
 
 // detail returns the text for the Detail field of an error.
-func (o Outcome) detail() string {
+func detail(o Outcome) string {
 	return "Outcome: " + string(o)
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -316,7 +316,7 @@
 	if failure.Detail != "" {
 		failure.Detail += "\n"
 	}
-	failure.Detail += OutcomeFailed.detail()
+	failure.Detail += detail(OutcomeFailed)
 }
 
 func isBackendError(err error) bool {
--- a/caller/request.go
+++ b/caller/request.go
@@ -8,13 +8,7 @@
 
 	"github.com/nutmegpier/nutmegpier/backend"
 	"github.com/nutmegpier/nutmegpier/fleet"
-)
-
-// Waits before reruns of one request. The first rerun doesn't wait, since the
-// answer of a replica says at once that the primary is needed.
-const (
-	firstRerunWait = 10 * time.Millisecond
-	maxRerunWait   = 100 * time.Millisecond
+	core "github.com/nutmegpier/nutmegpier/session"
 )
 
 // maxKeptHeld is the size of the buffer for held messages that an idle session
@@ -183,7 +177,7 @@
 	}
 	ctx, done := s.waitContext()
 	defer done()
-	timer := time.NewTimer(rerunWait(attempt, s.server.config.Jitter()))
+	timer := time.NewTimer(core.RepeatWait(attempt, s.server.config.Jitter()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -209,15 +203,6 @@
 	return s.fail(r, err, backend.TxFailed)
 }
 
-// rerunWait returns the wait before a rerun. Jitter is in [0, 1).
-func rerunWait(attempt int, jitter float64) time.Duration {
-	if attempt == 0 {
-		return 0
-	}
-	bound := min(maxRerunWait, firstRerunWait<<min(attempt-1, 10))
-	return bound/2 + time.Duration(jitter*float64(bound/2))
-}
-
 // admit checks the session's key and the workspace's rate. A transaction is
 // one request, so its statements after the first aren't checked again.
 func (s *session) admit(*request) error {
@@ -312,13 +297,16 @@
 // mayRerun reports whether a request can be run again on another server.
 func (s *session) mayRerun(r *request, result answer) bool {
 	config := &s.server.config
-	if s.writer.Flushed() || !r.mayFollowRefusal() || s.stoppedNow() || config.Now().After(r.arrivedAt.Add(config.RequestTimeout)) {
+	if !r.mayFollowRefusal() || s.stoppedNow() {
 		return false
 	}
-	if result.rerun {
-		return true
-	}
-	return result.err != nil && (r.idempotent || !s.lease.Primary())
+	return core.Attempt{
+		Deadline:   r.arrivedAt.Add(config.RequestTimeout),
+		Delivered:  s.writer.Flushed(),
+		Lost:       result.err != nil,
+		Refused:    result.rerun,
+		Repeatable: r.idempotent || !s.lease.Primary(),
+	}.MayRepeat(config.Now())
 }
 
 // finish settles a request that the server answered to the end.
@@ -330,7 +318,7 @@
 		return s.finishFlush()
 	}
 	if result.rerun {
-		result.failure.Detail = OutcomeNotRun.detail()
+		result.failure.Detail = detail(OutcomeNotRun)
 		_ = s.writer.Message(result.failure)
 	}
 	s.tx = conn.TxStatus()
@@ -439,7 +427,7 @@
 // failLost answers a request whose backend connection failed.
 func (s *session) failLost(r *request, result answer) error {
 	inTransaction := s.tx != backend.TxIdle
-	primary := s.lease.Primary()
+	outcome := core.Loss{Commits: r.commits, InTransaction: inTransaction, Writes: s.lease.Primary()}.Outcome()
 	pinned := s.pinned
 	s.begin = ""
 	s.release(false)
@@ -451,12 +439,12 @@
 		return unknownError("the backend server was lost, and with it the state of the session")
 	case pinned:
 		return lostError("the backend server was lost, and with it the state of the session")
-	case inTransaction && !r.commits:
+	case inTransaction && outcome == OutcomeNotRun && !r.commits:
 		// The server rolls back. The transaction stays failed until the caller
 		// ends it, so that its later statements don't run on their own.
 		s.lost = true
 		return s.fail(r, lostError("the backend server was lost; the transaction is rolled back"), backend.TxFailed)
-	case !primary:
+	case outcome == OutcomeNotRun:
 		return s.fail(r, lostError("the backend server was lost"), backend.TxIdle)
 	}
 	return s.fail(r, unknownError("the backend server was lost before it answered"), backend.TxIdle)
--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -86,7 +86,7 @@
 	}
 	running := newGateway(settings, epoch, log)
 	callers := platform.NewCallers(session.Config{
-		Clock: bootTime, Gate: running, Observer: running, Pause: time.Sleep, Router: running,
+		Clock: bootTime, Gate: running, Jitter: rand.Float64, Observer: running, Pause: time.Sleep, Router: running,
 	}, running.TransactionIdle)
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -34,7 +34,7 @@
 
 func (w *world) config() session.Config {
 	return session.Config{
-		Clock: func() time.Time { return w.now }, Gate: w, Observer: w,
+		Clock: func() time.Time { return w.now }, Gate: w, Jitter: func() float64 { return 0.5 }, Observer: w,
 		Pause: func(span time.Duration) { w.now = w.now.Add(span) }, Router: w,
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -14,9 +14,6 @@
 	// maxAttempts bounds the servers that one statement is offered to: each of
 	// a group of three, and the primary once more after a change.
 	maxAttempts = 4
-	// retryPause is the first pause after a server that was busy; it doubles.
-	// It is about the work of one statement.
-	retryPause = 15 * time.Millisecond
 )
 
 // Clock returns the present time.
@@ -38,8 +35,10 @@
 
 // Config is what a session depends on.
 type Config struct {
-	Clock    Clock
-	Gate     Gate
+	Clock Clock
+	Gate  Gate
+	// Jitter returns a random number in [0, 1).
+	Jitter   func() float64
 	Observer Observer
 	// Pause waits for a span of time.
 	Pause  func(time.Duration)
@@ -218,7 +217,6 @@
 // attempt offers a request to servers until one answers for good. A request
 // that writes is offered again only if it did not run.
 func (s *Session) attempt(need *Need, attempts *int, write bool, try func(Lease) (Reply, *Error)) (Reply, *Error) {
-	pause := retryPause
 	for {
 		lease, err := s.config.Router.Acquire(*need)
 		if err != nil {
@@ -230,25 +228,36 @@
 		if err == nil {
 			return reply, nil
 		}
-		again := err.Kind.NotRun() || (!write && err.Kind != KindTimeout && err.Kind != KindNoStatement)
-		now := s.config.Clock()
-		if !again || *attempts >= maxAttempts || !now.Add(pause).Before(need.Deadline) {
+		wait := s.repeatWait(*attempts, *need, err)
+		made := Attempt{
+			Deadline:   need.Deadline,
+			Lost:       err.Kind == KindUnknown || err.Kind == KindFailed,
+			Refused:    err.Kind.NotRun(),
+			Repeatable: !write,
+		}
+		if *attempts >= maxAttempts || !made.MayRepeat(s.config.Clock().Add(wait)) {
 			return Reply{}, s.readOutcome(write, err)
 		}
 		avoid := map[fleet.ServerID]bool{lease.Server(): true}
 		maps.Copy(avoid, need.Avoid)
 		need.Avoid = avoid
-		if err.Kind == KindBusy || need.Write || need.Route.Consistency == sheet.ConsistencyPrimary {
-			s.config.Pause(pause)
-			pause *= 2
-		}
+		s.config.Pause(wait)
+	}
+}
+
+// repeatWait returns the wait before the request is offered again. Only another
+// replica can be asked at once.
+func (s *Session) repeatWait(attempts int, need Need, err *Error) time.Duration {
+	if err.Kind == KindBusy || need.Write || need.Route.Consistency == sheet.ConsistencyPrimary {
+		return RepeatWait(attempts, s.config.Jitter())
 	}
+	return 0
 }
 
 // readOutcome turns an unknown outcome of a read into one that promises that
 // nothing is kept, because a read keeps nothing.
 func (s *Session) readOutcome(write bool, err *Error) *Error {
-	if write || err.Kind != KindUnknown {
+	if err.Kind != KindUnknown || (Loss{Writes: write}).Outcome() == OutcomeUnknown {
 		return err
 	}
 	return &Error{Err: err.Err, Kind: KindBusy, Op: err.Op, RetryAfter: err.RetryAfter}
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -122,7 +122,8 @@
 	reply, failure := t.lease.Run(deadline, []Command{{Statement: statement}})
 	if failure != nil {
 		err := errorOf("commit", failure)
-		if !t.wrote && (err.Kind == KindUnknown || err.Kind == KindTimeout) {
+		lost := err.Kind == KindUnknown || err.Kind == KindTimeout
+		if lost && (Loss{Commits: true, InTransaction: true, Writes: t.wrote}).Outcome() == OutcomeNotRun {
 			err.Kind = KindAborted
 		}
 		return Reply{}, err
