fix: take less often from the pools of limits

A taking now doubles when the last one was used up at once, and a pool that gave too little is left alone for a second.

--- a/gateway/spare.go
+++ b/gateway/spare.go
@@ -25,10 +25,13 @@
 	// spareBound bounds the calls of one taking. The request waits for it.
 	spareBound = 120 * time.Millisecond
 	// spareAttempts is how often a taking is tried that another one overtook.
-	spareAttempts = 3
-	// spareEmpty is the least time for which an empty pool is left alone, and
-	// sparePause that after a call that failed.
-	spareEmpty = 250 * time.Millisecond
+	spareAttempts = 2
+	// spareGrowth multiplies what is taken when the last taking was used up
+	// within spareSpan: the demand grows faster than its average.
+	spareGrowth = 2
+	// spareEmpty is how long a pool is left alone that could not give what was
+	// wanted, and sparePause that after a call that failed.
+	spareEmpty = time.Second
 	sparePause = 700 * time.Millisecond
 	// saturatedPause is the time between two takings of a workspace that asks
 	// for more than its limit: more calls would not admit more.
@@ -39,7 +42,10 @@
 // guards it.
 type spare struct {
 	// done is closed when the taking that is under way ends; nil if none is.
-	done     chan struct{}
+	done chan struct{}
+	// last and lastAt are what the last taking gave, and when.
+	last     float64
+	lastAt   time.Time
 	pool     workspace.Spare
 	revision feed.Revision
 	// until is when the pool may be asked again.
@@ -76,6 +82,9 @@
 	limit := workspace.Limit{Burst: limits.Burst, Rate: limits.Rate, Workspace: id}
 	own, all := g.demandsOf(now, id)
 	want := math.Max(spareLeast, own*spareSpan.Seconds())
+	if now.Sub(state.lastAt) < spareSpan {
+		want = math.Max(want, spareGrowth*state.last)
+	}
 	saturated := all >= limit.Rate
 	if saturated {
 		want = math.Max(1, limit.Rate*workspace.SparePart*saturatedPause.Seconds()*own/all)
@@ -84,6 +93,7 @@
 	if saturated {
 		until = now.Add(saturatedPause)
 	}
+	state.last, state.lastAt = taken, now
 	if taken > 0 {
 		g.limits.add(g.config.Clock(), id, taken)
 	}
@@ -117,6 +127,9 @@
 		}
 		if result.Applied {
 			state.pool, state.revision = next, result.Revision
+			if granted < want {
+				return granted, now.Add(spareEmpty)
+			}
 			return granted, time.Time{}
 		}
 		for _, row := range result.Current {
