fix: divide limits from what all instances know, and tell growing demand at once

Cause: an instance divided a limit by its own present demand and the others' last known one. Now each computes from the same rows, keeps its shares without a look, and a refusal has a grown demand written and the rows read at once.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -31,6 +31,7 @@
 	if decision.Admitted {
 		return nil
 	}
+	g.noteDemand(now, workspace)
 	return &session.Error{Err: errors.New("the workspace is over its rate"), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -17,9 +17,9 @@
 	// that chance does not move shares.
 	demandWindow = 6 * time.Second
 	// shareDelay is how long a larger share is held back, so that the
-	// instances that give it up have seen the change first. A row is written
-	// every 1.4 s and read every 2 s.
-	shareDelay = 2500 * time.Millisecond
+	// instances that give it up have seen the change first: rows are read every
+	// 1.5 s.
+	shareDelay = 1700 * time.Millisecond
 	// startLevel is the time for which a new share is filled: a restart takes
 	// about as long, and the earlier run has admitted nothing meanwhile. A
 	// whole burst would let a restarted instance grant it twice.
@@ -94,9 +94,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, d := range demands {
-		if l.demand[d.Workspace] == nil {
-			l.demand[d.Workspace] = &demandMeter{counted: now, rate: d.Rate}
+		meter := l.demand[d.Workspace]
+		if meter == nil {
+			meter = &demandMeter{counted: now}
+			l.demand[d.Workspace] = meter
 		}
+		meter.rate += d.Rate
 	}
 }
 
@@ -123,9 +126,8 @@
 }
 
 // divide sets the shares from the demand that each live instance reported, the
-// own one first. Without a recent view of the others, only the part that is
-// divided equally is certain.
-func (l *limits) divide(now time.Time, sheetLimits map[fleet.WorkspaceID]sheet.Limits, reported [][]WorkspaceDemand, recent bool) {
+// own one first.
+func (l *limits) divide(now time.Time, sheetLimits map[fleet.WorkspaceID]sheet.Limits, reported [][]WorkspaceDemand) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	byWorkspace := map[fleet.WorkspaceID][]float64{}
@@ -140,15 +142,11 @@
 		}
 	}
 	for id, limit := range sheetLimits {
-		fraction := workspace.EqualShare(len(reported))
-		if recent && len(reported) > 0 {
-			all := byWorkspace[id]
-			if all == nil {
-				all = make([]float64, len(reported))
-			}
-			fraction = workspace.DemandShare(all[0], all)
+		all := byWorkspace[id]
+		if all == nil {
+			all = make([]float64, len(reported))
 		}
-		l.set(now, id, limit, fraction)
+		l.set(now, id, limit, workspace.DemandShare(all[0], all))
 	}
 	for id := range l.shares {
 		if _, known := sheetLimits[id]; !known {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -34,15 +34,19 @@
 	// beatInterval is the time between two writes of the own row. Two of them
 	// fit in the lease, and a failed one is repeated sooner.
 	beatInterval = 1800 * time.Millisecond
+	// demandGrowth is the factor by which a demand must have grown to be told
+	// before the next beat, and demandInterval the least time between such
+	// writes. Smaller changes are left to the pools of the limits.
+	demandGrowth   = 1.4
+	demandInterval = 600 * time.Millisecond
 	// newsInterval is the least time between two writes.
 	newsInterval = 40 * time.Millisecond
 	// writeBound bounds a write.
 	writeBound = 1200 * time.Millisecond
 	// memberPoll is the time between two looks at the other instances.
-	memberPoll = 2 * time.Second
-	// viewBound is the age from which the view of the others is too old to
-	// divide limits by demand.
-	viewBound = 5 * time.Second
+	memberPoll = 1500 * time.Millisecond
+	// firstPoll is the time between the first two looks.
+	firstPoll = 400 * time.Millisecond
 )
 
 // WorkspaceDemand is what one instance is asked for by one workspace.
@@ -81,7 +85,9 @@
 	// lost is true once a lapse of the own row was logged.
 	lost    bool
 	members map[fleet.InstanceID]*member
-	ownRev  feed.Revision
+	// ownDemand is the demand in the own row, as the others see it.
+	ownDemand []WorkspaceDemand
+	ownRev    feed.Revision
 	// readAt is when the last look at the table was sent that was answered.
 	readAt time.Time
 	// recordsAt is the proof of the records of primaries.
@@ -147,9 +153,11 @@
 			continue
 		}
 		f.note(nil)
+		g.divideLimits(g.config.Clock())
 		break
 	}
-	nextBeat, nextLook := time.Time{}, g.config.Clock().Add(memberPoll)
+	// Instances that start together see each other in the second look.
+	nextBeat, nextLook := time.Time{}, g.config.Clock().Add(firstPoll)
 	for ctx.Err() == nil {
 		now := g.config.Clock()
 		if !now.Before(nextBeat) {
@@ -161,12 +169,16 @@
 		g.lead(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextLook) {
 			nextLook = now.Add(memberPoll)
-			f.note(g.lookAtMembers(ctx, f))
+			err := g.lookAtMembers(ctx, f)
+			f.note(err)
+			if err == nil {
+				g.divideLimits(g.config.Clock())
+			}
 		}
-		g.divideLimits(now)
+		g.renewLimits(now)
 		if g.awaitNews(ctx, min(nextBeat.Sub(now), nextLook.Sub(now))) {
 			g.leaveChanged(g.config.Clock())
-			nextBeat = time.Time{}
+			nextBeat, nextLook = time.Time{}, time.Time{}
 		}
 	}
 	return nil
@@ -211,7 +223,8 @@
 // written.
 func (g *Gateway) beat(ctx context.Context, now time.Time) bool {
 	g.mu.Lock()
-	write := g.ownWrite(now)
+	demand := g.limits.demands(now)
+	write := g.ownWrite(demand)
 	g.mu.Unlock()
 	result, err := g.write(ctx, write)
 	g.mu.Lock()
@@ -226,7 +239,7 @@
 		}
 		return false
 	}
-	g.members.ownRev = result.Revision
+	g.members.ownRev, g.members.ownDemand = result.Revision, demand
 	g.noteOwnRow(now)
 	g.proveLocked()
 	return true
@@ -283,9 +296,9 @@
 	}
 }
 
-func (g *Gateway) ownWrite(now time.Time) Write {
+func (g *Gateway) ownWrite(demand []WorkspaceDemand) Write {
 	g.members.beat++
-	row := MemberRow{Beat: g.members.beat, Demand: g.limits.demands(now), Epoch: g.members.epoch}
+	row := MemberRow{Beat: g.members.beat, Demand: demand, Epoch: g.members.epoch}
 	for id, generation := range g.members.left {
 		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
 	}
@@ -380,6 +393,7 @@
 		g.members.ownRev = row.Revision
 		if decoded.Epoch != g.members.epoch {
 			g.limits.resume(now, decoded.Demand)
+			g.members.ownDemand = decoded.Demand
 		}
 	}
 	// Two copies of the table are kept, and one may be behind the other.
@@ -411,27 +425,51 @@
 }
 
 // divideLimits sets the shares of the limits from what the instances report.
+// Each instance computes them from the same rows, its own included, so that
+// they add up to one. Without a new look at the rows they stay as they are.
 func (g *Gateway) divideLimits(now time.Time) {
 	g.mu.Lock()
-	if g.routing == nil {
+	if g.routing == nil || g.members.readAt.IsZero() {
 		g.mu.Unlock()
 		return
 	}
-	reported := [][]WorkspaceDemand{g.limits.demands(now)}
+	reported := [][]WorkspaceDemand{g.members.ownDemand}
 	for id, m := range g.members.members {
 		if id != g.members.self && g.members.live(m) {
 			reported = append(reported, m.row.Demand)
 		}
 	}
-	recent := now.Sub(g.members.readAt) < viewBound
+	sheetLimits := g.routing.Limits()
+	g.mu.Unlock()
+	g.limits.divide(now, sheetLimits, reported)
+}
+
+// noteDemand has the own row written soon if the demand of a workspace that was
+// refused is far from what the others know.
+func (g *Gateway) noteDemand(now time.Time, id fleet.WorkspaceID) {
+	own := g.limits.demandOf(now, id)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := 0.0
+	for _, d := range g.members.ownDemand {
+		if d.Workspace == id {
+			known = d.Rate
+		}
+	}
+	if own > demandGrowth*known && now.Sub(g.presence.At()) >= demandInterval {
+		g.wake()
+	}
+}
+
+// renewLimits lets the instance admit while its leases run.
+func (g *Gateway) renewLimits(now time.Time) {
+	g.mu.Lock()
 	until := g.presence.At()
 	if g.sheetAt.Before(until) {
 		until = g.sheetAt
 	}
-	sheetLimits := g.routing.Limits()
 	g.mu.Unlock()
 	g.limits.renew(now, until.Add(primacy.LeaseTime))
-	g.limits.divide(now, sheetLimits, reported, recent)
 }
 
 // Leave drops the own row at a planned stop, so that the others divide the
--- a/workspace/demandshare.go
+++ b/workspace/demandshare.go
@@ -22,12 +22,3 @@
 	}
 	return equalPart*equal + (1-equalPart)*own/sum
 }
-
-// EqualShare returns the fraction that an instance of n holds for certain,
-// whatever the others demand.
-func EqualShare(n int) float64 {
-	if n <= 0 {
-		return 0
-	}
-	return equalPart / float64(n)
-}
