--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -17,7 +17,6 @@
 	admitted  int
 	now       time.Time
 	overRate  bool
-	refuse    *session.Error
 	released  int
 	route     sheet.Route
 	servers   []*server
