--- /dev/null
+++ b/gateway/settings_test.go
@@ -0,0 +1,69 @@
+package gateway_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/gateway"
+)
+
+// filled is the settings template with the values of one instance.
+func filled(t *testing.T) string {
+	t.Helper()
+	template, err := os.ReadFile("../deploy/gateway.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		"{{zone|json}}", `"mixco"`, "{{node|json}}", `"front-mixco-1"`, "{{listen.front|json}}", `"10.1.0.26:8465"`,
+		"{{listen.ready|json}}", `"10.1.0.26:8460"`, "{{ip}}", "10.1.0.26", "{{internal_ports.0}}", "7560",
+		"{{limits.memory_mb}}", "284", "{{cloud.addr|json}}", `"10.200.0.2:8466"`, "{{bounds.grace_s}}", "6",
+		"{{platform.addr|json}}", `"10.200.1.7:8466"`,
+	).Replace(string(template))
+	if left := regexp.MustCompile(`\{\{[^}]*\}\}`).FindString(text); left != "" {
+		t.Fatalf("the template has the placeholder %s, which this test does not know", left)
+	}
+	return text
+}
+
+// TestTemplate guards against a template that renders settings which the
+// program refuses.
+func TestTemplate(t *testing.T) {
+	got, err := gateway.ParseSettings("node", []byte(filled(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := gateway.Settings{
+		DataCentre: "mixco", Instance: "front-mixco-1", KeyLease: 4500 * time.Millisecond,
+		Listen: gateway.Listen{Callers: "10.1.0.26:8465", Metrics: "10.1.0.26:7560", Ready: "10.1.0.26:8460"},
+		Log:    gateway.LogSettings{LinesPerSecond: 20}, MemoryLimit: 284, PromotionAddress: "10.200.0.2:8466",
+		StopBound: 6 * time.Second, StoreAddress: "10.200.1.7:8466", TransactionIdle: 3 * time.Second,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// TestBadSettings guards against settings with a mistake that are accepted, and
+// an error that does not say where it is.
+func TestBadSettings(t *testing.T) {
+	for name, test := range map[string]struct{ old, replacement, want string }{
+		"unknown key":  {old: `"MemoryLimit"`, replacement: `"MemoryLimits"`, want: "MemoryLimits"},
+		"bad address":  {old: `"10.200.1.7:8466"`, replacement: `"store"`, want: "StoreAddress"},
+		"bad duration": {old: `"4500ms"`, replacement: `"soon"`, want: "KeyLease"},
+		"no instance":  {old: `"front-mixco-1"`, replacement: `""`, want: "Instance"},
+		"out of range": {old: "284", replacement: "1", want: "MemoryLimit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := gateway.ParseSettings("node", []byte(strings.Replace(filled(t), test.old, test.replacement, 1)))
+			if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), "node:") {
+				t.Errorf("error %v, want the place and %s", err, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,145 @@
+package pool_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/pool"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+// dialer opens connections in memory and counts them.
+type dialer struct {
+	mu sync.Mutex
+	// full is the number of openings that are refused.
+	full   int
+	open   int
+	opened []fleet.WorkspaceID
+}
+
+type conn struct {
+	dead   bool
+	dialer *dialer
+}
+
+func (d *dialer) Dial(_ time.Time, _ pool.Server, workspace fleet.WorkspaceID) (pool.Conn, *session.RunError) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full > 0 {
+		d.full--
+		return nil, &session.RunError{Kind: session.KindBusy, Text: "full"}
+	}
+	d.open++
+	d.opened = append(d.opened, workspace)
+	return &conn{dialer: d}, nil
+}
+
+func (c *conn) Alive() bool { return !c.dead }
+
+func (c *conn) Close() {
+	c.dialer.mu.Lock()
+	defer c.dialer.mu.Unlock()
+	c.dialer.open--
+}
+
+func (c *conn) Run(time.Time, []session.Command) (session.Reply, *session.RunError) {
+	return session.Reply{}, nil
+}
+
+func newPool(d *dialer, limit int) *pool.Pool {
+	p := pool.New(d, time.Now)
+	p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Limit: limit}})
+	return p
+}
+
+func acquire(t *testing.T, p *pool.Pool, workspace fleet.WorkspaceID) *pool.Held {
+	t.Helper()
+	held, failure := p.Acquire(time.Now().Add(time.Minute), "s", workspace, nil)
+	if failure != nil {
+		t.Fatalf("Acquire() = %v", failure)
+	}
+	return held
+}
+
+// TestConnectionsBelongToOneWorkspace guards against a connection that carries
+// requests of two workspaces, and against more connections than the limit.
+func TestConnectionsBelongToOneWorkspace(t *testing.T) {
+	d := &dialer{}
+	p := newPool(d, 1)
+	p.Release("s", acquire(t, p, "w"))
+	p.Release("s", acquire(t, p, "w"))
+	p.Release("s", acquire(t, p, "v"))
+	if diff := cmp.Diff([]fleet.WorkspaceID{"w", "v"}, d.opened); diff != "" {
+		t.Errorf("openings (-want +got):\n%s", diff)
+	}
+	if d.open != 1 {
+		t.Errorf("%d connections are open, want 1", d.open)
+	}
+}
+
+// TestFullServer guards against a server that is asked again and again while
+// it refuses connections, and against a request that is then lost.
+func TestFullServer(t *testing.T) {
+	d := &dialer{full: 2}
+	p := newPool(d, 2)
+	began := time.Now()
+	p.Release("s", acquire(t, p, "w"))
+	if waited := time.Since(began); waited < 40*time.Millisecond {
+		t.Errorf("a full server was asked three times within %v", waited)
+	}
+}
+
+// TestAcquireAny guards against a status query that waits behind requests
+// while all connections are in use.
+func TestAcquireAny(t *testing.T) {
+	p := newPool(&dialer{}, 1)
+	held := acquire(t, p, "w")
+	order := make(chan string, 2)
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		next := acquire(t, p, "w")
+		order <- "request"
+		p.Release("s", next)
+	})
+	for p.Counts("s").Waiting < 1 {
+	}
+	waiting.Go(func() {
+		next, failure := p.AcquireAny(time.Now().Add(time.Minute), "s")
+		if failure != nil {
+			t.Errorf("AcquireAny() = %v", failure)
+			return
+		}
+		order <- "status"
+		p.Release("s", next)
+	})
+	for p.Counts("s").Waiting < 2 {
+	}
+	p.Release("s", held)
+	waiting.Wait()
+	if first := <-order; first != "status" {
+		t.Errorf("the %s came first", first)
+	}
+}
+
+// TestDeadConnections guards against a closed connection that is used, and a
+// changed address that leaves connections to the old one.
+func TestDeadConnections(t *testing.T) {
+	d := &dialer{}
+	p := newPool(d, 2)
+	held := acquire(t, p, "w")
+	held.Conn.(*conn).dead = true
+	p.Release("s", held)
+	if next := acquire(t, p, "w"); !next.Alive() {
+		t.Error("a dead connection was given out")
+	} else {
+		p.SetServers(time.Now(), []pool.Server{{Address: "b", ID: "s", Limit: 2}})
+		p.Release("s", next)
+	}
+	if d.open != 0 {
+		t.Errorf("%d connections to the old address are open", d.open)
+	}
+}
