fix: divide a limit whole while its workspace asks for all of it

Its limit is then divided whole, from the rows that all instances know, and the common pool is left alone.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -35,7 +35,9 @@
 	demand  map[fleet.WorkspaceID]*demandMeter
 	extra   map[fleet.WorkspaceID]extraRequests
 	limiter *workspace.Limiter
-	shares  map[fleet.WorkspaceID]*shareHistory
+	// saturated are the workspaces that ask for their whole limit or more.
+	saturated map[fleet.WorkspaceID]bool
+	shares    map[fleet.WorkspaceID]*shareHistory
 }
 
 // extraRequests are requests from the common pool that are not used yet.
@@ -62,10 +64,11 @@
 
 func newLimits(fleet.InstanceID) *limits {
 	return &limits{
-		demand:  map[fleet.WorkspaceID]*demandMeter{},
-		extra:   map[fleet.WorkspaceID]extraRequests{},
-		limiter: workspace.NewLimiter(),
-		shares:  map[fleet.WorkspaceID]*shareHistory{},
+		demand:    map[fleet.WorkspaceID]*demandMeter{},
+		extra:     map[fleet.WorkspaceID]extraRequests{},
+		limiter:   workspace.NewLimiter(),
+		saturated: map[fleet.WorkspaceID]bool{},
+		shares:    map[fleet.WorkspaceID]*shareHistory{},
 	}
 }
 
@@ -103,6 +106,24 @@
 	}
 }
 
+// isSaturated reports whether the demands of all instances add up to the limit.
+func isSaturated(demands []float64, limit sheet.Limits) bool {
+	sum := 0.0
+	for _, demand := range demands {
+		sum += demand
+	}
+	return sum >= limit.Rate
+}
+
+// takesPool reports whether a workspace may take from its common pool, and its
+// demand in requests a second.
+func (l *limits) takesPool(now time.Time, id fleet.WorkspaceID) (demand float64, takes bool) {
+	demand = l.demandOf(now, id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return demand, !l.saturated[id]
+}
+
 // renew sets the end of the time for which the instance may admit.
 func (l *limits) renew(now, validUntil time.Time) {
 	l.mu.Lock()
@@ -146,12 +167,19 @@
 		if all == nil {
 			all = make([]float64, len(reported))
 		}
-		l.set(now, id, limit, workspace.DemandShare(all[0], all))
+		l.saturated[id] = isSaturated(all, limit)
+		part := 1 - workspace.SparePart
+		if l.saturated[id] {
+			// All of the limit is wanted: dividing it takes no calls.
+			part = 1
+		}
+		l.set(now, id, limit, part*workspace.DemandShare(all[0], all))
 	}
 	for id := range l.shares {
 		if _, known := sheetLimits[id]; !known {
 			delete(l.shares, id)
 			delete(l.demand, id)
+			delete(l.saturated, id)
 			l.limiter.Remove(id)
 		}
 	}
@@ -165,10 +193,9 @@
 		l.shares[id] = history
 	}
 	effective := history.effective(now, fraction)
-	divided := effective * (1 - workspace.SparePart)
 	share := workspace.Share{
-		Capacity: math.Max(1, limit.Burst*divided),
-		Rate:     limit.Rate * divided,
+		Capacity: math.Max(1, limit.Burst*effective),
+		Rate:     limit.Rate * effective,
 	}
 	if limit.Rate <= 0 {
 		share.Capacity = 0
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -34,11 +34,13 @@
 	// beatInterval is the time between two writes of the own row. Two of them
 	// fit in the lease, and a failed one is repeated sooner.
 	beatInterval = 1800 * time.Millisecond
-	// demandGrowth is the factor by which a demand must have grown to be told
-	// before the next beat, and demandInterval the least time between such
-	// writes. Smaller changes are left to the pools of the limits.
-	demandGrowth   = 1.4
-	demandInterval = 600 * time.Millisecond
+	// demandGrowth is the factor by which a demand must have grown, demandLeast
+	// the growth in operations a second, to be told before the next beat, and
+	// demandInterval the least time between such writes. Smaller changes are
+	// chance, and are left to the pools of the limits.
+	demandGrowth   = 1.5
+	demandLeast    = 1.5
+	demandInterval = 800 * time.Millisecond
 	// newsInterval is the least time between two writes.
 	newsInterval = 40 * time.Millisecond
 	// writeBound bounds a write.
@@ -456,7 +458,7 @@
 			known = d.Rate
 		}
 	}
-	if own > demandGrowth*known && now.Sub(g.presence.At()) >= demandInterval {
+	if own > demandGrowth*known+demandLeast && now.Sub(g.presence.At()) >= demandInterval {
 		g.wake()
 	}
 }
--- a/gateway/spare.go
+++ b/gateway/spare.go
@@ -33,9 +33,6 @@
 	// wanted, and sparePause that after a call that failed.
 	spareEmpty = time.Second
 	sparePause = 700 * time.Millisecond
-	// saturatedPause is the time between two takings of a workspace that asks
-	// for more than its limit: more calls would not admit more.
-	saturatedPause = 2 * time.Second
 )
 
 // spare is what an instance knows of one workspace's pool. The gateway's lock
@@ -67,7 +64,8 @@
 		<-done
 		return true
 	}
-	if now.Before(state.until) || g.routing == nil {
+	own, takes := g.limits.takesPool(now, id)
+	if !takes || now.Before(state.until) || g.routing == nil {
 		g.mu.Unlock()
 		return false
 	}
@@ -80,19 +78,11 @@
 	g.mu.Unlock()
 
 	limit := workspace.Limit{Burst: limits.Burst, Rate: limits.Rate, Workspace: id}
-	own, all := g.demandsOf(now, id)
 	want := math.Max(spareLeast, own*spareSpan.Seconds())
 	if now.Sub(state.lastAt) < spareSpan {
 		want = math.Max(want, spareGrowth*state.last)
 	}
-	saturated := all >= limit.Rate
-	if saturated {
-		want = math.Max(1, limit.Rate*workspace.SparePart*saturatedPause.Seconds()*own/all)
-	}
 	taken, until := g.callSpare(state, limit, want)
-	if saturated {
-		until = now.Add(saturatedPause)
-	}
 	state.last, state.lastAt = taken, now
 	if taken > 0 {
 		g.limits.add(g.config.Clock(), id, taken)
@@ -146,25 +136,6 @@
 	return 0, g.config.Clock().Add(spareEmpty)
 }
 
-// demandsOf returns the demand of a workspace on this and on all instances.
-func (g *Gateway) demandsOf(now time.Time, id fleet.WorkspaceID) (own, all float64) {
-	own = g.limits.demandOf(now, id)
-	all = own
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for instance, m := range g.members.members {
-		if instance == g.members.self || !g.members.live(m) {
-			continue
-		}
-		for _, d := range m.row.Demand {
-			if d.Workspace == id {
-				all += d.Rate
-			}
-		}
-	}
-	return own, all
-}
-
 // storeTime returns the store's steady time.
 func (g *Gateway) storeTime(now time.Time) time.Duration {
 	g.mu.Lock()
