--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
@@ -70,8 +71,23 @@
 		Database:  need.Route.Database,
 		Request:   string(statement.ID),
 		Server:    server,
-		Text:      requestText(statement, need, attempts, latency, err),
+		Text:      requestText(statement, need, attempts, latency, err) + g.inputs(now, need.Route.Group),
 		Workspace: need.Workspace,
 	}
 	g.config.Log.Request(now, event.RequestFailed, fields)
 }
+
+// inputs says what the instance knew when it decided on a request of a group.
+func (g *Gateway) inputs(now time.Time, group fleet.GroupID) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	text := "; no sheet"
+	if g.routing != nil {
+		text = fmt.Sprintf("; sheet %d proved %d ms ago", g.routing.Version, now.Sub(g.sheetAt).Milliseconds())
+	}
+	if state := g.groups[group]; state != nil {
+		record := state.watch.Record()
+		text += fmt.Sprintf("; primary %s %s in term %d", record.Primary, record.Phase, record.Term)
+	}
+	return text
+}
