--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -66,6 +66,8 @@
 
 // MemberRow is what an instance tells the others.
 type MemberRow struct {
+	// At is the store's steady time when the row was sent.
+	At time.Duration
 	// Beat changes with each write.
 	Beat   uint64
 	Demand []WorkspaceDemand `json:",omitempty"`
@@ -92,6 +94,8 @@
 	ownRev    feed.Revision
 	// readAt is when the last look at the table was sent that was answered.
 	readAt time.Time
+	// readStore is the same on the store's clock.
+	readStore time.Duration
 	// recordsAt is the proof of the records of primaries.
 	recordsAt time.Time
 	self      fleet.InstanceID
@@ -101,8 +105,6 @@
 type member struct {
 	revision feed.Revision
 	row      MemberRow
-	// seen is when the row was first seen in its present state.
-	seen time.Time
 }
 
 func newMemberView(self fleet.InstanceID, epoch fleet.Epoch) memberView {
@@ -131,7 +133,7 @@
 
 // live reports whether the lease of an instance may still run.
 func (v *memberView) live(m *member) bool {
-	return !primacy.IsSilent(v.readAt, m.seen, memberPoll)
+	return !primacy.IsSilent(v.readStore - m.row.At)
 }
 
 // liveCount returns the number of live instances, this one included.
@@ -226,7 +228,7 @@
 func (g *Gateway) beat(ctx context.Context, now time.Time) bool {
 	g.mu.Lock()
 	demand := g.limits.demands(now)
-	write := g.ownWrite(demand)
+	write := g.ownWrite(now, demand)
 	g.mu.Unlock()
 	result, err := g.write(ctx, write)
 	g.mu.Lock()
@@ -298,9 +300,9 @@
 	}
 }
 
-func (g *Gateway) ownWrite(demand []WorkspaceDemand) Write {
+func (g *Gateway) ownWrite(now time.Time, demand []WorkspaceDemand) Write {
 	g.members.beat++
-	row := MemberRow{Beat: g.members.beat, Demand: demand, Epoch: g.members.epoch}
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, Demand: demand, Epoch: g.members.epoch}
 	for id, generation := range g.members.left {
 		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
 	}
@@ -373,7 +375,7 @@
 			g.observeLeader(now, row)
 		}
 	}
-	g.members.readAt = sent
+	g.members.readAt, g.members.readStore = sent, g.storeClock.StoreTime(sent)
 	if count := g.members.liveCount(); count != before || len(changed) > 0 {
 		go g.setPoolServers()
 	}
@@ -402,7 +404,7 @@
 	if known := g.members.members[id]; known != nil && known.revision >= row.Revision {
 		return
 	}
-	g.members.members[id] = &member{revision: row.Revision, row: decoded, seen: now}
+	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 }
 
 // demandPart returns the part of all demand that this instance is asked for.
--- a/primacy/presence.go
+++ b/primacy/presence.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// silenceMargin is added to LeaseTime before a silent instance counts as gone,
-// besides the time between two looks at the rows of all instances.
-const silenceMargin = LeaseMargin
-
 // Presence is when an instance last wrote the row by which a change of primary
 // knows whom to wait for. It isn't safe for concurrent use.
 type Presence struct {
@@ -48,9 +44,8 @@
 	}
 }
 
-// IsSilent reports whether the lease of an instance has certainly ended: its
-// row was first seen in its present state at seen, and still had it in a look
-// that was sent at looked. Interval is the time between two looks.
-func IsSilent(looked, seen time.Time, interval time.Duration) bool {
-	return looked.Sub(seen) >= LeaseTime+silenceMargin+interval
+// IsSilent reports whether the lease of an instance has certainly ended. Age is
+// the time on the store's clock from when the row was sent to a look at it.
+func IsSilent(age time.Duration) bool {
+	return age >= LeaseTime+LeaseMargin
 }
