--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -78,6 +78,8 @@
 
 // server is a backend server with one connection. It keeps what it ran.
 type server struct {
+	// deadlines are those of the runs.
+	deadlines []time.Time
 	// deposed makes the primary no longer the only one.
 	deposed bool
 	// fail returns how a command ends, or nil for a success.
@@ -110,8 +112,9 @@
 	return k == session.StatementCommit || k == session.StatementRollback
 }
 
-func (l *lease) Run(_ time.Time, commands []session.Command) (session.Reply, *session.RunError) {
+func (l *lease) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
 	s := l.server
+	s.deadlines = append(s.deadlines, deadline)
 	var reply session.Reply
 	for _, command := range commands {
 		if s.onRun != nil {
--- a/session/session.go
+++ b/session/session.go
@@ -14,6 +14,10 @@
 	// maxAttempts bounds the servers that one statement is offered to: each of
 	// a group of three, and the primary once more after a change.
 	maxAttempts = 4
+	// firstPatience is the part of a route's target latency that the first
+	// server may take for a read. Once the target is missed by half, an answer
+	// that was lost is more likely than one that is slow.
+	firstPatience = 1.5
 )
 
 // Clock returns the present time.
@@ -199,8 +203,13 @@
 	need := s.need(start, access, statement)
 	need.Write = writes(statement, template)
 	attempts := 0
-	reply, err := s.attempt(&need, &attempts, statement.Kind == StatementWrite || need.Write, func(lease Lease) (Reply, *Error) {
-		return s.runOn(lease, need, statement, template)
+	reply, err := s.attempt(&need, &attempts, need.Write, func(lease Lease) (Reply, *Error) {
+		deadline := s.patience(need, attempts)
+		reply, err := s.runOn(lease, need, deadline, statement, template)
+		if err != nil && err.Kind == KindTimeout && deadline.Before(need.Deadline) {
+			err.Kind = KindUnknown
+		}
+		return reply, err
 	})
 	s.observe(start, s.config.Clock(), statement, need, attempts, err)
 	if err != nil {
@@ -209,6 +218,20 @@
 	return s.succeeded(reply)
 }
 
+// patience returns until when one server may take. The answer of a read may
+// be lost on its way, so the first server gets only a part of the time.
+func (s *Session) patience(need Need, attempts int) time.Time {
+	target := need.Route.TargetLatency.Duration()
+	if need.Write || target == 0 || attempts > 1 {
+		return need.Deadline
+	}
+	patient := s.config.Clock().Add(time.Duration(firstPatience * float64(target)))
+	if patient.After(need.Deadline) {
+		return need.Deadline
+	}
+	return patient
+}
+
 func (s *Session) succeeded(reply Reply) Result {
 	s.seen = reply.Position
 	return Result{Position: reply.Position, Rows: reply.Rows, Signature: reply.Signature, State: s.state}
@@ -264,9 +287,9 @@
 }
 
 // runOn runs a single statement on a connection and gives it back.
-func (s *Session) runOn(lease Lease, need Need, statement Statement, template *Template) (Reply, *Error) {
+func (s *Session) runOn(lease Lease, need Need, deadline time.Time, statement Statement, template *Template) (Reply, *Error) {
 	defer lease.Release()
-	if err := s.align(lease, need.Deadline, template, nil); err != nil {
+	if err := s.align(lease, deadline, template, nil); err != nil {
 		return Reply{}, err
 	}
 	command := commandOf(statement, template)
@@ -276,7 +299,7 @@
 	if need.Write && !lease.Exclusive(s.config.Clock()) {
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "run"}
 	}
-	reply, failure := lease.Run(need.Deadline, []Command{command})
+	reply, failure := lease.Run(deadline, []Command{command})
 	if failure != nil {
 		return Reply{}, errorOf("run", failure)
 	}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -236,3 +236,28 @@
 		t.Errorf("outcome %v after %v, want a refusal within the timeout", result.Err, w.now.Sub(begin))
 	}
 }
+
+// TestSilentServer guards against a read whose answer was lost and that waits
+// until its timeout, and against a write that is given up early.
+func TestSilentServer(t *testing.T) {
+	for _, test := range []struct {
+		kind session.StatementKind
+		want session.Kind
+		runs []time.Time
+	}{
+		{kind: session.StatementRead, runs: []time.Time{begin.Add(150 * time.Millisecond), begin.Add(800 * time.Millisecond)}},
+		{kind: session.StatementWrite, want: session.KindTimeout, runs: []time.Time{begin.Add(800 * time.Millisecond)}},
+	} {
+		s := newServer("a")
+		s.fail = failOnce(test.kind, session.KindTimeout)
+		w := newWorld(s)
+		w.route.TargetLatency = 100
+		result := w.open().Do(statement(test.kind))
+		if diff := cmp.Diff(test.want, kinds(result)); diff != "" {
+			t.Errorf("%s: outcome (-want +got):\n%s", test.kind, diff)
+		}
+		if diff := cmp.Diff(test.runs, s.deadlines); diff != "" {
+			t.Errorf("%s: deadlines of the runs (-want +got):\n%s", test.kind, diff)
+		}
+	}
+}
