feat: apply consistency and age of a route to PostgreSQL callers

A read of a database whose route asks for the primary goes there; otherwise it may be as old as the route's MaxAge, unless its caller says otherwise.

--- a/caller/request.go
+++ b/caller/request.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -104,7 +105,8 @@
 }
 
 func (s *session) newRequest() request {
-	return request{access: AccessRead, arrivedAt: s.server.config.Now(), maxAge: s.maxAge}
+	rule := s.readRule()
+	return request{access: rule.access, arrivedAt: s.server.config.Now(), maxAge: cmp.Or(s.maxAge, rule.maxAge)}
 }
 
 // serve runs a request and answers it. An error ends the session.
--- a/caller/server.go
+++ b/caller/server.go
@@ -73,6 +73,8 @@
 	RequestTimeout time.Duration
 	// Router hands out connections.
 	Router Router
+	// Routes knows the routes of the sheet. Nil means none.
+	Routes Routes
 	// StartupTimeout bounds start-up and authentication. Zero means 10 s.
 	StartupTimeout time.Duration
 	// TLS returns the current TLS settings. Nil means no TLS.
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -37,6 +37,7 @@
 		Now:             i.config.Now,
 		RequestTimeout:  configured.Limits.QueueTimeout,
 		Router:          i.router,
+		Routes:          &routes{sheet: i.board.Sheet},
 		StopBound:       configured.Timeouts.StopBound,
 		StartupTimeout:  configured.Timeouts.Startup,
 	}
--- a/instance/credentials.go
+++ b/instance/credentials.go
@@ -6,6 +6,7 @@
 	"github.com/nutmegpier/nutmegpier/blackboard"
 	"github.com/nutmegpier/nutmegpier/caller"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
 // credentials answers for the keys of the sheet in force.
@@ -37,3 +38,15 @@
 	}
 	return verifiers, true
 }
+
+// routes answers for the routes of the sheet in force.
+type routes struct {
+	sheet *blackboard.Section[SheetInForce]
+}
+
+var _ caller.Routes = &routes{}
+
+// Route returns the route of a database in the sheet in force.
+func (r *routes) Route(database fleet.GroupID) (sheet.Route, bool) {
+	return r.sheet.Load().Index.Route(database)
+}
--- a/sheet/index.go
+++ b/sheet/index.go
@@ -12,6 +12,7 @@
 	dataCentresOut map[fleet.DataCentre]bool
 	leaving        map[fleet.ServerID]bool
 	openToAll      map[fleet.GroupID]bool
+	routes         map[fleet.GroupID]Route
 	workspaces     map[fleet.WorkspaceID]*indexedWorkspace
 }
 
@@ -35,6 +36,7 @@
 		dataCentresOut: map[fleet.DataCentre]bool{},
 		leaving:        map[fleet.ServerID]bool{},
 		openToAll:      map[fleet.GroupID]bool{},
+		routes:         map[fleet.GroupID]Route{},
 		workspaces:     make(map[fleet.WorkspaceID]*indexedWorkspace, len(s.Workspaces)),
 	}
 	for _, d := range s.DataCentres {
@@ -45,6 +47,7 @@
 	}
 	for _, route := range s.Routes {
 		index.openToAll[route.Database] = route.OpenToAll
+		index.routes[route.Database] = route
 	}
 	for _, w := range s.Workspaces {
 		index.workspaces[w.Workspace] = indexWorkspace(w)
@@ -92,6 +95,12 @@
 	return known && w.databases[database]
 }
 
+// Route returns the route of a database.
+func (i *Index) Route(database fleet.GroupID) (Route, bool) {
+	route, known := i.routes[database]
+	return route, known
+}
+
 func (k indexedKey) accepted(now time.Time) bool {
 	return !k.refused && (k.notAfter.IsZero() || now.Before(k.notAfter))
 }
