--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,7 +203,7 @@
 		groups:  map[fleet.GroupID]*groupState{},
 		health:  map[fleet.ServerID]*serverHealth{},
 		joined:  make(chan struct{}),
-		limits:  newLimits(config.Instance),
+		limits:  newLimits(),
 		members: newMemberView(config.Instance, config.Epoch),
 		news:    make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -62,7 +62,7 @@
 	time     time.Time
 }
 
-func newLimits(fleet.InstanceID) *limits {
+func newLimits() *limits {
 	return &limits{
 		demand:    map[fleet.WorkspaceID]*demandMeter{},
 		extra:     map[fleet.WorkspaceID]extraRequests{},
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -133,7 +133,7 @@
 	p.mu.Lock()
 	state := p.groups[group]
 	if state == nil {
-		state = &promotion{statuses: map[fleet.ServerID]serverReport{}, stepDown: map[fleet.ServerID]time.Time{}}
+		state = &promotion{statuses: map[fleet.ServerID]serverReport{}}
 		p.groups[group] = state
 	}
 	if state.busy {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/pool"
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/sheet"
@@ -129,7 +130,9 @@
 
 // lease opens or takes a connection for a lease.
 func (g *Gateway) lease(need session.Need, l *lease) (session.Lease, *session.Error) {
-	l.held, l.err = g.pool.Acquire(need.Deadline.Add(-answerReserve), l.server, need.Workspace, nil)
+	l.held, l.err = g.pool.Acquire(l.server, pool.Request{
+		Deadline: need.Deadline.Add(-answerReserve), Priority: need.Route.Priority, Values: need.Values, Workspace: need.Workspace,
+	})
 	if l.err == nil {
 		return l, nil
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -109,6 +109,7 @@
 	again time.Time
 	// granted gets a connection, or nil if the waiter may open one itself.
 	granted   chan *Held
+	priority  int
 	since     time.Time
 	workspace fleet.WorkspaceID
 }
@@ -175,16 +176,27 @@
 	return s != nil && slices.ContainsFunc(s.idle, func(h *Held) bool { return h.workspace == workspace })
 }
 
-// Acquire returns a connection of a workspace to a server. Values are those of
-// the session: a connection that holds them already is preferred. The error
-// means that nothing was sent.
-func (p *Pool) Acquire(deadline time.Time, server fleet.ServerID, workspace fleet.WorkspaceID, values map[string]string) (*Held, *session.RunError) {
+// Request asks for a connection.
+type Request struct {
+	// Deadline is until when the request may wait.
+	Deadline time.Time
+	// Priority orders waiting requests; zero goes first.
+	Priority int
+	// Values are those of the session: a connection that holds them already
+	// is preferred.
+	Values    map[string]string
+	Workspace fleet.WorkspaceID
+}
+
+// Acquire returns a connection of a workspace to a server. The error means
+// that nothing was sent.
+func (p *Pool) Acquire(server fleet.ServerID, request Request) (*Held, *session.RunError) {
 	for {
 		now := p.clock()
-		if !now.Before(deadline) {
+		if !now.Before(request.Deadline) {
 			return nil, &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
 		}
-		held, w, failure := p.reserve(now, server, workspace, values)
+		held, w, failure := p.reserve(now, server, request)
 		if failure != nil {
 			return nil, failure
 		}
@@ -193,20 +205,23 @@
 		}
 		if w != nil {
 			granted := false
-			if held, granted = p.wait(now, deadline, server, w); held != nil {
+			if held, granted = p.wait(now, request.Deadline, server, w); held != nil {
 				return held, nil
 			}
 			if !granted {
 				continue
 			}
 		}
-		held, failure, again := p.open(deadline, server, workspace)
+		held, failure, again := p.open(request.Deadline, server, request.Workspace)
 		if !again {
 			return held, failure
 		}
 	}
 }
 
+// controlPriority goes before those of all requests.
+const controlPriority = -1
+
 // controlWorkspace is the owner of connections that were opened for control.
 const controlWorkspace fleet.WorkspaceID = "nutmegpier"
 
@@ -232,8 +247,8 @@
 	if s.open < s.limit || s.open == 0 {
 		s.open++
 	} else {
-		w = &waiter{any: true, granted: make(chan *Held, 1), since: now}
-		s.waiting = slices.Insert(s.waiting, 0, w)
+		w = &waiter{any: true, granted: make(chan *Held, 1), priority: controlPriority, since: now}
+		s.enqueue(w)
 	}
 	p.mu.Unlock()
 	if w != nil {
@@ -251,7 +266,7 @@
 
 // reserve takes an idle connection, or the right to open one (both results
 // nil), or a place in the queue.
-func (p *Pool) reserve(now time.Time, server fleet.ServerID, workspace fleet.WorkspaceID, values map[string]string) (*Held, *waiter, *session.RunError) {
+func (p *Pool) reserve(now time.Time, server fleet.ServerID, request Request) (*Held, *waiter, *session.RunError) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[server]
@@ -259,7 +274,7 @@
 		return nil, nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
 	}
 	s.grow(now)
-	if held := s.takeIdle(workspace, values); held != nil {
+	if held := s.takeIdle(request.Workspace, request.Values); held != nil {
 		return held, nil, nil
 	}
 	full := now.Before(s.fullUntil)
@@ -273,11 +288,11 @@
 		s.idle = s.idle[1:]
 		return nil, nil, nil
 	}
-	w := &waiter{granted: make(chan *Held, 1), since: now, workspace: workspace}
+	w := &waiter{granted: make(chan *Held, 1), priority: request.Priority, since: now, workspace: request.Workspace}
 	if full && s.open < s.limit {
 		w.again = s.fullUntil
 	}
-	s.waiting = append(s.waiting, w)
+	s.enqueue(w)
 	return nil, w, nil
 }
 
@@ -452,6 +467,15 @@
 	return held
 }
 
+// enqueue adds a waiter behind those of its priority.
+func (s *serverState) enqueue(w *waiter) {
+	place := len(s.waiting)
+	for place > 0 && s.waiting[place-1].priority > w.priority {
+		place--
+	}
+	s.waiting = slices.Insert(s.waiting, place, w)
+}
+
 // next removes the waiter whose turn it is: the first of the same workspace,
 // unless the first of all has waited for long.
 func (s *serverState) next(now time.Time, workspace fleet.WorkspaceID) *waiter {
@@ -459,8 +483,8 @@
 		return nil
 	}
 	chosen := 0
-	if !s.waiting[0].any && now.Sub(s.waiting[0].since) < strangerPatience {
-		chosen = max(0, slices.IndexFunc(s.waiting, func(w *waiter) bool { return w.workspace == workspace }))
+	if first := s.waiting[0]; !first.any && now.Sub(first.since) < strangerPatience {
+		chosen = max(0, slices.IndexFunc(s.waiting, func(w *waiter) bool { return w.priority == first.priority && w.workspace == workspace }))
 	}
 	w := s.waiting[chosen]
 	s.waiting = slices.Delete(s.waiting, chosen, chosen+1)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -58,7 +58,7 @@
 
 func acquire(t *testing.T, p *pool.Pool, workspace fleet.WorkspaceID) *pool.Held {
 	t.Helper()
-	held, failure := p.Acquire(time.Now().Add(time.Minute), "s", workspace, nil)
+	held, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Minute), Workspace: workspace})
 	if failure != nil {
 		t.Fatalf("Acquire() = %v", failure)
 	}
@@ -143,3 +143,34 @@
 		t.Errorf("%d connections to the old address are open", d.open)
 	}
 }
+
+// TestPriority guards against a request that waits behind less urgent ones.
+func TestPriority(t *testing.T) {
+	p := newPool(&dialer{}, 1)
+	held := acquire(t, p, "w")
+	order := make(chan int, 3)
+	var waiting sync.WaitGroup
+	for n, priority := range []int{2, 1, 2} {
+		waiting.Go(func() {
+			next, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Minute), Priority: priority, Workspace: "w"})
+			if failure != nil {
+				t.Errorf("Acquire() = %v", failure)
+				return
+			}
+			order <- priority
+			p.Release("s", next)
+		})
+		for p.Counts("s").Waiting <= n {
+		}
+	}
+	p.Release("s", held)
+	waiting.Wait()
+	close(order)
+	var got []int
+	for priority := range order {
+		got = append(got, priority)
+	}
+	if diff := cmp.Diff([]int{1, 2, 2}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
--- a/session/router.go
+++ b/session/router.go
@@ -19,7 +19,9 @@
 	Request StatementID
 	Route   sheet.Route
 	// Since is when the caller sent the statement or began the transaction.
-	Since     time.Time
+	Since time.Time
+	// Values are those of the session. They must not be changed.
+	Values    map[string]string
 	Workspace fleet.WorkspaceID
 	// Write asks for the primary, whatever the consistency of the route.
 	Write bool
--- a/session/session.go
+++ b/session/session.go
@@ -181,6 +181,7 @@
 		Request:   statement.ID,
 		Route:     access.Route,
 		Since:     now,
+		Values:    s.values,
 		Workspace: access.Workspace,
 	}
 }
