--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -14,7 +14,6 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
-	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -34,30 +33,19 @@
 	// beatInterval is the time between two writes of the own row. Two of them
 	// fit in the lease, and a failed one is repeated sooner.
 	beatInterval = 1800 * time.Millisecond
-	// demandGrowth is the factor by which a demand must have grown, demandLeast
-	// the growth in operations a second, to be told before the next beat, and
-	// demandInterval the least time between such writes. Smaller changes are
-	// chance, and are left to the pools of the limits.
-	demandGrowth   = 1.5
-	demandLeast    = 1.5
-	demandInterval = 800 * time.Millisecond
 	// newsInterval is the least time between two writes.
 	newsInterval = 40 * time.Millisecond
 	// writeBound bounds a write.
 	writeBound = 1200 * time.Millisecond
 	// memberPoll is the time between two looks at the other instances.
 	memberPoll = 1500 * time.Millisecond
+	// memberPrune is the age from which the leader drops the row of an instance
+	// that is gone: far longer than a restart takes.
+	memberPrune = time.Minute
 	// firstPoll is the time between the first two looks.
 	firstPoll = 400 * time.Millisecond
 )
 
-// WorkspaceDemand is what one instance is asked for by one workspace.
-type WorkspaceDemand struct {
-	// Rate is in operations a second.
-	Rate      float64
-	Workspace fleet.WorkspaceID
-}
-
 // GroupLeft says that an instance does not use a group's primary any more.
 type GroupLeft struct {
 	Generation primacy.Generation
@@ -177,6 +165,7 @@
 			f.note(err)
 			if err == nil {
 				g.divideLimits(g.config.Clock())
+				g.prune(ctx)
 			}
 		}
 		g.renewLimits(now)
@@ -276,6 +265,26 @@
 	g.noteLeading(now)
 }
 
+// prune drops one row of an instance that is gone for good, if this instance
+// leads. An instance that comes back writes its row anew.
+func (g *Gateway) prune(ctx context.Context) {
+	g.mu.Lock()
+	var gone *Write
+	for id, m := range g.members.members {
+		if g.members.leading && id != g.members.self && g.members.readStore-m.row.At > memberPrune {
+			gone = &Write{Key: string(id), Partition: memberPartition(id), Remove: true, Revision: m.revision, Table: memberTable}
+			break
+		}
+	}
+	g.mu.Unlock()
+	if gone == nil {
+		return
+	}
+	if _, err := g.write(ctx, *gone); err != nil {
+		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "drop row of " + gone.Key + ": " + err.Error()})
+	}
+}
+
 func (g *Gateway) write(ctx context.Context, write Write) (WriteResult, error) {
 	bounded, cancel := context.WithTimeout(ctx, writeBound)
 	defer cancel()
@@ -407,75 +416,6 @@
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 }
 
-// demandPart returns the part of all demand that this instance is asked for.
-// The caller holds the lock.
-func (g *Gateway) demandPart(now time.Time) float64 {
-	own := totalDemand(g.limits.demands(now))
-	all := []float64{own}
-	for id, m := range g.members.members {
-		if id != g.members.self && g.members.live(m) {
-			all = append(all, totalDemand(m.row.Demand))
-		}
-	}
-	return workspace.DemandShare(own, all)
-}
-
-func totalDemand(demands []WorkspaceDemand) float64 {
-	total := 0.0
-	for _, demand := range demands {
-		total += demand.Rate
-	}
-	return total
-}
-
-// divideLimits sets the shares of the limits from what the instances report.
-// Each instance computes them from the same rows, its own included, so that
-// they add up to one. Without a new look at the rows they stay as they are.
-func (g *Gateway) divideLimits(now time.Time) {
-	g.mu.Lock()
-	if g.routing == nil || g.members.readAt.IsZero() {
-		g.mu.Unlock()
-		return
-	}
-	reported := [][]WorkspaceDemand{g.members.ownDemand}
-	for id, m := range g.members.members {
-		if id != g.members.self && g.members.live(m) {
-			reported = append(reported, m.row.Demand)
-		}
-	}
-	sheetLimits := g.routing.Limits()
-	g.mu.Unlock()
-	g.limits.divide(now, sheetLimits, reported)
-}
-
-// noteDemand has the own row written soon if the demand of a workspace that was
-// refused is far from what the others know.
-func (g *Gateway) noteDemand(now time.Time, id fleet.WorkspaceID) {
-	own := g.limits.demandOf(now, id)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known := 0.0
-	for _, d := range g.members.ownDemand {
-		if d.Workspace == id {
-			known = d.Rate
-		}
-	}
-	if own > demandGrowth*known+demandLeast && now.Sub(g.presence.At()) >= demandInterval {
-		g.wake()
-	}
-}
-
-// renewLimits lets the instance admit while its leases run.
-func (g *Gateway) renewLimits(now time.Time) {
-	g.mu.Lock()
-	until := g.presence.At()
-	if g.sheetAt.Before(until) {
-		until = g.sheetAt
-	}
-	g.mu.Unlock()
-	g.limits.renew(now, until.Add(primacy.LeaseTime))
-}
-
 // Leave drops the own row at a planned stop, so that the others divide the
 // limits anew and no change of a primary waits for this instance.
 func (g *Gateway) Leave(ctx context.Context) {
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -44,7 +44,6 @@
 	polled    time.Time
 	record    primacy.Record
 	statuses  map[fleet.ServerID]serverReport
-	stepDown  map[fleet.ServerID]time.Time
 }
 
 type serverReport struct {
