--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -191,6 +191,9 @@
 	}
 	state.record = record
 	s := primacy.Situation{Changed: state.changed, Ordered: state.ordered, Permitted: record.Target != "" && record == state.permitted, Record: record}
+	if g.routing != nil {
+		s.SyncReplicas = g.routing.Database(group).SyncReplicas
+	}
 	for id, m := range g.members.members {
 		s.Members = append(s.Members, p.memberOf(id, m, group, record))
 	}
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -79,6 +79,9 @@
 	// Record is the zero Record if there is none.
 	Record  Record
 	Servers []Server
+	// SyncReplicas is the number of replicas that hold each acknowledged
+	// commit.
+	SyncReplicas int
 }
 
 // StepKind says what the leader does next.
@@ -162,7 +165,7 @@
 		return Step{Kind: StepStatus}
 	}
 	target, found := s.candidate()
-	if !found {
+	if !found || !s.hearsCommits() {
 		return Step{Kind: StepStatus}
 	}
 	old, known := s.server(s.Record.Primary)
@@ -236,6 +239,22 @@
 	return best(s.Servers, func(server Server) bool { return server.Role == RolePrimary && !server.StatusAt.IsZero() })
 }
 
+// hearsCommits reports whether enough replicas have answered since the change
+// that one of them holds the last acknowledged commit.
+func (s Situation) hearsCommits() bool {
+	replicas, answered := 0, 0
+	for _, server := range s.Servers {
+		if server.ID == s.Record.Primary {
+			continue
+		}
+		replicas++
+		if server.StatusAt.After(s.Changed) {
+			answered++
+		}
+	}
+	return s.SyncReplicas == 0 || answered >= replicas-s.SyncReplicas+1
+}
+
 func (s Situation) hasCandidate() bool {
 	return slices.ContainsFunc(s.Servers, func(server Server) bool {
 		return server.Registered && server.Eligible && server.ID != s.Record.Primary
--- /dev/null
+++ b/primacy/promotion_test.go
@@ -0,0 +1,103 @@
+package primacy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/primacy"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// changing is a group whose primary is being replaced, a second ago.
+func changing(reason primacy.Reason) primacy.Situation {
+	return primacy.Situation{
+		Changed: now.Add(-time.Second),
+		Members: []primacy.Member{{Left: 2, Live: true}},
+		Record:  primacy.Record{Generation: 2, Phase: primacy.PhaseChanging, Primary: "old", Reason: reason, Term: 1},
+	}
+}
+
+func replica(id fleet.ServerID, log fleet.LogPosition, age time.Duration) primacy.Server {
+	return primacy.Server{
+		Eligible: true, ID: id, Position: fleet.Position{Term: 1, Log: log}, Registered: true,
+		Role: primacy.RoleReplica, StatusAt: now.Add(-age), Term: 1,
+	}
+}
+
+// TestChoice guards against a target that lacks commits of another server that
+// could be asked, that leaves, or whose position is from before the change.
+func TestChoice(t *testing.T) {
+	leaving := replica("c", 9, 0)
+	leaving.Eligible = false
+	for _, test := range []struct {
+		name    string
+		reason  primacy.Reason
+		servers []primacy.Server
+		sync    int
+		want    fleet.ServerID
+	}{
+		{name: "longest log", reason: primacy.ReasonFailure, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 0)}, want: "b"},
+		{name: "position from before", reason: primacy.ReasonFailure, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 2*time.Second)}, want: "a"},
+		{name: "leaving server", reason: primacy.ReasonFailure, servers: []primacy.Server{replica("a", 5, 0), leaving}, want: "a"},
+		{name: "none answers", reason: primacy.ReasonFailure, servers: []primacy.Server{replica("a", 5, 2*time.Second)}},
+		{name: "not enough for a synchronous commit", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 2*time.Second)}},
+		{name: "enough for a synchronous commit", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 0)}, want: "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := changing(test.reason)
+			s.Servers, s.SyncReplicas = test.servers, test.sync
+			step := primacy.Decide(now, s)
+			if diff := cmp.Diff(test.want, step.Record.Target); diff != "" {
+				t.Errorf("target (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSuspicion guards against a primary that is replaced because a few
+// instances can't reach it, and against one that nobody replaces.
+func TestSuspicion(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		members []primacy.Member
+		want    primacy.StepKind
+	}{
+		{name: "nobody", members: []primacy.Member{{Live: true}, {Live: true}}, want: primacy.StepNone},
+		{name: "one of three", members: []primacy.Member{{Live: true, Unreachable: true}, {Live: true}, {Live: true}}, want: primacy.StepNone},
+		{name: "two of three", members: []primacy.Member{{Live: true, Unreachable: true}, {Live: true, Unreachable: true}, {Live: true}}, want: primacy.StepWrite},
+		{name: "one of one that lives", members: []primacy.Member{{Live: true, Unreachable: true}, {}, {}}, want: primacy.StepWrite},
+		{name: "instances that are gone", members: []primacy.Member{{Live: true}, {Unreachable: true}, {Unreachable: true}}, want: primacy.StepNone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			step := primacy.Decide(now, primacy.Situation{
+				Members: test.members,
+				Record:  primacy.Record{Generation: 1, Phase: primacy.PhaseServing, Primary: "old", Term: 1},
+				Servers: []primacy.Server{replica("a", 5, 0), {Eligible: true, ID: "old", Registered: true}},
+			})
+			if diff := cmp.Diff(test.want, step.Kind); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestHandoverWaitsForTheLog guards against a planned handover that loses what
+// the old primary has acknowledged.
+func TestHandoverWaitsForTheLog(t *testing.T) {
+	s := changing(primacy.ReasonHandover)
+	s.Changed = now.Add(-100 * time.Millisecond)
+	old := replica("old", 9, 0)
+	old.Role = primacy.RolePrimary
+	s.Servers = []primacy.Server{replica("a", 8, 0), old}
+	if step := primacy.Decide(now, s); step.Kind != primacy.StepStatus {
+		t.Errorf("step %+v, want to wait for the log", step)
+	}
+	s.Servers[0] = replica("a", 9, 0)
+	if step := primacy.Decide(now, s); step.Record.Target != "a" {
+		t.Errorf("step %+v, want the target a", step)
+	}
+}
--- a/sheet/parse.go
+++ b/sheet/parse.go
@@ -18,7 +18,9 @@
 	maxRate     = 10_000_000
 	// maxRouteMilliseconds bounds ages and timeouts of routes to a day.
 	maxRouteMilliseconds = 24 * 60 * 60 * 1000
-	maxWeight            = 1000
+	// maxSyncReplicas is above the size of any group.
+	maxSyncReplicas = 100
+	maxWeight       = 1000
 	// minIterations is the smallest count that SCRAM-SHA-256 (RFC 7677) recommends.
 	minIterations = 4096
 )
@@ -31,6 +33,7 @@
 		{Path: "Databases[].ColdRate", Min: 0, Max: maxRate},
 		{Path: "Databases[].Connections", Min: 0, Max: maxConnections},
 		{Path: "Databases[].Database", Format: document.FormatName, Required: true},
+		{Path: "Databases[].SyncReplicas", Min: 0, Max: maxSyncReplicas},
 		{Path: "Format", Min: FormatVersion, Max: FormatVersion, Required: true},
 		{Path: "Routes[].Consistency", Choices: []string{string(ConsistencyBoundedAge), string(ConsistencyPrimary), string(ConsistencyReadYourWrites)}, Default: string(ConsistencyReadYourWrites)},
 		{Path: "Routes[].Database", Format: document.FormatName, Required: true},
--- a/sheet/sheet.go
+++ b/sheet/sheet.go
@@ -76,6 +76,9 @@
 	// budget of the settings.
 	Connections int
 	Database    fleet.GroupID
+	// SyncReplicas is the number of replicas that hold each acknowledged
+	// commit, by the group's own replication.
+	SyncReplicas int `json:",omitempty"`
 }
 
 // Route says which group serves a database, how recent its reads are, and who
