--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -69,7 +69,7 @@
 	CancelForwarded      Number = 508
 	CommitLost           Number = 509
 	RequestRetried       Number = 510
-	RequestEnded         Number = 511
+	RequestLate          Number = 511
 	RequestFailed        Number = 512
 	LinesSuppressed      Number = 513
 	ConnectionOpened     Number = 601
@@ -139,7 +139,7 @@
 		entry(CancelForwarded, "CancelForwarded", LevelDebug, "A cancel request was passed to the instance that has the session.", "Session", "Text"),
 		entry(CommitLost, "CommitLost", LevelWarning, "A commit was lost in a change of primary and did certainly not take effect.", "Database", "Position", "Server", "Session", "Term", "Workspace"),
 		entry(RequestRetried, "RequestRetried", LevelDebug, "A request that did not run, or is idempotent, runs again on another server.", "Database", "Server", "Session", "Text", "Workspace"),
-		entry(RequestEnded, "RequestEnded", LevelInfo, "A request succeeded. Only some are logged.", "Database", "Request", "Server", "Text", "Workspace"),
+		entry(RequestLate, "RequestLate", LevelInfo, "A request was served later than the target latency of its route.", "Database", "Request", "Server", "Text", "Workspace"),
 		entry(RequestFailed, "RequestFailed", LevelWarning, "A request was refused, failed, or has an unknown outcome.", "Database", "Request", "Server", "Text", "Workspace"),
 		entry(LinesSuppressed, "LinesSuppressed", LevelInfo, "Lines about requests were left out to bound the volume. Text holds their number.", "Text"),
 		entry(ConnectionOpened, "ConnectionOpened", LevelDebug, "A connection to a backend server was opened.", "Database", "Server"),
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -64,8 +64,12 @@
 // Observe counts and logs the outcome of one statement.
 func (g *Gateway) Observe(now time.Time, statement session.Statement, need session.Need, server fleet.ServerID, attempts int, latency time.Duration, err *session.Error) {
 	observeRequest(need.Route.Database, latency, err)
+	number := event.RequestFailed
 	if err == nil {
-		return
+		number = event.RequestLate
+		if target := need.Route.TargetLatency.Duration(); target == 0 || latency <= target {
+			return
+		}
 	}
 	fields := event.Fields{
 		Database:  need.Route.Database,
@@ -74,7 +78,7 @@
 		Text:      requestText(statement, need, attempts, latency, err) + g.inputs(now, need.Route.Group),
 		Workspace: need.Workspace,
 	}
-	g.config.Log.Request(now, event.RequestFailed, fields)
+	g.config.Log.Request(now, number, fields)
 }
 
 // inputs says what the instance knew when it decided on a request of a group.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,11 +49,15 @@
 	storeCalls.Add(call, 1)
 }
 
-// requestText says what decided the outcome of a request.
+// requestText says how a request ended. Err is nil for a success.
 func requestText(statement session.Statement, need session.Need, attempts int, latency time.Duration, err *session.Error) string {
+	outcome := "served"
+	if err != nil {
+		outcome = fmt.Sprintf("%s: %v", err.Kind, err.Err)
+	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s: %v; attempts %d, after %d ms", statement.Kind, err.Kind, err.Err, attempts, latency.Milliseconds())
-	if err.RetryAfter > 0 {
+	fmt.Fprintf(&text, "%s %s; attempts %d, after %d ms", statement.Kind, outcome, attempts, latency.Milliseconds())
+	if err != nil && err.RetryAfter > 0 {
 		fmt.Fprintf(&text, ", retry after %d ms", err.RetryAfter.Milliseconds())
 	}
 	if !need.Own.IsZero() {
