--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -51,7 +51,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd, settings)
+			return serve(cmd, config, settings)
 		},
 		Short: "Run an instance",
 		Use:   "serve",
@@ -70,66 +70,95 @@
 	return time.Unix(now.Unix())
 }
 
-func serve(cmd *cobra.Command, settings gateway.Settings) error {
+// listeners are what an instance listens on. Metrics is nil if they are not
+// served.
+type listeners struct {
+	callers net.Listener
+	metrics net.Listener
+	ready   net.Listener
+}
+
+func listen(addresses gateway.Listen) (listeners, error) {
+	var l listeners
+	for _, each := range []struct {
+		address  string
+		listener *net.Listener
+	}{{addresses.Callers, &l.callers}, {addresses.Metrics, &l.metrics}, {addresses.Ready, &l.ready}} {
+		if each.address == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return listeners{}, err
+		}
+		*each.listener = opened
+	}
+	return l, nil
+}
+
+// serve runs an instance until a signal or a failure ends it.
+func serve(cmd *cobra.Command, config string, settings gateway.Settings) error {
 	limitResources(settings)
 	epoch := fleet.Epoch(rand.Uint64())
 	recorder := event.New(settings.Instance, epoch, time.Now, event.NewLogger(cmd.OutOrStdout(), "json", event.LevelInfo), timelineCapacity)
-	log := gateway.NewLog(recorder, settings.Log.LinesPerSecond)
-
-	callerListener, err := net.Listen("tcp", settings.Listen.Callers)
+	opened, err := listen(settings.Listen)
 	if err != nil {
 		return err
 	}
-	readyListener, err := net.Listen("tcp", settings.Listen.Ready)
-	if err != nil {
-		return err
-	}
-	running := newGateway(settings, epoch, log)
-	callers := platform.NewCallers(session.Config{
-		Clock: bootTime, Gate: running, Jitter: rand.Float64, Observer: running, Pause: time.Sleep, Router: running,
-	}, running.TransactionIdle)
-	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
-
 	term, stopTerm := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stopTerm()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
+
+	running := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond))
+	callers := platform.NewCallers(session.Config{
+		Clock: bootTime, Gate: running, Jitter: rand.Float64, Observer: running, Pause: time.Sleep, Router: running,
+	}, running.TransactionIdle)
+	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 	controllers, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
-	failed := make(chan error, 1)
-	ready := platform.ReadyHandler(func() bool { return running.Ready(bootTime()) })
-	go func() { failed <- running.Run(controllers) }()
-	go serveHTTP(readyListener, ready, failed)
-	go func() { failed <- callers.Serve(callerListener) }()
-	if settings.Listen.Metrics != "" {
-		metricsListener, err := net.Listen("tcp", settings.Listen.Metrics)
-		if err != nil {
-			return err
-		}
-		go serveHTTP(metricsListener, expvar.Handler(), failed)
-	}
+	failed := start(controllers, running, callers, opened)
 	for {
 		select {
 		case err := <-failed:
 			return err
 		case <-reload:
 			// Settings take effect at a start; the sheet holds what may change.
-			_, err := readSettings("")
+			_, err := readSettings(config)
 			recordReload(recorder, err)
 		case <-term.Done():
 			recorder.Record(event.InstanceDraining, event.Fields{})
-			drain(settings, running, callers, callerListener)
+			drain(settings, running, callers, opened.callers)
 			stopControllers()
-			leaving, cancel := context.WithTimeout(context.Background(), stopReserve/2)
-			running.Leave(leaving)
-			cancel()
+			leave(running)
 			recorder.Record(event.InstanceStopped, event.Fields{})
 			return nil
 		}
 	}
 }
 
+// start starts all that serves. The channel gets the first failure.
+func start(ctx context.Context, running *gateway.Gateway, callers *platform.Callers, opened listeners) <-chan error {
+	const servers = 4
+	failed := make(chan error, servers)
+	ready := platform.ReadyHandler(func() bool { return running.Ready(bootTime()) })
+	go func() { failed <- running.Run(ctx) }()
+	go func() { failed <- callers.Serve(opened.callers) }()
+	go serveHTTP(opened.ready, ready, failed)
+	if opened.metrics != nil {
+		go serveHTTP(opened.metrics, expvar.Handler(), failed)
+	}
+	return failed
+}
+
+// leave tells the other instances that this one stops.
+func leave(running *gateway.Gateway) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	running.Leave(ctx)
+}
+
 func recordReload(recorder *event.Recorder, err error) {
 	if err != nil {
 		recorder.Record(event.SettingsRefused, event.Fields{Text: err.Error()})
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -61,24 +61,24 @@
 	return access, nil
 }
 
-// Observe counts and logs the outcome of one statement.
-func (g *Gateway) Observe(now time.Time, statement session.Statement, need session.Need, server fleet.ServerID, attempts int, latency time.Duration, err *session.Error) {
-	observeRequest(need.Route.Database, latency, err)
+// Observe counts and logs how one statement ended.
+func (g *Gateway) Observe(now time.Time, ended session.Ended) {
+	route := ended.Need.Route
+	observeRequest(route.Database, ended.Latency, ended.Err)
 	number := event.RequestFailed
-	if err == nil {
+	if ended.Err == nil {
 		number = event.RequestLate
-		if target := need.Route.TargetLatency.Duration(); target == 0 || latency <= target {
+		if target := route.TargetLatency.Duration(); target == 0 || ended.Latency <= target {
 			return
 		}
 	}
-	fields := event.Fields{
-		Database:  need.Route.Database,
-		Request:   string(statement.ID),
-		Server:    server,
-		Text:      requestText(statement, need, attempts, latency, err) + g.inputs(now, need.Route.Group),
-		Workspace: need.Workspace,
-	}
-	g.config.Log.Request(now, number, fields)
+	g.config.Log.Request(now, number, event.Fields{
+		Database:  route.Database,
+		Request:   string(ended.Statement.ID),
+		Server:    ended.Server,
+		Text:      endText(ended) + g.inputs(now, route.Group),
+		Workspace: ended.Need.Workspace,
+	})
 }
 
 // inputs says what the instance knew when it decided on a request of a group.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,19 +49,19 @@
 	storeCalls.Add(call, 1)
 }
 
-// requestText says how a request ended. Err is nil for a success.
-func requestText(statement session.Statement, need session.Need, attempts int, latency time.Duration, err *session.Error) string {
+// endText says how a statement ended.
+func endText(ended session.Ended) string {
 	outcome := "served"
-	if err != nil {
-		outcome = fmt.Sprintf("%s: %v", err.Kind, err.Err)
+	if ended.Err != nil {
+		outcome = fmt.Sprintf("%s: %v", ended.Err.Kind, ended.Err.Err)
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s; attempts %d, after %d ms", statement.Kind, outcome, attempts, latency.Milliseconds())
-	if err != nil && err.RetryAfter > 0 {
-		fmt.Fprintf(&text, ", retry after %d ms", err.RetryAfter.Milliseconds())
+	fmt.Fprintf(&text, "%s %s; attempts %d, after %d ms", ended.Statement.Kind, outcome, ended.Attempts, ended.Latency.Milliseconds())
+	if ended.Err != nil && ended.Err.RetryAfter > 0 {
+		fmt.Fprintf(&text, ", retry after %d ms", ended.Err.RetryAfter.Milliseconds())
 	}
-	if !need.Own.IsZero() {
-		text.WriteString(", own position " + need.Own.String())
+	if !ended.Need.Own.IsZero() {
+		text.WriteString(", own position " + ended.Need.Own.String())
 	}
 	return text.String()
 }
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -61,8 +61,7 @@
 	return session.Access{Route: w.route, Workspace: "w"}, nil
 }
 
-func (w *world) Observe(time.Time, session.Statement, session.Need, fleet.ServerID, int, time.Duration, *session.Error) {
-}
+func (w *world) Observe(time.Time, session.Ended) {}
 
 func (w *world) Acquire(need session.Need) (session.Lease, *session.Error) {
 	for _, s := range w.servers {
--- a/session/router.go
+++ b/session/router.go
@@ -14,10 +14,8 @@
 	// Deadline is when the caller's statement times out.
 	Deadline time.Time
 	// Own is the position of the session's last commit, or zero.
-	Own fleet.Position
-	// Request is the caller's id, for logs.
-	Request StatementID
-	Route   sheet.Route
+	Own   fleet.Position
+	Route sheet.Route
 	// Since is when the caller sent the statement or began the transaction.
 	Since time.Time
 	// Values are those of the session. They must not be changed.
--- a/session/session.go
+++ b/session/session.go
@@ -32,9 +32,22 @@
 
 // Observer is told how requests end.
 type Observer interface {
-	// Observe takes the outcome of one statement. Attempts counts the servers
-	// that it was offered to; latency is the whole time in the instance.
-	Observe(now time.Time, statement Statement, need Need, server fleet.ServerID, attempts int, latency time.Duration, err *Error)
+	// Observe takes the end of one statement.
+	Observe(now time.Time, ended Ended)
+}
+
+// Ended is how a statement ended.
+type Ended struct {
+	// Attempts is the number of servers that it was offered to.
+	Attempts int
+	// Err is nil for a success.
+	Err *Error
+	// Latency is the whole time in the instance.
+	Latency time.Duration
+	Need    Need
+	// Server is the last one that it was offered to, or empty.
+	Server    fleet.ServerID
+	Statement Statement
 }
 
 // Config is what a session depends on.
@@ -158,7 +171,7 @@
 		s.observe(now, now, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
 		return s.failed(err)
 	}
-	need := s.need(now, access, statement)
+	need := s.need(now, access)
 	need.Write = statement.Kind == StatementBegin
 	s.transaction = &transaction{access: access, began: now, need: need}
 	s.state = StateTransaction
@@ -174,11 +187,10 @@
 	return access, s.config.Gate.Admit(now, access.Workspace)
 }
 
-func (s *Session) need(now time.Time, access Access, statement Statement) Need {
+func (s *Session) need(now time.Time, access Access) Need {
 	return Need{
 		Deadline:  now.Add(access.Route.StatementTimeout.Duration()),
 		Own:       s.own,
-		Request:   statement.ID,
 		Route:     access.Route,
 		Since:     now,
 		Values:    s.values,
@@ -201,7 +213,7 @@
 		s.observe(start, start, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
 		return s.failed(err)
 	}
-	need := s.need(start, access, statement)
+	need := s.need(start, access)
 	need.Write = writes(statement, template)
 	attempts := 0
 	reply, err := s.attempt(&need, &attempts, need.Write, func(lease Lease) (Reply, *Error) {
@@ -358,10 +370,9 @@
 }
 
 func (s *Session) observe(start, now time.Time, statement Statement, need Need, attempts int, err *Error) {
-	need.Request = statement.ID
-	server := s.lastServer
-	if attempts == 0 {
-		server = ""
+	ended := Ended{Attempts: attempts, Err: err, Latency: now.Sub(start), Need: need, Statement: statement}
+	if attempts > 0 {
+		ended.Server = s.lastServer
 	}
-	s.config.Observer.Observe(now, statement, need, server, attempts, now.Sub(start), err)
+	s.config.Observer.Observe(now, ended)
 }
