fix: look at what other instances report about a primary twice a second

The leader now looks every 0.5 s, and every 60 ms once one instance reports; instances check a primary that others report.

--- a/gateway/health.go
+++ b/gateway/health.go
@@ -32,6 +32,11 @@
 func (g *Gateway) reportFailure(server fleet.ServerID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.suspect(server)
+}
+
+// suspect has a server checked. The caller holds the lock.
+func (g *Gateway) suspect(server fleet.ServerID) {
 	if g.servers[server] == nil {
 		return
 	}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -135,6 +135,16 @@
 	return count
 }
 
+// suspects reports whether another live instance can't use a primary.
+func (v *memberView) suspects(primary fleet.ServerID) bool {
+	for id, m := range v.members {
+		if id != v.self && v.live(m) && slices.Contains(m.row.Unreachable, primary) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepMembership writes the own row and reads those of the others.
 func (g *Gateway) keepMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
@@ -385,12 +395,24 @@
 		}
 	}
 	g.members.readAt, g.members.readStore = sent, g.storeClock.StoreTime(sent)
+	g.checkSuspected()
 	if count := g.members.liveCount(); count != before || len(changed) > 0 {
 		go g.setPoolServers()
 	}
 	return nil
 }
 
+// checkSuspected checks the primaries that others can't use, so that an
+// instance with little traffic does not find out later than they do. The caller
+// holds the lock.
+func (g *Gateway) checkSuspected() {
+	for _, state := range g.groups {
+		if primary := state.watch.Record().Primary; g.members.suspects(primary) {
+			g.suspect(primary)
+		}
+	}
+}
+
 func (g *Gateway) observeMember(now time.Time, row feed.Row) {
 	id := fleet.InstanceID(row.Key)
 	if row.Deleted {
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -28,9 +28,10 @@
 	// orderBound bounds one promotion order. The platform answers once it is
 	// done, or loses the answer.
 	orderBound = 1500 * time.Millisecond
-	// fastLook is the time between two looks at the other instances while a
-	// group changes or this instance suspects a primary.
-	fastLook = 60 * time.Millisecond
+	// leaderLook is the time between two looks of the leader at the other
+	// instances, and fastLook the same while a primary is suspected or replaced.
+	leaderLook = 500 * time.Millisecond
+	fastLook   = 60 * time.Millisecond
 )
 
 // promotion is what the leader knows of one group besides the record.
@@ -74,9 +75,13 @@
 			continue
 		}
 		tick = promoteTick
-		if p.urgent() && now.Sub(p.looked) >= fastLook {
+		interval := leaderLook
+		if p.urgent() {
+			interval = fastLook
+		}
+		if now.Sub(p.looked) >= interval {
 			p.looked = now
-			_ = g.lookAtMembers(ctx, p.looker)
+			p.looker.note(g.lookAtMembers(ctx, p.looker))
 		}
 		for _, group := range g.knownGroups() {
 			p.step(ctx, group, token)
@@ -112,14 +117,15 @@
 	clear(p.groups)
 }
 
-// urgent reports whether a primary is suspected or being replaced.
+// urgent reports whether a primary is being replaced, or suspected by this or
+// another instance.
 func (p *promoter) urgent() bool {
 	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, state := range g.groups {
 		record := state.watch.Record()
-		if record.Phase == primacy.PhaseChanging || g.isLost(record.Primary) {
+		if record.Phase == primacy.PhaseChanging || g.isLost(record.Primary) || g.members.suspects(record.Primary) {
 			return true
 		}
 	}
