fix: require the own commit also when the log was last seen in an earlier term

Cause, found by reading: a new primary that has not committed yet reports the last position of the term before. If that is the oldest position inside the route's age, and the session's first commit at the new primary is of the next term, the terms differ and the own commit was left out of what the read asks for. The case of TestRequirement 'own commit is the first of a new primary' fails with the earlier rule.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -99,13 +99,10 @@
 	defer g.mu.Unlock()
 	state := g.group(need.Route.Group)
 	record := state.watch.Record()
-	after, sampled := state.samples.Oldest(need.Since.Add(-need.Route.MaxAge.Duration()))
+	after, sampled := state.samples.Requirement(need.Since.Add(-need.Route.MaxAge.Duration()), need.Own)
 	if !sampled {
 		return "", after, true, !need.Avoid[record.Primary]
 	}
-	if need.Own.Term == after.Term && need.Own.Log > after.Log {
-		after = need.Own
-	}
 	best, bestCost := fleet.ServerID(""), time.Duration(0)
 	for id, candidate := range g.servers {
 		isPrimary := id == record.Primary
--- a/primacy/samples.go
+++ b/primacy/samples.go
@@ -65,6 +65,25 @@
 	return fleet.Position{}, false
 }
 
+// Requirement returns what the log must hold that a read of a session runs on:
+// the oldest position seen at or after a time, and the session's own last
+// commit. It reports false if there is no such position.
+//
+// The own commit counts if it is in the same term or a later one. A position
+// that was seen at a new primary before its first commit is still one of the
+// term before, so it may be behind the own commit in both. An own commit of an
+// earlier term is in the log of each later one, or was rolled back.
+func (s *Samples) Requirement(notBefore time.Time, own fleet.Position) (fleet.Position, bool) {
+	oldest, found := s.Oldest(notBefore)
+	if !found {
+		return fleet.Position{}, false
+	}
+	if own.Compare(oldest) > 0 {
+		return own, true
+	}
+	return oldest, true
+}
+
 // Newest returns the last position and its time, or zero.
 func (s *Samples) Newest() (fleet.Position, time.Time) {
 	if len(s.samples) == 0 {
--- /dev/null
+++ b/primacy/samples_test.go
@@ -0,0 +1,64 @@
+package primacy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/primacy"
+)
+
+// TestRequirement guards against a read that misses its session's own commit,
+// also the first one of a new primary whose log was last seen in the term
+// before, and against one that accepts an older log than its route.
+func TestRequirement(t *testing.T) {
+	at := func(term fleet.Term, log fleet.LogPosition) fleet.Position {
+		return fleet.Position{Term: term, Log: log}
+	}
+	for _, test := range []struct {
+		name  string
+		seen  []fleet.Position
+		own   fleet.Position
+		want  fleet.Position
+		found bool
+	}{
+		{name: "nothing seen", own: at(1, 5)},
+		{name: "seen", seen: []fleet.Position{at(1, 5)}, want: at(1, 5), found: true},
+		{name: "own commit is newer", seen: []fleet.Position{at(1, 5)}, own: at(1, 9), want: at(1, 9), found: true},
+		{name: "own commit is older", seen: []fleet.Position{at(1, 5)}, own: at(1, 3), want: at(1, 5), found: true},
+		{name: "own commit is the first of a new primary", seen: []fleet.Position{at(1, 222)}, own: at(2, 223), want: at(2, 223), found: true},
+		{name: "own commit of an earlier term", seen: []fleet.Position{at(2, 8)}, own: at(1, 9), want: at(2, 8), found: true},
+		{name: "oldest of two", seen: []fleet.Position{at(1, 5), at(1, 7)}, want: at(1, 5), found: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var samples primacy.Samples
+			for i, position := range test.seen {
+				samples.Add(position, now.Add(time.Duration(i)*100*time.Millisecond))
+			}
+			got, found := samples.Requirement(now.Add(-time.Second), test.own)
+			if found != test.found {
+				t.Fatalf("found %v, want %v", found, test.found)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("requirement (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSamples guards against a position from before the age of a route, and one
+// of an earlier term that was rolled back.
+func TestSamples(t *testing.T) {
+	var samples primacy.Samples
+	samples.Add(fleet.Position{Term: 1, Log: 5}, now)
+	if _, found := samples.Oldest(now.Add(time.Millisecond)); found {
+		t.Error("a position from before was found")
+	}
+	samples.Add(fleet.Position{Term: 2, Log: 4}, now.Add(time.Second))
+	oldest, _ := samples.Oldest(now.Add(-time.Second))
+	if diff := cmp.Diff(fleet.Position{Term: 2, Log: 4}, oldest); diff != "" {
+		t.Errorf("oldest position (-want +got):\n%s", diff)
+	}
+}
