--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -32,6 +32,8 @@
 	stopReserve = 600 * time.Millisecond
 	// drainTick is the time between two looks at the open sessions of a stop.
 	drainTick = 20 * time.Millisecond
+	// logLines is the number of log lines that wait for a slow reader.
+	logLines = 256
 	// timelineCapacity is the number of events kept in memory.
 	timelineCapacity = 64
 	// readHeaderBound bounds the header of a ready probe.
@@ -100,7 +102,10 @@
 func serve(cmd *cobra.Command, config string, settings gateway.Settings) error {
 	limitResources(settings)
 	epoch := fleet.Epoch(rand.Uint64())
-	recorder := event.New(settings.Instance, epoch, time.Now, event.NewLogger(cmd.OutOrStdout(), "json", event.LevelInfo), timelineCapacity)
+	lines := event.NewBoundedWriter(cmd.OutOrStdout(), logLines)
+	defer lines.Close(stopReserve / 4)
+	recorder := event.New(settings.Instance, epoch, time.Now, event.NewLogger(lines, "json", event.LevelInfo), timelineCapacity)
+	expvar.Publish("LogLinesDropped", expvar.Func(func() any { return lines.Dropped() }))
 	opened, err := listen(settings.Listen)
 	if err != nil {
 		return err
