--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -14,7 +14,6 @@
 // lease is a server connection held by one session.
 type lease struct {
 	after      fleet.Position
-	err        *session.RunError
 	gateway    *Gateway
 	generation primacy.Generation
 	group      fleet.GroupID
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -127,17 +127,18 @@
 
 // lease opens or takes a connection for a lease.
 func (g *Gateway) lease(need session.Need, l *lease) (session.Lease, *session.Error) {
-	l.held, l.err = g.pool.Acquire(l.server, pool.Request{
+	held, failure := g.pool.Acquire(l.server, pool.Request{
 		Deadline: need.Deadline.Add(-answerReserve), Priority: need.Route.Priority, Values: need.Values, Workspace: need.Workspace,
 	})
-	if l.err == nil {
+	if failure == nil {
+		l.held = held
 		return l, nil
 	}
 	l.done()
-	if l.err.Kind != session.KindBusy {
+	if failure.Kind != session.KindBusy {
 		g.reportFailure(l.server)
 	}
-	return nil, &session.Error{Err: errors.New(l.err.Text), Kind: session.KindBusy, Op: "connect", RetryAfter: primaryRetry}
+	return nil, &session.Error{Err: errors.New(failure.Text), Kind: session.KindBusy, Op: "connect", RetryAfter: primaryRetry}
 }
 
 func await(changed <-chan struct{}, span time.Duration) bool {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -85,7 +85,6 @@
 
 	mu      sync.Mutex
 	servers map[fleet.ServerID]*serverState
-	opened  uint64
 }
 
 type serverState struct {
@@ -161,13 +160,6 @@
 	return Counts{Idle: len(s.idle), Open: s.open, Waiting: len(s.waiting)}
 }
 
-// Opened returns the number of connections that were opened.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // HasIdle reports whether a workspace could use a connection at once.
 func (p *Pool) HasIdle(server fleet.ServerID, workspace fleet.WorkspaceID) bool {
 	p.mu.Lock()
@@ -335,7 +327,6 @@
 	if s != nil {
 		target = s.server
 	}
-	p.opened++
 	p.mu.Unlock()
 	if s == nil {
 		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}, false
--- a/primacy/samples.go
+++ b/primacy/samples.go
@@ -83,12 +83,3 @@
 	}
 	return oldest, true
 }
-
-// Newest returns the last position and its time, or zero.
-func (s *Samples) Newest() (fleet.Position, time.Time) {
-	if len(s.samples) == 0 {
-		return fleet.Position{}, time.Time{}
-	}
-	newest := s.samples[len(s.samples)-1]
-	return newest.position, newest.time
-}
--- a/session/session.go
+++ b/session/session.go
@@ -79,7 +79,6 @@
 // transaction is one that the caller began.
 type transaction struct {
 	access Access
-	began  time.Time
 	// lease is nil until the first statement, and after the transaction failed.
 	lease Lease
 	need  Need
@@ -173,7 +172,7 @@
 	}
 	need := s.need(now, access)
 	need.Write = statement.Kind == StatementBegin
-	s.transaction = &transaction{access: access, began: now, need: need}
+	s.transaction = &transaction{access: access, need: need}
 	s.state = StateTransaction
 	return s.done()
 }
