feat: keep the pools of limits on instances instead of in the store

Each workspace now has pools on two instances (rendezvous hashing); the others ask them over UDP, authenticated with a secret in the owner's row. Parts depend on the membership only. An instance that joins holds none until no other can still hold them (workspace.Participation); TestDivisionModel proves the rule over deaths, pauses, cuts and restarts, and found three earlier designs wrong: held back by time alone, cold start by age alone, growth by demand.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sys/unix"
 
+	"github.com/nutmegpier/nutmegpier/datagram"
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
@@ -72,11 +73,12 @@
 	return time.Unix(now.Unix())
 }
 
-// listeners are what an instance listens on. Metrics is nil if they are not
-// served.
+// listeners are what an instance listens on. Metrics and peers are nil if they
+// are not served.
 type listeners struct {
 	callers net.Listener
 	metrics net.Listener
+	peers   *net.UDPConn
 	ready   net.Listener
 }
 
@@ -95,7 +97,15 @@
 		}
 		*each.listener = opened
 	}
-	return l, nil
+	if addresses.Peers == "" {
+		return l, nil
+	}
+	address, err := net.ResolveUDPAddr("udp", addresses.Peers)
+	if err != nil {
+		return listeners{}, err
+	}
+	l.peers, err = net.ListenUDP("udp", address)
+	return l, err
 }
 
 // serve runs an instance until a signal or a failure ends it.
@@ -116,7 +126,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 
-	running := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond))
+	running := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
 	callers := platform.NewCallers(session.Config{
 		Clock: bootTime, Gate: running, Jitter: rand.Float64, Observer: running, Pause: time.Sleep, Router: running,
 	}, running.TransactionIdle)
@@ -178,13 +188,13 @@
 	debug.SetMemoryLimit(int64(settings.MemoryLimit) * megabyte / 2)
 }
 
-func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log) *gateway.Gateway {
+func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) *gateway.Gateway {
 	dialer := platform.NetDialer()
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}
 	client := &http.Client{Transport: transport}
 	var running *gateway.Gateway
 	servers := platform.NewDialer(bootTime, func(server fleet.ServerID) bool { return running.ReportSilence(server) })
-	running = gateway.New(gateway.Config{
+	config := gateway.Config{
 		Clock:    bootTime,
 		Control:  platform.NewControl(),
 		Dialer:   servers,
@@ -195,7 +205,11 @@
 		Settings: settings,
 		Source:   platform.Source{},
 		Store:    platform.NewStore(client, settings.StoreAddress),
-	})
+	}
+	if peers != nil {
+		config.Peers = datagram.New(peers)
+	}
+	running = gateway.New(config)
 	return running
 }
 
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -20,20 +20,30 @@
 // store can't be reached: the time of a few calls.
 const notLeasedRetry = 500 * time.Millisecond
 
+// admitTries bounds how often an operation takes from the pools of a limit.
+const admitTries = 2
+
 // Admit takes one operation from the limit of the workspace.
 func (g *Gateway) Admit(now time.Time, workspace fleet.WorkspaceID) *session.Error {
 	if workspace == "" {
 		return nil
 	}
-	decision := g.limits.admit(now, workspace, true)
-	if !decision.Admitted && g.takeSpare(now, workspace) {
-		decision = g.limits.admit(g.config.Clock(), workspace, false)
+	g.limits.Count(now, workspace)
+	decision := g.limits.Admit(now, workspace)
+	reason := ""
+	for tries := 0; !decision.Admitted && tries < admitTries; tries++ {
+		taken, retryAfter, why := g.borrow(g.config.Clock(), workspace)
+		if !taken {
+			decision.RetryAfter, reason = min(decision.RetryAfter, retryAfter), why
+			break
+		}
+		// Another request may have used what was taken.
+		decision = g.limits.Admit(g.config.Clock(), workspace)
 	}
 	if decision.Admitted {
 		return nil
 	}
-	g.noteDemand(now, workspace)
-	return &session.Error{Err: errors.New("the workspace is over its rate"), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
+	return &session.Error{Err: fmt.Errorf("the workspace is over its rate; %s", reason), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
 }
 
 // Check returns what a caller may do now.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/sheet"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 // Partition names a part of a table. The store performs the transactions of a
@@ -130,6 +131,9 @@
 	Epoch    fleet.Epoch
 	Instance fleet.InstanceID
 	Log      *Log
+	// Peers reaches the other instances. Without it, the pools of the limits
+	// that lie on other instances are not used.
+	Peers    Peers
 	Promoter Promoter
 	Settings Settings
 	Source   Source
@@ -140,7 +144,7 @@
 // who writes it.
 type Gateway struct {
 	config Config
-	limits *limits
+	limits *workspace.Division
 	pool   *pool.Pool
 
 	// routing is written by the sheet's follower.
@@ -162,8 +166,6 @@
 	// health is written by whoever talks to a server.
 	health map[fleet.ServerID]*serverHealth
 	random *rand.Rand
-	// spares is written by requests that take from the pools of limits.
-	spares map[fleet.WorkspaceID]*spare
 	// storeClock is written by all followers.
 	storeClock feed.Calibration
 
@@ -203,12 +205,11 @@
 		groups:  map[fleet.GroupID]*groupState{},
 		health:  map[fleet.ServerID]*serverHealth{},
 		joined:  make(chan struct{}),
-		limits:  newLimits(),
+		limits:  workspace.NewDivision(config.Instance),
 		members: newMemberView(config.Instance, config.Epoch),
 		news:    make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
 		servers: map[fleet.ServerID]*backendServer{},
-		spares:  map[fleet.WorkspaceID]*spare{},
 	}
 	g.pool = pool.New(config.Dialer, config.Clock)
 	return g
@@ -224,6 +225,7 @@
 	tasks.Go(func() error { return g.promote(ctx) })
 	tasks.Go(func() error { return g.probe(ctx) })
 	tasks.Go(func() error { return g.sweep(ctx) })
+	tasks.Go(func() error { return g.servePeers(ctx) })
 	err := tasks.Wait()
 	g.pool.Close()
 	return err
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -54,13 +56,23 @@
 
 // MemberRow is what an instance tells the others.
 type MemberRow struct {
+	// Address is where the instance answers questions of others.
+	Address string `json:",omitempty"`
 	// At is the store's steady time when the row was sent.
 	At time.Duration
 	// Beat changes with each write.
-	Beat   uint64
-	Demand []WorkspaceDemand `json:",omitempty"`
+	Beat uint64
+	// Demand is in operations a second.
+	Demand float64
 	Epoch  fleet.Epoch
 	Left   []GroupLeft `json:",omitempty"`
+	// Phase says whether the instance holds parts of limits.
+	Phase workspace.Phase
+	// Since is the store's steady time from which the row has been there
+	// without a gap.
+	Since time.Duration
+	// Secret proves that a question comes from a reader of this row.
+	Secret []byte `json:",omitempty"`
 	// Unreachable holds the primaries that the instance can't use.
 	Unreachable []fleet.ServerID `json:",omitempty"`
 }
@@ -77,9 +89,9 @@
 	// lost is true once a lapse of the own row was logged.
 	lost    bool
 	members map[fleet.InstanceID]*member
-	// ownDemand is the demand in the own row, as the others see it.
-	ownDemand []WorkspaceDemand
-	ownRev    feed.Revision
+	ownRev  feed.Revision
+	// participation decides when the instance holds parts of limits.
+	participation *workspace.Participation
 	// readAt is when the last look at the table was sent that was answered.
 	readAt time.Time
 	// readStore is the same on the store's clock.
@@ -87,6 +99,10 @@
 	// recordsAt is the proof of the records of primaries.
 	recordsAt time.Time
 	self      fleet.InstanceID
+	// resumedUntil is until when the row of an earlier run counts as the own.
+	resumedUntil time.Time
+	// since is MemberRow.Since of the own row.
+	since time.Duration
 }
 
 // member is another instance.
@@ -97,11 +113,12 @@
 
 func newMemberView(self fleet.InstanceID, epoch fleet.Epoch) memberView {
 	return memberView{
-		epoch:      epoch,
-		leadership: primacy.NewLeadership(self, epoch),
-		left:       map[fleet.GroupID]primacy.Generation{},
-		members:    map[fleet.InstanceID]*member{},
-		self:       self,
+		epoch:         epoch,
+		leadership:    primacy.NewLeadership(self, epoch),
+		left:          map[fleet.GroupID]primacy.Generation{},
+		members:       map[fleet.InstanceID]*member{},
+		participation: workspace.NewParticipation(),
+		self:          self,
 	}
 }
 
@@ -155,7 +172,7 @@
 			continue
 		}
 		f.note(nil)
-		g.divideLimits(g.config.Clock())
+		g.participate(g.config.Clock())
 		break
 	}
 	// Instances that start together see each other in the second look.
@@ -164,9 +181,13 @@
 		now := g.config.Clock()
 		if !now.Before(nextBeat) {
 			nextBeat = now.Add(beatInterval)
-			if !g.beat(ctx, now) {
+			written, news := g.beat(ctx, now)
+			if !written {
 				nextBeat = now.Add(beatInterval / 4)
 			}
+			if news {
+				nextLook = now
+			}
 		}
 		g.lead(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextLook) {
@@ -174,7 +195,9 @@
 			err := g.lookAtMembers(ctx, f)
 			f.note(err)
 			if err == nil {
-				g.divideLimits(g.config.Clock())
+				if g.participate(g.config.Clock()) {
+					nextBeat = now
+				}
 				g.prune(ctx)
 			}
 		}
@@ -222,30 +245,48 @@
 	}
 }
 
-// beat writes the own row. It reports false if the row is not known to be
-// written.
-func (g *Gateway) beat(ctx context.Context, now time.Time) bool {
+// beat writes the own row. Written is false if the row is not known to be
+// written. News is true if the rows must be looked at for what it shows.
+func (g *Gateway) beat(ctx context.Context, now time.Time) (written, news bool) {
 	g.mu.Lock()
-	demand := g.limits.demands(now)
-	write := g.ownWrite(now, demand)
+	if !g.counts(now) && !g.presence.At().IsZero() {
+		// Others may have taken over what this instance held.
+		g.members.participation.Lapse()
+		g.members.readAt = time.Time{}
+	}
+	phase, changed := g.members.participation.Next()
+	write := g.ownWrite(now, phase)
 	g.mu.Unlock()
 	result, err := g.write(ctx, write)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
 		g.noteMembershipLost(now, err)
-		return false
+		return false, false
 	}
 	if !result.Applied {
 		for _, row := range result.Current {
 			g.members.ownRev = row.Revision
 		}
-		return false
+		return false, false
 	}
-	g.members.ownRev, g.members.ownDemand = result.Revision, demand
+	g.members.ownRev = result.Revision
+	g.members.participation.Written(phase)
 	g.noteOwnRow(now)
 	g.proveLocked()
-	return true
+	return true, changed
+}
+
+// participate takes in a look at the rows and divides the limits anew. It
+// reports whether the own row must show another phase.
+func (g *Gateway) participate(now time.Time) bool {
+	g.mu.Lock()
+	members := g.members.participants(g.storeClock.StoreTime(now))
+	g.members.participation.Look(g.ownAge(now), members)
+	_, changed := g.members.participation.Next()
+	g.mu.Unlock()
+	g.divideLimits(now)
+	return changed
 }
 
 // lead takes or renews the leader's row when that is due.
@@ -319,9 +360,13 @@
 	}
 }
 
-func (g *Gateway) ownWrite(now time.Time, demand []WorkspaceDemand) Write {
+func (g *Gateway) ownWrite(now time.Time, phase workspace.Phase) Write {
 	g.members.beat++
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, Demand: demand, Epoch: g.members.epoch}
+	g.members.since = g.ownSince(now)
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, Demand: math.Round(g.limits.TotalDemand(now)), Epoch: g.members.epoch, Phase: phase, Since: g.members.since}
+	if g.config.Peers != nil {
+		row.Address, row.Secret = g.config.Peers.Address(), g.config.Peers.Secret()
+	}
 	for id, generation := range g.members.left {
 		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
 	}
@@ -427,8 +472,7 @@
 	if id == g.members.self && row.Revision > g.members.ownRev {
 		g.members.ownRev = row.Revision
 		if decoded.Epoch != g.members.epoch {
-			g.limits.resume(now, decoded.Demand)
-			g.members.ownDemand = decoded.Demand
+			g.resume(now, decoded)
 		}
 	}
 	// Two copies of the table are kept, and one may be behind the other.
@@ -438,6 +482,49 @@
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 }
 
+// resume takes over the row of an earlier run of the instance, if it still
+// counts: no other instance has taken over its parts of the limits.
+func (g *Gateway) resume(now time.Time, row MemberRow) {
+	left := primacy.LeaseTime - (g.storeClock.StoreTime(now) - row.At)
+	if left > 0 {
+		g.members.since, g.members.resumedUntil = row.Since, now.Add(left)
+		g.members.participation.Resume(row.Phase)
+	}
+}
+
+// counts reports whether the own row has been there without a gap up to now.
+// The caller holds the lock.
+func (g *Gateway) counts(now time.Time) bool {
+	written := g.presence.At()
+	return now.Before(g.members.resumedUntil) || (!written.IsZero() && now.Sub(written) < primacy.LeaseTime)
+}
+
+// ownSince returns since when the own row will have been there without a gap if
+// it is written now. The caller holds the lock.
+func (g *Gateway) ownSince(now time.Time) time.Duration {
+	if g.counts(now) {
+		return g.members.since
+	}
+	return g.storeClock.StoreTime(now)
+}
+
+// ownAge returns how long the own row has been there. The caller holds the
+// lock.
+func (g *Gateway) ownAge(now time.Time) time.Duration {
+	return g.storeClock.StoreTime(now) - g.ownSince(now)
+}
+
+// participants returns the other live instances at a time of the store.
+func (v *memberView) participants(now time.Duration) []workspace.Member {
+	var members []workspace.Member
+	for id, m := range v.members {
+		if id != v.self && v.live(m) {
+			members = append(members, workspace.Member{Age: now - m.row.Since, Instance: id, Phase: m.row.Phase})
+		}
+	}
+	return members
+}
+
 // Leave drops the own row at a planned stop, so that the others divide the
 // limits anew and no change of a primary waits for this instance.
 func (g *Gateway) Leave(ctx context.Context) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 var (
 	requestsByOutcome = expvar.NewMap("RequestsByOutcome")
 	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
+	peerCalls         = expvar.NewMap("PeerCalls")
 	storeCalls        = expvar.NewMap("StoreCalls")
 )
 
@@ -49,6 +50,15 @@
 	storeCalls.Add(call, 1)
 }
 
+// countPeerCall counts a question to another instance by its outcome.
+func countPeerCall(err error) {
+	if err != nil {
+		peerCalls.Add("failed", 1)
+		return
+	}
+	peerCalls.Add("answered", 1)
+}
+
 // endText says how a statement ended.
 func endText(ended session.Ended) string {
 	outcome := "served"
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -38,7 +38,10 @@
 	Callers string
 	// Metrics serves counters and histograms; empty means not at all.
 	Metrics string
-	Ready   string
+	// Peers is where other instances ask this one, over UDP; empty means that
+	// nobody is asked.
+	Peers string
+	Ready string
 }
 
 // LogSettings hold the settings of the log.
@@ -55,6 +58,7 @@
 		{Path: "KeyLease", Default: "4.5s", Min: float64(100 * time.Millisecond), Max: float64(time.Minute)},
 		{Path: "Listen.Callers", Format: document.FormatAddress, Required: true},
 		{Path: "Listen.Metrics", Format: document.FormatAddress},
+		{Path: "Listen.Peers", Format: document.FormatAddress},
 		{Path: "Listen.Ready", Format: document.FormatAddress, Required: true},
 		{Path: "Log.LinesPerSecond", Default: "20", Min: 0, Max: 100_000},
 		{Path: "MemoryLimit", Default: "284", Min: 16, Max: 1 << 20},
--- a/group/rank.go
+++ b/group/rank.go
@@ -1,12 +1,8 @@
 package group
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -21,10 +17,10 @@
 // rendezvous hashing, counted from zero. An instance that is not listed as
 // live counts as one more.
 func Rank(group fleet.GroupID, self fleet.InstanceID, live []fleet.InstanceID) int {
-	own := weight(group, self)
+	own := fleet.OwnerWeight(string(group), self)
 	rank := 0
 	for _, other := range live {
-		w := weight(group, other)
+		w := fleet.OwnerWeight(string(group), other)
 		if w > own || (w == own && other < self) {
 			rank++
 		}
@@ -33,41 +29,7 @@
 }
 
 // Pollers returns the instances that poll a group: the count live ones that
-// rank first for it, in the order of rank. It returns all of them if fewer are
-// live. When an instance joins or leaves, only the groups change in which it
-// is one of the first count.
+// rank first for it, in the order of rank.
 func Pollers(group fleet.GroupID, live []fleet.InstanceID, count int) []fleet.InstanceID {
-	if count <= 0 {
-		return nil
-	}
-	pollers := make([]candidate, 0, min(count, len(live))+1)
-	for _, instance := range live {
-		add := candidate{instance: instance, weight: weight(group, instance)}
-		i, found := slices.BinarySearchFunc(pollers, add, candidate.compare)
-		if found || i == count {
-			continue
-		}
-		pollers = slices.Insert(pollers, i, add)
-		pollers = pollers[:min(count, len(pollers))]
-	}
-	instances := make([]fleet.InstanceID, len(pollers))
-	for i, poller := range pollers {
-		instances[i] = poller.instance
-	}
-	return instances
-}
-
-// candidate is an instance with its weight for one group.
-type candidate struct {
-	instance fleet.InstanceID
-	weight   uint64
-}
-
-// compare orders the heavier candidate first, and equal ones by id.
-func (c candidate) compare(other candidate) int {
-	return cmp.Or(cmp.Compare(other.weight, c.weight), cmp.Compare(c.instance, other.instance))
-}
-
-func weight(group fleet.GroupID, instance fleet.InstanceID) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(len(group)) + ":" + string(group) + string(instance))
+	return fleet.Owners(string(group), live, count)
 }
--- a/workspace/demandshare.go
+++ b/workspace/demandshare.go
@@ -1,13 +1,12 @@
 package workspace
 
-// equalPart is the part of a limit that is divided equally, whatever the
-// demand, so that an instance can admit the first requests of a workspace
-// before others know of them.
+// equalPart is the part that is divided equally, whatever the demand, so that an
+// instance can serve its first requests before others know of them.
 const equalPart = 0.25
 
-// DemandShare returns the fraction of a workspace's limit that one instance
-// holds, from its own demand and that of all instances, its own included, in
-// requests a second. The fractions of all instances add up to one.
+// DemandShare returns the fraction of something scarce that one instance holds,
+// from its own demand and that of all instances, its own included, in requests a
+// second. The fractions of all instances add up to one.
 func DemandShare(own float64, all []float64) float64 {
 	if len(all) == 0 {
 		return 0
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -55,6 +55,19 @@
 	return Decision{RetryAfter: b.retryAfter()}
 }
 
+// Take takes up to want requests for another instance, at least one or none.
+// Without any, the retry time is given.
+func (l *Limiter) Take(now time.Time, workspace fleet.WorkspaceID, want float64) (taken float64, retryAfter time.Duration) {
+	first := l.Admit(now, workspace)
+	if !first.Admitted {
+		return 0, first.RetryAfter
+	}
+	b := l.buckets[workspace]
+	more := math.Max(0, math.Min(want-1, b.share.Level))
+	b.share.Level -= more
+	return 1 + more, 0
+}
+
 // Remove drops the share of a workspace.
 func (l *Limiter) Remove(workspace fleet.WorkspaceID) {
 	delete(l.buckets, workspace)
