--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -241,10 +241,11 @@
 func (g *Gateway) setPoolServers() {
 	g.mu.Lock()
 	part := g.demandPart(g.config.Clock())
+	live := g.members.liveInstances()
 	var servers []pool.Server
 	for id, server := range g.servers {
-		limit := connectionLimit(g.databaseConnections(server.Group), part)
-		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Limit: limit})
+		limit, idle := pool.Share(g.databaseConnections(server.Group), part, g.config.Instance, live, id)
+		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Idle: idle, Limit: limit})
 	}
 	g.mu.Unlock()
 	g.pool.SetServers(g.config.Clock(), servers)
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -141,15 +141,20 @@
 	return !primacy.IsSilent(v.readStore - m.row.At)
 }
 
-// liveCount returns the number of live instances, this one included.
-func (v *memberView) liveCount() int {
-	count := 1
+// liveInstances returns the live instances, this one first.
+func (v *memberView) liveInstances() []fleet.InstanceID {
+	instances := []fleet.InstanceID{v.self}
 	for id, m := range v.members {
 		if id != v.self && v.live(m) {
-			count++
+			instances = append(instances, id)
 		}
 	}
-	return count
+	return instances
+}
+
+// liveCount returns the number of live instances, this one included.
+func (v *memberView) liveCount() int {
+	return len(v.liveInstances())
 }
 
 // suspects reports whether another live instance can't use a primary.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/document"
@@ -86,21 +85,3 @@
 	}
 	return errors.Join(all...)
 }
-
-// connectionLimit returns how many connections to one server this instance may
-// hold, of the budget over all instances: its part of all demand.
-func connectionLimit(budget int, part float64) int {
-	if budget <= 0 {
-		return minConnections
-	}
-	return max(minConnections, int(math.Round(part*connectionPart*float64(budget))))
-}
-
-const (
-	// minConnections lets a transaction and a statement run side by side.
-	minConnections = 2
-	// connectionPart is the part of the budget that all instances use together.
-	// The rest is for status queries, and for the time after a loss of power:
-	// a server counts connections whose far end is gone for 3 s more.
-	connectionPart = 0.6
-)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -45,6 +45,9 @@
 	Address string
 	Group   fleet.GroupID
 	ID      fleet.ServerID
+	// Idle is the number of connections that this instance may keep without
+	// using them.
+	Idle int
 	// Limit is the number of connections that this instance may hold.
 	Limit int
 }
@@ -140,6 +143,7 @@
 			s.limit = server.Limit
 		}
 		s.server = server
+		s.trimIdle()
 	}
 	for id, s := range p.servers {
 		if !known[id] {
@@ -378,6 +382,12 @@
 		w.granted <- nil
 		return
 	}
+	if len(s.idle) >= s.server.Idle {
+		// Other instances need the place more than this one the connection.
+		held.Close()
+		s.open--
+		return
+	}
 	s.idle = append(s.idle, held)
 }
 
@@ -413,6 +423,16 @@
 	}
 }
 
+// trimIdle closes the idle connections over the allowed number, the ones that
+// were not used for longest first.
+func (s *serverState) trimIdle() {
+	for len(s.idle) > s.server.Idle {
+		s.idle[0].Close()
+		s.idle = s.idle[1:]
+		s.open--
+	}
+}
+
 func (s *serverState) closeIdle() {
 	for _, held := range s.idle {
 		held.Close()
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -52,7 +52,7 @@
 
 func newPool(d *dialer, limit int) *pool.Pool {
 	p := pool.New(d, time.Now)
-	p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Limit: limit}})
+	p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: limit, Limit: limit}})
 	return p
 }
 
@@ -81,6 +81,27 @@
 	}
 }
 
+// TestIdleIsBounded guards against an idle connection that shuts out another
+// instance because the server takes no more.
+func TestIdleIsBounded(t *testing.T) {
+	d := &dialer{}
+	p := newPool(d, 2)
+	a, b := acquire(t, p, "w"), acquire(t, p, "w")
+	p.Release("s", a)
+	p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 0, Limit: 2}})
+	if d.open != 1 {
+		t.Errorf("%d connections are open after the bound was lowered, want the one in use", d.open)
+	}
+	p.Release("s", b)
+	if d.open != 0 {
+		t.Errorf("%d idle connections, want none", d.open)
+	}
+	p.Release("s", acquire(t, p, "w"))
+	if d.open != 0 {
+		t.Errorf("%d idle connections after another use, want none", d.open)
+	}
+}
+
 // TestFullServer guards against a server that is asked again and again while
 // it refuses connections, and against a request that is then lost.
 func TestFullServer(t *testing.T) {
@@ -136,7 +157,7 @@
 	if next := acquire(t, p, "w"); !next.Alive() {
 		t.Error("a dead connection was given out")
 	} else {
-		p.SetServers(time.Now(), []pool.Server{{Address: "b", ID: "s", Limit: 2}})
+		p.SetServers(time.Now(), []pool.Server{{Address: "b", ID: "s", Idle: 2, Limit: 2}})
 		p.Release("s", next)
 	}
 	if d.open != 0 {
--- /dev/null
+++ b/pool/share_test.go
@@ -0,0 +1,56 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/pool"
+)
+
+// TestShare guards against instances that together keep more idle connections
+// than a server takes, or so many that nobody else can open one: with 68
+// instances and 47 connections, each that kept one shut others out, and half of
+// all requests were refused.
+func TestShare(t *testing.T) {
+	for _, test := range []struct {
+		instances, budget int
+	}{
+		{instances: 1, budget: 22},
+		{instances: 8, budget: 22},
+		{instances: 68, budget: 47},
+		{instances: 72, budget: 243},
+		{instances: 300, budget: 47},
+	} {
+		t.Run(fmt.Sprintf("%d of %d", test.instances, test.budget), func(t *testing.T) {
+			var live []fleet.InstanceID
+			for n := range test.instances {
+				live = append(live, fleet.InstanceID(fmt.Sprintf("front-%d", n)))
+			}
+			for s := range 24 {
+				server := fleet.ServerID(fmt.Sprintf("i-%08x", s))
+				kept := 0
+				for _, self := range live {
+					limit, idle := pool.Share(test.budget, 1/float64(test.instances), self, live, server)
+					if idle > limit || limit < 1 {
+						t.Fatalf("%d idle of %d connections", idle, limit)
+					}
+					kept += idle
+				}
+				// The rest is for requests and for connections that a server
+				// counts although their far end is gone.
+				if float64(kept) > 0.75*float64(test.budget) {
+					t.Errorf("server %s: %d idle connections of %d", server, kept, test.budget)
+				}
+			}
+		})
+	}
+}
+
+// TestShareWithoutBudget guards against a database without a stated budget that
+// gets no connections.
+func TestShareWithoutBudget(t *testing.T) {
+	if limit, idle := pool.Share(0, 1, "a", []fleet.InstanceID{"a"}, "s"); limit < 1 || idle < 1 {
+		t.Errorf("%d connections, %d idle", limit, idle)
+	}
+}
