fix: ask for an answer at once after the store was lost

Ruled out: leases (own rows were back after 0.1 s), the promoter (no change of a primary was under way).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
@@ -44,6 +45,13 @@
 	gateway *Gateway
 	lost    bool
 	mirror  *feed.Mirror
+
+	// mu guards what interrupt and follow share.
+	mu sync.Mutex
+	// cancel ends the call under way.
+	cancel      context.CancelFunc
+	interrupted bool
+
 	// partitions are those of the table that hold rows.
 	partitions []Partition
 	table      Table
@@ -59,7 +67,16 @@
 func (f *follower) follow(ctx context.Context, apply func(now time.Time, changed []feed.Row)) error {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		changed, err := f.next(ctx, f.wait)
+		wait := f.wait
+		if f.lost || f.isInterrupted() {
+			// The proof is old: an answer is needed now, not after a change.
+			wait = 0
+		}
+		changed, err := f.next(ctx, wait)
+		if err != nil && f.isInterrupted() {
+			continue
+		}
+		f.resume()
 		now := f.gateway.config.Clock()
 		if err != nil {
 			f.note(err)
@@ -74,6 +91,39 @@
 	return nil
 }
 
+// interrupt ends a call that waits for changes, and has the next one answered
+// at once.
+func (f *follower) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupted = true
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *follower) isInterrupted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.interrupted
+}
+
+// resume notes that a call has ended that began after the interruption.
+func (f *follower) resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupted = false
+}
+
+// begin returns the context of a call that interrupt can end.
+func (f *follower) begin(ctx context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, bound)
+	f.cancel = cancel
+	return bounded, cancel
+}
+
 // next makes one call.
 func (f *follower) next(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	clock := f.gateway.config.Clock
@@ -81,7 +131,7 @@
 	var err error
 	sent := clock()
 	if f.mirror.Loaded() {
-		bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
+		bounded, cancel := f.begin(ctx, wait+answerSlack)
 		snapshot, err = f.gateway.config.Store.Changes(bounded, f.table, f.mirror.Revision(), wait)
 		cancel()
 		var known *Error
@@ -272,6 +322,9 @@
 		return nil
 	}
 	f := g.newFollower(recordTable, recordWait, recordPartition)
+	g.mu.Lock()
+	g.records = f
+	g.mu.Unlock()
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
 			if row.Deleted {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,6 +154,8 @@
 	sheetAt time.Time
 	// servers is written by the servers' follower.
 	servers map[fleet.ServerID]*backendServer
+	// records is the follower of the records of primaries, once it runs.
+	records *follower
 	// groups is written by the records' follower.
 	groups map[fleet.GroupID]*groupState
 	// presence is written by the membership controller.
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -361,6 +361,10 @@
 	if g.presence.Written(sent, g.config.Clock()) {
 		g.members.lost = false
 		g.joinOnce.Do(func() { close(g.joined) })
+		if g.records != nil {
+			// Looks from before the row was there prove nothing.
+			g.records.interrupt()
+		}
 		g.config.Log.Record(event.MembershipGained, event.Fields{})
 	}
 }
