feat: hand on tables of the store between instances

One instance of a data centre (or of all, where it has fewer than four) reads sheet, servers, records and rows of instances; the others ask it. A relayed copy carries the store's own time, so leases and keys rest on the same proof. An instance whose relay is silent for 2 s reads for itself.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
 	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/relay"
 	"github.com/nutmegpier/nutmegpier/session"
 )
 
@@ -73,13 +74,14 @@
 	return time.Unix(now.Unix())
 }
 
-// listeners are what an instance listens on. Metrics and peers are nil if they
-// are not served.
+// listeners are what an instance listens on. Metrics, peers and
+// relay are nil if they are not served.
 type listeners struct {
 	callers net.Listener
 	metrics net.Listener
 	peers   *net.UDPConn
 	ready   net.Listener
+	relay   net.Listener
 }
 
 func listen(addresses gateway.Listen) (listeners, error) {
@@ -87,7 +89,7 @@
 	for _, each := range []struct {
 		address  string
 		listener *net.Listener
-	}{{addresses.Callers, &l.callers}, {addresses.Metrics, &l.metrics}, {addresses.Ready, &l.ready}} {
+	}{{addresses.Callers, &l.callers}, {addresses.Metrics, &l.metrics}, {addresses.Peers, &l.relay}, {addresses.Ready, &l.ready}} {
 		if each.address == "" {
 			continue
 		}
@@ -126,14 +128,14 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 
-	running := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
+	running, relays := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
 	callers := platform.NewCallers(session.Config{
 		Clock: bootTime, Gate: running, Jitter: rand.Float64, Observer: running, Pause: time.Sleep, Router: running,
 	}, running.TransactionIdle)
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 	controllers, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
-	failed := start(controllers, running, callers, opened)
+	failed := start(controllers, running, callers, relays, opened)
 	for {
 		select {
 		case err := <-failed:
@@ -154,13 +156,16 @@
 }
 
 // start starts all that serves. The channel gets the first failure.
-func start(ctx context.Context, running *gateway.Gateway, callers *platform.Callers, opened listeners) <-chan error {
-	const servers = 4
+func start(ctx context.Context, running *gateway.Gateway, callers *platform.Callers, relays *relay.Server, opened listeners) <-chan error {
+	const servers = 5
 	failed := make(chan error, servers)
 	ready := platform.ReadyHandler(func() bool { return running.Ready(bootTime()) })
 	go func() { failed <- running.Run(ctx) }()
 	go func() { failed <- callers.Serve(opened.callers) }()
 	go serveHTTP(opened.ready, ready, failed)
+	if relays != nil {
+		go serveHTTP(opened.relay, relays.Handler(), failed)
+	}
 	if opened.metrics != nil {
 		go serveHTTP(opened.metrics, expvar.Handler(), failed)
 	}
@@ -188,7 +193,7 @@
 	debug.SetMemoryLimit(int64(settings.MemoryLimit) * megabyte / 2)
 }
 
-func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) *gateway.Gateway {
+func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) (*gateway.Gateway, *relay.Server) {
 	dialer := platform.NetDialer()
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}
 	client := &http.Client{Transport: transport}
@@ -206,11 +211,15 @@
 		Source:   platform.Source{},
 		Store:    platform.NewStore(client, settings.StoreAddress),
 	}
-	if peers != nil {
-		config.Peers = datagram.New(peers)
+	if peers == nil {
+		running = gateway.New(config)
+		return running, nil
 	}
+	endpoint := datagram.New(peers)
+	config.Peers = endpoint
+	config.Relays = relay.NewClient(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}})
 	running = gateway.New(config)
-	return running
+	return running, relay.NewServer(endpoint.Secret(), running)
 }
 
 func serveHTTP(listener net.Listener, handler http.Handler, failed chan<- error) {
--- a/feed/calibration.go
+++ b/feed/calibration.go
@@ -30,6 +30,17 @@
 	return moment
 }
 
+// Moment returns a time at or before the store's steady time, which somebody
+// else has read. It reports false before the first own answer.
+func (c *Calibration) Moment(received time.Time, storeTime time.Duration) (time.Time, bool) {
+	moment := c.earliest.Add(storeTime)
+	if moment.After(received) {
+		// An answer can't be from later than its arrival.
+		moment = received
+	}
+	return moment, c.known
+}
+
 // StoreTime returns the store's steady time at a time of the instance. It is
 // ahead by at most the time of the fastest call.
 func (c *Calibration) StoreTime(now time.Time) time.Duration {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 )
 
@@ -32,15 +33,23 @@
 
 // Mirror is a local copy of one table. It isn't safe for concurrent use.
 type Mirror struct {
-	loaded   bool
-	proof    time.Time
-	revision Revision
-	rows     map[string]Row
+	// completeAt is the revision from which dropped rows are known.
+	completeAt Revision
+	dropped    map[string]Row
+	loaded     bool
+	proof      time.Time
+	revision   Revision
+	rows       map[string]Row
+	storeTime  time.Duration
 }
 
+// maxDropped is the number of dropped rows that are kept for those who ask for
+// changes. Rows of instances and servers are dropped a few times a minute.
+const maxDropped = 256
+
 // NewMirror returns a copy that knows nothing yet.
 func NewMirror() *Mirror {
-	return &Mirror{rows: map[string]Row{}}
+	return &Mirror{dropped: map[string]Row{}, rows: map[string]Row{}}
 }
 
 // Apply takes an answer in that shows the table at the time of proof or later.
@@ -53,6 +62,8 @@
 	var changed []Row
 	if snapshot.Complete {
 		changed = m.dropMissing(snapshot.Rows)
+		m.completeAt = snapshot.Revision
+		clear(m.dropped)
 	}
 	for _, row := range snapshot.Rows {
 		if known, found := m.rows[row.Key]; found && known.Revision >= row.Revision {
@@ -60,13 +71,20 @@
 		}
 		if row.Deleted {
 			delete(m.rows, row.Key)
+			m.dropped[row.Key] = row
 		} else {
 			m.rows[row.Key] = row
+			delete(m.dropped, row.Key)
 		}
 		changed = append(changed, row)
 	}
 	m.loaded = m.loaded || snapshot.Complete
 	m.revision = snapshot.Revision
+	m.storeTime = max(m.storeTime, snapshot.StoreTime)
+	if len(m.dropped) > maxDropped {
+		m.completeAt = m.revision
+		clear(m.dropped)
+	}
 	if proof.After(m.proof) {
 		m.proof = proof
 	}
@@ -89,6 +107,28 @@
 	return dropped
 }
 
+// Since returns what has changed after a revision, as an answer of the store at
+// the time of the last one.
+func (m *Mirror) Since(after Revision) Snapshot {
+	snapshot := Snapshot{Complete: after < m.completeAt, Revision: m.revision, StoreTime: m.storeTime}
+	for _, rows := range []map[string]Row{m.rows, m.dropped} {
+		for _, row := range rows {
+			if row.Revision > after || (snapshot.Complete && !row.Deleted) {
+				snapshot.Rows = append(snapshot.Rows, row)
+			}
+		}
+	}
+	if snapshot.Complete {
+		snapshot.Rows = slices.DeleteFunc(snapshot.Rows, func(row Row) bool { return row.Deleted })
+	}
+	return snapshot
+}
+
+// StoreTime is the store's steady time of the newest answer.
+func (m *Mirror) StoreTime() time.Duration {
+	return m.storeTime
+}
+
 // Loaded reports whether the copy has ever held the whole table.
 func (m *Mirror) Loaded() bool {
 	return m.loaded
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -46,20 +46,39 @@
 	lost    bool
 	mirror  *feed.Mirror
 
-	// mu guards what interrupt and follow share.
+	// mu guards what other goroutines read: changes of the mirror, and the
+	// fields below.
 	mu sync.Mutex
+	// advanced is closed with the next answer.
+	advanced chan struct{}
 	// cancel ends the call under way.
-	cancel      context.CancelFunc
+	cancel context.CancelFunc
+	// fromStore is true if the last answer came from the store itself.
+	fromStore   bool
 	interrupted bool
 
 	// partitions are those of the table that hold rows.
 	partitions []Partition
-	table      Table
-	wait       time.Duration
+	// relayed is true if the copy may come from another instance, and others may
+	// ask for it.
+	relayed bool
+	table   Table
+	wait    time.Duration
 }
 
+// newFollower returns a follower whose copy other instances can ask for.
 func (g *Gateway) newFollower(table Table, wait time.Duration, partitions ...Partition) *follower {
-	return &follower{gateway: g, mirror: feed.NewMirror(), partitions: partitions, table: table, wait: wait}
+	f := g.newOwnFollower(table, wait, partitions...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.followers[table] = f
+	f.relayed = g.config.Relays != nil
+	return f
+}
+
+// newOwnFollower returns a follower that always reads the store.
+func (g *Gateway) newOwnFollower(table Table, wait time.Duration, partitions ...Partition) *follower {
+	return &follower{advanced: make(chan struct{}), gateway: g, mirror: feed.NewMirror(), partitions: partitions, table: table, wait: wait}
 }
 
 // follow calls apply after each answer until the context ends. Changed is
@@ -124,8 +143,33 @@
 	return bounded, cancel
 }
 
-// next makes one call.
+// next takes the next answer in, from the relay or the store.
 func (f *follower) next(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
+	now := f.gateway.config.Clock()
+	peer, relayed := f.gateway.relay(now)
+	if relayed && f.relayed && f.mirror.Loaded() && !f.lost && !f.isInterrupted() {
+		changed, err := f.nextFromRelay(ctx, peer, wait)
+		if err == nil || ctx.Err() != nil {
+			return changed, err
+		}
+		if !f.isInterrupted() {
+			f.gateway.noteRelayLost(f.gateway.config.Clock(), peer, err)
+		}
+		// The proof is old by now.
+		wait = 0
+	}
+	if f.relayed {
+		wait = min(wait, relayWait)
+	}
+	changed, err := f.nextFromStore(ctx, wait)
+	if err != nil {
+		f.fail()
+	}
+	return changed, err
+}
+
+// nextFromStore makes one call to the store.
+func (f *follower) nextFromStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	clock := f.gateway.config.Clock
 	var snapshot feed.Snapshot
 	var err error
@@ -148,7 +192,7 @@
 	f.gateway.mu.Lock()
 	proof := f.gateway.storeClock.Observe(sent, clock(), snapshot.StoreTime)
 	f.gateway.mu.Unlock()
-	return f.mirror.Apply(snapshot, proof), nil
+	return f.apply(snapshot, proof, true), nil
 }
 
 func (f *follower) read(ctx context.Context) (feed.Snapshot, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,9 @@
 	// that lie on other instances are not used.
 	Peers    Peers
 	Promoter Promoter
+	// Relays reaches the other instances for what they have read from the
+	// store. Without it, each instance reads for itself.
+	Relays   Relays
 	Settings Settings
 	Source   Source
 	Store    Store
@@ -154,6 +157,10 @@
 	sheetAt time.Time
 	// servers is written by the servers' follower.
 	servers map[fleet.ServerID]*backendServer
+	// followers hold the copies of tables that other instances may ask for.
+	followers map[Table]*follower
+	// relaySkipUntil is until when an instance is not asked for its copies.
+	relaySkipUntil map[fleet.InstanceID]time.Time
 	// records is the follower of the records of primaries, once it runs.
 	records *follower
 	// groups is written by the records' follower.
@@ -202,16 +209,18 @@
 // New returns an instance that has read nothing yet.
 func New(config Config) *Gateway {
 	g := &Gateway{
-		changed: make(chan struct{}),
-		config:  config,
-		groups:  map[fleet.GroupID]*groupState{},
-		health:  map[fleet.ServerID]*serverHealth{},
-		joined:  make(chan struct{}),
-		limits:  workspace.NewDivision(config.Instance),
-		members: newMemberView(config.Instance, config.Epoch),
-		news:    make(chan struct{}, 1),
-		random:  rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
-		servers: map[fleet.ServerID]*backendServer{},
+		changed:        make(chan struct{}),
+		config:         config,
+		followers:      map[Table]*follower{},
+		groups:         map[fleet.GroupID]*groupState{},
+		health:         map[fleet.ServerID]*serverHealth{},
+		joined:         make(chan struct{}),
+		limits:         workspace.NewDivision(config.Instance),
+		members:        newMemberView(config.Instance, config.Epoch),
+		news:           make(chan struct{}, 1),
+		random:         rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
+		relaySkipUntil: map[fleet.InstanceID]time.Time{},
+		servers:        map[fleet.ServerID]*backendServer{},
 	}
 	g.pool = pool.New(config.Dialer, config.Clock)
 	return g
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -61,7 +61,8 @@
 	// At is the store's steady time when the row was sent.
 	At time.Duration
 	// Beat changes with each write.
-	Beat uint64
+	Beat       uint64
+	DataCentre fleet.DataCentre
 	// Demand is in operations a second.
 	Demand float64
 	Epoch  fleet.Epoch
@@ -92,7 +93,7 @@
 	ownRev  feed.Revision
 	// participation decides when the instance holds parts of limits.
 	participation *workspace.Participation
-	// readAt is when the last look at the table was sent that was answered.
+	// readAt is a moment at which the rows were certainly as they are known.
 	readAt time.Time
 	// readStore is the same on the store's clock.
 	readStore time.Duration
@@ -372,7 +373,7 @@
 func (g *Gateway) ownWrite(now time.Time, phase workspace.Phase) Write {
 	g.members.beat++
 	g.members.since = g.ownSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, Demand: math.Round(g.limits.TotalDemand(now)), Epoch: g.members.epoch, Phase: phase, Since: g.members.since}
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.limits.TotalDemand(now)), Epoch: g.members.epoch, Phase: phase, Since: g.members.since}
 	if g.config.Peers != nil {
 		row.Address, row.Secret = g.config.Peers.Address(), g.config.Peers.Secret()
 	}
@@ -421,7 +422,6 @@
 
 // lookAtMembers reads what the other instances tell.
 func (g *Gateway) lookAtMembers(ctx context.Context, f *follower) error {
-	sent := g.config.Clock()
 	changed, err := f.next(ctx, 0)
 	if err != nil {
 		return err
@@ -448,7 +448,9 @@
 			g.observeLeader(now, row)
 		}
 	}
-	g.members.readAt, g.members.readStore = sent, g.storeClock.StoreTime(sent)
+	if proof := f.mirror.Proof(); proof.After(g.members.readAt) {
+		g.members.readAt, g.members.readStore = proof, g.storeClock.StoreTime(proof)
+	}
 	g.checkSuspected()
 	if count := g.members.liveCount(); count != before || len(changed) > 0 {
 		go g.setPoolServers()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	requestsByOutcome = expvar.NewMap("RequestsByOutcome")
 	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
 	peerCalls         = expvar.NewMap("PeerCalls")
+	relayCalls        = expvar.NewMap("RelayCalls")
 	storeCalls        = expvar.NewMap("StoreCalls")
 )
 
@@ -52,11 +53,19 @@
 
 // countPeerCall counts a question to another instance by its outcome.
 func countPeerCall(err error) {
+	peerCalls.Add(callOutcome(err), 1)
+}
+
+// countRelayCall counts a request for what another instance has read.
+func countRelayCall(err error) {
+	relayCalls.Add(callOutcome(err), 1)
+}
+
+func callOutcome(err error) string {
 	if err != nil {
-		peerCalls.Add("failed", 1)
-		return
+		return "failed"
 	}
-	peerCalls.Add("answered", 1)
+	return "answered"
 }
 
 // endText says how a statement ended.
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -64,7 +64,7 @@
 
 // promote orders promotions while this instance leads.
 func (g *Gateway) promote(ctx context.Context) error {
-	p := &promoter{gateway: g, groups: map[fleet.GroupID]*promotion{}, looker: g.newFollower(memberTable, 0, memberPartitions()...)}
+	p := &promoter{gateway: g, groups: map[fleet.GroupID]*promotion{}, looker: g.newOwnFollower(memberTable, 0, memberPartitions()...)}
 	tick := idleTick
 	for pause(ctx, tick) {
 		tick = idleTick
--- /dev/null
+++ b/relay/error.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"fmt"
+
+	"connectrpc.com/connect"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindUnauthorized means that the instance has another secret.
+	KindUnauthorized Kind = "Unauthorized"
+	// KindUnavailable means that the instance gave no answer, or does not read
+	// the table.
+	KindUnavailable Kind = "Unavailable"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Err  error
+	Kind Kind
+	// Op is the operation that failed.
+	Op string
+}
+
+// Error returns the text of the error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+func kindOf(err error) Kind {
+	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+		return KindUnauthorized
+	}
+	return KindUnavailable
+}
