fix: call the store less often at a start

Answers about servers are 0.2 s apart at least, and only a change of a primary has the own row written.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,6 +26,9 @@
 	sheetWait = 3000 * time.Millisecond
 	// serverWait is the same for backend servers, which need no proof.
 	serverWait = 5 * time.Second
+	// serverPause is the least time between two answers about servers: at a start
+	// all of them register within a second, one after the other.
+	serverPause = 200 * time.Millisecond
 	// recordWait is the same for records of primaries: see primacy.LeaseTime.
 	recordWait = 3000 * time.Millisecond
 	// missingBound is how long a server whose entry is missing is still used:
@@ -266,6 +269,7 @@
 		}
 		if len(changed) > 0 {
 			g.setPoolServers()
+			pause(ctx, serverPause)
 		}
 	})
 }
@@ -401,9 +405,10 @@
 	number := event.PrimaryChanged
 	if record.Phase == primacy.PhaseChanging {
 		number = event.PrimarySuspected
+		// The leader waits for the word that this instance has left.
+		g.wake()
 	}
 	g.config.Log.Record(number, event.Fields{Database: record.Group, Server: record.Primary, Term: record.Term, Text: string(record.Reason)})
-	g.wake()
 }
 
 // proveRecords says that all known records were the newest ones at a time. An
