feat: tell the leader of news about a primary

An instance whose row tells that it left a primary, or can't reach it, now says so to the leader, which looks at once; without news it looks every 2 s.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -49,6 +49,7 @@
 	MembershipLost       Number = 332
 	MembershipGained     Number = 333
 	RelayLost            Number = 334
+	PeerSilent           Number = 335
 	PrimarySuspected     Number = 401
 	PrimaryHeard         Number = 402
 	PromotionStarted     Number = 403
@@ -120,6 +121,7 @@
 		entry(MembershipLost, "MembershipLost", LevelWarning, "The instance's own row was not written for too long. It uses no primary and no rate.", "Text"),
 		entry(MembershipGained, "MembershipGained", LevelInfo, "The instance's own row was written."),
 		entry(RelayLost, "RelayLost", LevelWarning, "The instance that hands on what it reads from the store gave no answer. This one reads for itself for a while.", "Text"),
+		entry(PeerSilent, "PeerSilent", LevelWarning, "Another instance did not answer. The leader hears of the news with its next look.", "Text"),
 		entry(PrimarySuspected, "PrimarySuspected", LevelWarning, "The primary of a database may have failed.", "Database", "Server", "Term", "Text"),
 		entry(PrimaryHeard, "PrimaryHeard", LevelInfo, "A suspected primary answers again in the same term.", "Database", "Server", "Term"),
 		entry(PromotionStarted, "PromotionStarted", LevelWarning, "This instance began a promotion and asks the servers for a promise.", "Database", "Term", "Text"),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,8 @@
 	// storeClock is written by all followers.
 	storeClock feed.Calibration
 
+	// lookNow has the leader look at the rows of instances.
+	lookNow chan struct{}
 	// news wakes the membership controller and the promoter.
 	news     chan struct{}
 	draining bool
@@ -217,6 +219,7 @@
 		joined:         make(chan struct{}),
 		limits:         workspace.NewDivision(config.Instance),
 		members:        newMemberView(config.Instance, config.Epoch),
+		lookNow:        make(chan struct{}, 1),
 		news:           make(chan struct{}, 1),
 		random:         rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
 		relaySkipUntil: map[fleet.InstanceID]time.Time{},
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -16,9 +17,9 @@
 	// instances hold unused adds to the burst of a workspace, so it stays well
 	// below the tenth by which a limit may be exceeded in 5 s.
 	lendSpan = 250 * time.Millisecond
-	// lendBound bounds one question. The request waits for it; an answer takes
-	// two to four milliseconds, and a lost datagram is sent again.
-	lendBound = 70 * time.Millisecond
+	// askBound bounds one question. A request waits for it; an answer takes two
+	// to four milliseconds, and a lost datagram is sent again.
+	askBound = 70 * time.Millisecond
 	// lendEmpty is how long a pool that had nothing left is not asked again.
 	lendEmpty = 200 * time.Millisecond
 	// lendSilent is the same for an owner that did not answer.
@@ -39,6 +40,13 @@
 	Serve(ctx context.Context, answer func(question []byte) []byte) error
 }
 
+// Question is what one instance asks another.
+type Question struct {
+	// Look tells the leader that the asker's row says something about a primary.
+	Look bool          `json:",omitempty"`
+	Take *TakeQuestion `json:",omitempty"`
+}
+
 // TakeQuestion asks the owner of a pool for requests of a workspace.
 type TakeQuestion struct {
 	Want      float64
@@ -57,14 +65,12 @@
 		return nil
 	}
 	return g.config.Peers.Serve(ctx, func(content []byte) []byte {
-		var question TakeQuestion
+		var question Question
 		if err := json.Unmarshal(content, &question); err != nil {
 			g.config.Log.Record(event.EntryRefused, event.Fields{Text: "question of an instance: " + err.Error()})
 			return nil
 		}
-		var answer TakeAnswer
-		answer.Taken, answer.RetryAfter = g.limits.Give(g.config.Clock(), question.Workspace, question.Want)
-		encoded, err := json.Marshal(answer)
+		encoded, err := json.Marshal(g.answer(question))
 		if err != nil {
 			g.config.Log.Record(event.EntryRefused, event.Fields{Text: "answer to an instance: " + err.Error()})
 			return nil
@@ -73,6 +79,34 @@
 	})
 }
 
+func (g *Gateway) answer(question Question) TakeAnswer {
+	var answer TakeAnswer
+	if question.Look {
+		select {
+		case g.lookNow <- struct{}{}:
+		default:
+		}
+	}
+	if take := question.Take; take != nil {
+		answer.Taken, answer.RetryAfter = g.limits.Give(g.config.Clock(), take.Workspace, take.Want)
+	}
+	return answer
+}
+
+// tellLeader has the leader look at the rows now. One that does not hear of it
+// looks a little later.
+func (g *Gateway) tellLeader() {
+	g.mu.Lock()
+	leader := g.members.leadership.Holder()
+	g.mu.Unlock()
+	if leader == g.config.Instance {
+		return
+	}
+	if _, err := g.ask(leader, Question{Look: true}); err != nil {
+		g.config.Log.Record(event.PeerSilent, event.Fields{Text: "leader " + string(leader) + ": " + err.Error()})
+	}
+}
+
 // borrow takes requests from the pools of a workspace. It reports whether there
 // is something to admit now, and otherwise when a caller may come back and why
 // there is not.
@@ -85,7 +119,7 @@
 			retryAfter, reason = nearer(i, retryAfter, wait), "its pools were empty or silent a moment ago"
 			continue
 		}
-		answer, err := g.takeFrom(now, owner.Instance, TakeQuestion{Want: want, Workspace: id})
+		answer, err := g.takeFrom(owner.Instance, TakeQuestion{Want: want, Workspace: id})
 		now = g.config.Clock()
 		if err != nil {
 			g.limits.SkipOwner(id, owner.Instance, now.Add(lendSilent))
@@ -112,32 +146,37 @@
 }
 
 // takeFrom asks an owner, which may be this instance.
-func (g *Gateway) takeFrom(now time.Time, owner fleet.InstanceID, question TakeQuestion) (TakeAnswer, error) {
-	var answer TakeAnswer
-	if owner == g.members.self {
-		answer.Taken, answer.RetryAfter = g.limits.Give(now, question.Workspace, question.Want)
-		return answer, nil
+func (g *Gateway) takeFrom(owner fleet.InstanceID, take TakeQuestion) (TakeAnswer, error) {
+	question := Question{Take: &take}
+	if owner == g.config.Instance {
+		return g.answer(question), nil
 	}
+	return g.ask(owner, question)
+}
+
+// ask asks another instance.
+func (g *Gateway) ask(instance fleet.InstanceID, question Question) (TakeAnswer, error) {
 	g.mu.Lock()
-	m := g.members.members[owner]
+	m := g.members.members[instance]
 	g.mu.Unlock()
 	if m == nil || m.row.Address == "" || g.config.Peers == nil {
-		return answer, &Error{Kind: KindNotDone, Op: "take from pool"}
+		return TakeAnswer{}, &Error{Err: errors.New("its address is not known"), Kind: KindNotDone, Op: "ask"}
 	}
 	content, err := json.Marshal(question)
 	if err != nil {
-		return answer, &Error{Err: err, Kind: KindInvalid, Op: "take from pool"}
+		return TakeAnswer{}, &Error{Err: err, Kind: KindInvalid, Op: "ask"}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), lendBound)
+	ctx, cancel := context.WithTimeout(context.Background(), askBound)
 	defer cancel()
 	encoded, err := g.config.Peers.Ask(ctx, m.row.Address, m.row.Secret, content)
+	var answer TakeAnswer
 	if err == nil {
 		err = json.Unmarshal(encoded, &answer)
 	}
 	countPeerCall(err)
 	if err != nil {
-		// What the owner may have given is lost.
-		return TakeAnswer{}, &Error{Err: err, Kind: KindUnknown, Op: "take from pool"}
+		// What was given is lost.
+		return TakeAnswer{}, &Error{Err: err, Kind: KindUnknown, Op: "ask"}
 	}
 	return answer, nil
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -102,6 +102,8 @@
 	self      fleet.InstanceID
 	// resumedUntil is until when the row of an earlier run counts as the own.
 	resumedUntil time.Time
+	// told is the own row as it was last written.
+	told MemberRow
 	// since is MemberRow.Since of the own row.
 	since time.Duration
 }
@@ -261,7 +263,8 @@
 		g.members.readAt = time.Time{}
 	}
 	phase, changed := g.members.participation.Next()
-	write := g.ownWrite(now, phase)
+	row := g.ownRow(now, phase)
+	write := g.ownWrite(row)
 	g.mu.Unlock()
 	result, err := g.write(ctx, write)
 	g.mu.Lock()
@@ -278,6 +281,10 @@
 	}
 	g.members.ownRev = result.Revision
 	g.members.participation.Written(phase)
+	if !slices.Equal(row.Left, g.members.told.Left) || !slices.Equal(row.Unreachable, g.members.told.Unreachable) {
+		go g.tellLeader()
+	}
+	g.members.told = row
 	g.noteOwnRow(now)
 	g.proveLocked()
 	return true, changed
@@ -370,7 +377,9 @@
 	}
 }
 
-func (g *Gateway) ownWrite(now time.Time, phase workspace.Phase) Write {
+// ownRow returns the own row as it is to be written now. The caller holds the
+// lock.
+func (g *Gateway) ownRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.beat++
 	g.members.since = g.ownSince(now)
 	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.beat, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.limits.TotalDemand(now)), Epoch: g.members.epoch, Phase: phase, Since: g.members.since}
@@ -387,6 +396,10 @@
 	}
 	slices.SortFunc(row.Left, func(a, b GroupLeft) int { return cmp.Compare(a.Group, b.Group) })
 	slices.Sort(row.Unreachable)
+	return row
+}
+
+func (g *Gateway) ownWrite(row MemberRow) Write {
 	content, err := json.Marshal(row)
 	if err != nil {
 		g.config.Log.Record(event.EntryRefused, event.Fields{Text: "own row: " + err.Error()})
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -29,8 +29,9 @@
 	// done, or loses the answer.
 	orderBound = 1500 * time.Millisecond
 	// leaderLook is the time between two looks of the leader at the other
-	// instances, and fastLook the same while a primary is suspected or replaced.
-	leaderLook = 500 * time.Millisecond
+	// instances, for news of which it was not told, and fastLook the same while
+	// a primary is suspected or replaced.
+	leaderLook = 2 * time.Second
 	fastLook   = 60 * time.Millisecond
 )
 
@@ -68,6 +69,9 @@
 	tick := idleTick
 	for pause(ctx, tick) {
 		tick = idleTick
+		if g.isToldToLook() {
+			p.looked = time.Time{}
+		}
 		now := g.config.Clock()
 		token, leading := g.leaderToken(now)
 		if !leading {
@@ -90,6 +94,17 @@
 	return nil
 }
 
+// isToldToLook reports whether another instance has told of news since the last
+// call.
+func (g *Gateway) isToldToLook() bool {
+	select {
+	case <-g.lookNow:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *Gateway) leaderToken(now time.Time) (primacy.Token, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/primacy/leadership.go
+++ b/primacy/leadership.go
@@ -106,6 +106,11 @@
 	return l.row.Token, l.holds() && now.Sub(l.renewed) < leaderValid
 }
 
+// Holder is the instance that the row names.
+func (l *Leadership) Holder() fleet.InstanceID {
+	return l.row.Instance
+}
+
 func (l *Leadership) holds() bool {
 	return l.row.Instance == l.instance && l.row.Epoch == l.epoch
 }
