--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,80 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/relay"
+)
+
+// source answers with what it was asked, or fails.
+type source struct {
+	err      error
+	requests []relay.Request
+	snapshot feed.Snapshot
+}
+
+func (s *source) Relay(_ context.Context, request relay.Request) (feed.Snapshot, error) {
+	s.requests = append(s.requests, request)
+	return s.snapshot, s.err
+}
+
+func serve(t *testing.T, s *source) (address string) {
+	t.Helper()
+	server := httptest.NewServer(relay.NewServer([]byte("secret"), s).Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestChanges guards against fields that are lost on the way.
+func TestChanges(t *testing.T) {
+	s := &source{snapshot: feed.Snapshot{
+		Complete: true, Revision: 9, StoreTime: 3 * time.Second,
+		Rows: []feed.Row{{Key: "a", Revision: 8, Value: []byte("x")}, {Deleted: true, Key: "b", Revision: 9}},
+	}}
+	request := relay.Request{After: 7, StoreTime: time.Second, Table: "t", Wait: true}
+	got, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, s), []byte("secret"), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s.snapshot, got); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]relay.Request{request}, s.requests); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+}
+
+// TestRefusals guards against answers to somebody who does not know the secret,
+// and against an instance without answer that is taken for one without changes.
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		secret string
+		source *source
+		want   relay.Kind
+		asked  int
+	}{
+		{name: "secret", secret: "other", source: &source{}, want: relay.KindUnauthorized},
+		{name: "source", secret: "secret", source: &source{err: errors.New("not the relay")}, want: relay.KindUnavailable, asked: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, test.source), []byte(test.secret), relay.Request{Table: "t"})
+			var failure *relay.Error
+			if !errors.As(err, &failure) || failure.Kind != test.want {
+				t.Errorf("error %v, want %s", err, test.want)
+			}
+			if got := len(test.source.requests); got != test.asked {
+				t.Errorf("%d requests reached the source, want %d", got, test.asked)
+			}
+		})
+	}
+}
