feat: group, timeout and priority of a route for PostgreSQL callers

A database is served by the group that its route names, from the next request outside a transaction on; positions of another group are dropped. A statement is cancelled when the time of its route is over, and waits for a connection no longer. Waiting requests of a workspace go by the priority of their route.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 // Defaults of a pool.
@@ -39,6 +40,8 @@
 	Deadline time.Time
 	// Primary says that the server was chosen as primary. The lease repeats it.
 	Primary bool
+	// Priority orders the waiting requests of the workspace; zero goes first.
+	Priority int
 	// Server is the server to connect to.
 	Server fleet.ServerID
 	// Weight is the share of the workspace in the queue.
@@ -141,7 +144,9 @@
 	id := s.next
 	w := &waiter{granted: make(chan grant, 1), request: request}
 	s.waiters[id] = w
-	actions, queued := s.state.Enqueue(now, id, request.Workspace, request.Weight, request.Deadline)
+	actions, queued := s.state.Enqueue(now, workspace.Entry[WaiterID]{
+		Deadline: request.Deadline, Priority: request.Priority, Value: id, Weight: request.Weight, Workspace: request.Workspace,
+	})
 	if !queued {
 		delete(s.waiters, id)
 		p.mu.Unlock()
--- a/backend/poolstate.go
+++ b/backend/poolstate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
@@ -123,8 +122,8 @@
 }
 
 // Enqueue adds a waiter. It reports false if the workspace has too many waiting.
-func (p *PoolState) Enqueue(now time.Time, waiter WaiterID, name fleet.WorkspaceID, weight int, deadline time.Time) ([]Action, bool) {
-	if !p.queue.Push(workspace.Entry[WaiterID]{Deadline: deadline, Value: waiter, Weight: weight, Workspace: name}) {
+func (p *PoolState) Enqueue(now time.Time, entry workspace.Entry[WaiterID]) ([]Action, bool) {
+	if !p.queue.Push(entry) {
 		return nil, false
 	}
 	return p.advance(now), true
--- a/backend/poolstate_test.go
+++ b/backend/poolstate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmegpier/nutmegpier/backend"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 var poolStart = time.Unix(1000, 0)
@@ -68,7 +69,7 @@
 				}
 				m.waiting[id] = m.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "patience")) * time.Second)
 				name := fleet.WorkspaceID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"))
-				actions, queued := m.state.Enqueue(m.now, id, name, 1, m.waiting[id])
+				actions, queued := m.state.Enqueue(m.now, workspace.Entry[backend.WaiterID]{Deadline: m.waiting[id], Value: id, Weight: 1, Workspace: name})
 				if !queued {
 					t.Fatal("queue is full")
 				}
@@ -146,7 +147,7 @@
 		for range backlog {
 			id++
 			owner[id] = name
-			state.Enqueue(poolStart, id, name, weights[name], poolStart.Add(time.Hour))
+			state.Enqueue(poolStart, workspace.Entry[backend.WaiterID]{Deadline: poolStart.Add(time.Hour), Value: id, Weight: weights[name], Workspace: name})
 		}
 	}
 	actions := state.Opened(poolStart, true)
--- a/caller/consistency_test.go
+++ b/caller/consistency_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"math/big"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -50,6 +51,13 @@
 	return list
 }
 
+// all returns the requests so far.
+func (r *fakeRouter) all() []caller.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.requests)
+}
+
 // TestBarrierBeforeFirstRead guards against a session without token reading
 // data from before its arrival, and against a barrier for each read.
 func TestBarrierBeforeFirstRead(t *testing.T) {
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -254,10 +255,8 @@
 		tx:        backend.TxIdle,
 		workspace: fleet.WorkspaceID(startup.Get("user")),
 	}
-	session.group = fleet.GroupID(startup.Get("database"))
-	if session.group == "" {
-		session.group = fleet.GroupID(session.workspace)
-	}
+	session.database = cmp.Or(fleet.GroupID(startup.Get("database")), fleet.GroupID(session.workspace))
+	session.group = session.route().Group
 	if session.workspace == "" {
 		return nil, startupError("no user name given")
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -29,11 +29,14 @@
 	control    bool
 	idempotent bool
 	maxAge     time.Duration
+	priority   int
 	simple     bool
 	sql        string
 	statements int
 	synced     bool
-	touches    bool
+	// timeout bounds the request; zero means no bound of its own.
+	timeout time.Duration
+	touches bool
 }
 
 // answer is what relaying a batch led to.
@@ -105,8 +108,15 @@
 }
 
 func (s *session) newRequest() request {
-	rule := s.readRule()
-	return request{access: rule.access, arrivedAt: s.server.config.Now(), maxAge: cmp.Or(s.maxAge, rule.maxAge)}
+	route := s.route()
+	s.followRoute(route)
+	return request{
+		access:    readAccess(route),
+		arrivedAt: s.server.config.Now(),
+		maxAge:    cmp.Or(s.maxAge, route.MaxAge.Duration()),
+		priority:  route.Priority,
+		timeout:   route.StatementTimeout.Duration(),
+	}
 }
 
 // serve runs a request and answers it. An error ends the session.
@@ -149,7 +159,9 @@
 		if err := s.ensureLease(r, exclude); err != nil {
 			return s.failAcquire(r, err)
 		}
+		done := s.limitStatement(r)
 		result, callerErr := s.attempt(r)
+		done()
 		if callerErr != nil {
 			return callerErr
 		}
@@ -240,10 +252,12 @@
 	lease, err := config.Router.Acquire(ctx, Request{
 		Access:    r.access,
 		ArrivedAt: r.arrivedAt,
-		Deadline:  r.arrivedAt.Add(config.RequestTimeout),
+		Database:  s.database,
+		Deadline:  r.arrivedAt.Add(s.requestTimeout(r)),
 		Exclude:   exclude,
 		Group:     s.group,
 		MaxAge:    r.maxAge,
+		Priority:  r.priority,
 		Token:     s.token,
 		Workspace: s.workspace,
 	})
@@ -303,7 +317,7 @@
 		return false
 	}
 	return core.Attempt{
-		Deadline:   r.arrivedAt.Add(config.RequestTimeout),
+		Deadline:   r.arrivedAt.Add(s.requestTimeout(r)),
 		Delivered:  s.writer.Flushed(),
 		Lost:       result.err != nil,
 		Refused:    result.rerun,
--- a/caller/router.go
+++ b/caller/router.go
@@ -29,10 +29,14 @@
 	Deadline time.Time
 	// Exclude is a server that just refused or lost the request, or empty.
 	Exclude fleet.ServerID
-	// Group is the group that the caller connected to.
+	// Database is the database that the caller connected to; empty means Group.
+	Database fleet.GroupID
+	// Group serves the database.
 	Group fleet.GroupID
 	// MaxAge is the age of data that the read accepts. Zero means none.
 	MaxAge time.Duration
+	// Priority orders the waiting requests of the workspace; zero goes first.
+	Priority int
 	// Token is the position that a replica must cover.
 	Token Token
 	// Workspace is the workspace of the caller.
--- a/caller/session.go
+++ b/caller/session.go
@@ -28,6 +28,8 @@
 	commitTag bool
 	conn      net.Conn
 	ctx       context.Context
+	// database is what the caller connected to, and group what serves it now.
+	database  fleet.GroupID
 	endWait   func()
 	group     fleet.GroupID
 	hasToken  bool
@@ -66,6 +68,9 @@
 	cancelled bool
 	idle      bool
 	lease     Lease
+	// statement counts the limited statements, so that a late limit does not
+	// reach the next one.
+	statement uint64
 	stopAt    time.Time
 	stopTimer *time.Timer
 	stopped   string
--- a/instance/router.go
+++ b/instance/router.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -73,6 +74,7 @@
 
 // Acquire returns a connection to a server that may serve the request.
 func (r *router) Acquire(ctx context.Context, request caller.Request) (caller.Lease, error) {
+	request.Database = cmp.Or(request.Database, request.Group)
 	routed, err := r.find(request.Group)
 	if err != nil {
 		return nil, err
@@ -203,6 +205,7 @@
 	return backend.PoolRequest{
 		ArrivedAt: request.ArrivedAt,
 		Deadline:  request.Deadline,
+		Priority:  request.Priority,
 		Server:    server,
 		Weight:    weight,
 		Workspace: request.Workspace,
@@ -232,16 +235,16 @@
 
 func (r *router) authorize(request caller.Request) error {
 	current := r.sheet.Load().Index
-	if current.MayUse(request.Workspace, request.Group) {
+	if current.MayUse(request.Workspace, request.Database) {
 		return nil
 	}
-	if request.Access == caller.AccessRead && current.IsOpenToAll(request.Group) {
+	if request.Access == caller.AccessRead && current.IsOpenToAll(request.Database) {
 		return nil
 	}
 	return &caller.Error{
 		Op:      "authorize",
 		Kind:    caller.KindForbidden,
-		Err:     fmt.Errorf("workspace %q has no such access to database %q", request.Workspace, request.Group),
+		Err:     fmt.Errorf("workspace %q has no such access to database %q", request.Workspace, request.Database),
 		Outcome: caller.OutcomeNotRun,
 	}
 }
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -11,6 +12,8 @@
 	// Deadline is when the request is to be refused. It counts from the
 	// caller's arrival, so waiting elsewhere before has used a part of it.
 	Deadline time.Time
+	// Priority orders the requests of a workspace; zero goes first.
+	Priority int
 	// Value is what the queue's user attached.
 	Value T
 	// Weight is the share of the workspace. Less than one counts as one.
@@ -19,7 +22,8 @@
 	Workspace fleet.WorkspaceID
 }
 
-// lane holds the waiting requests of one workspace in order of arrival.
+// lane holds the waiting requests of one workspace by priority, and by arrival
+// within it.
 type lane[T any] struct {
 	deficit int
 	entries []Entry[T]
@@ -84,7 +88,11 @@
 	if len(current.entries) >= q.limit {
 		return false
 	}
-	current.entries = append(current.entries, entry)
+	place := len(current.entries)
+	for place > 0 && current.entries[place-1].Priority > entry.Priority {
+		place--
+	}
+	current.entries = slices.Insert(current.entries, place, entry)
 	q.size++
 	return true
 }
--- a/workspace/queue_test.go
+++ b/workspace/queue_test.go
@@ -96,3 +96,29 @@
 		}
 	})
 }
+
+// TestQueuePriority guards against a request that waits behind less urgent ones
+// of its workspace, and against urgent ones that take the turn of another
+// workspace.
+func TestQueuePriority(t *testing.T) {
+	q := workspace.NewQueue[string](10)
+	for _, entry := range []workspace.Entry[string]{
+		{Priority: 2, Value: "a later", Workspace: "a"},
+		{Priority: 0, Value: "a urgent", Workspace: "a"},
+		{Priority: 2, Value: "b", Workspace: "b"},
+		{Priority: 0, Value: "a urgent too", Workspace: "a"},
+	} {
+		entry.Deadline = begin.Add(time.Hour)
+		if !q.Push(entry) {
+			t.Fatalf("%q was refused", entry.Value)
+		}
+	}
+	var got []string
+	for q.Len() > 0 {
+		entry, _, _ := q.Pop(begin)
+		got = append(got, entry.Value)
+	}
+	if diff := cmp.Diff([]string{"a urgent", "b", "a urgent too", "a later"}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
