fix: check the key again after an admission that waited

Cause: found by reading. Admission may ask two instances, 70 ms each, and the key was checked before. The wait is now also part of the logged time of a refusal.

--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -14,8 +14,11 @@
 // world is a gate, router and observer in memory, with a clock that moves only
 // when the session pauses.
 type world struct {
-	admitted  int
-	now       time.Time
+	admitted int
+	ended    []session.Ended
+	now      time.Time
+	// onAdmit runs while an operation waits for its admission.
+	onAdmit   func()
 	overRate  bool
 	released  int
 	route     sheet.Route
@@ -47,6 +50,9 @@
 }
 
 func (w *world) Admit(time.Time, fleet.WorkspaceID) *session.Error {
+	if w.onAdmit != nil {
+		w.onAdmit()
+	}
 	if w.overRate {
 		return &session.Error{Kind: session.KindBusy, RetryAfter: time.Second}
 	}
@@ -61,7 +67,7 @@
 	return session.Access{Route: w.route, Workspace: "w"}, nil
 }
 
-func (w *world) Observe(time.Time, session.Ended) {}
+func (w *world) Observe(_ time.Time, ended session.Ended) { w.ended = append(w.ended, ended) }
 
 func (w *world) Acquire(need session.Need) (session.Lease, *session.Error) {
 	for _, s := range w.servers {
--- a/session/session.go
+++ b/session/session.go
@@ -167,7 +167,7 @@
 	}
 	access, err := s.admit(now)
 	if err != nil {
-		s.observe(now, now, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
+		s.observe(now, s.config.Clock(), statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
 		return s.failed(err)
 	}
 	need := s.need(now, access)
@@ -183,7 +183,12 @@
 	if err != nil {
 		return access, err
 	}
-	return access, s.config.Gate.Admit(now, access.Workspace)
+	if err := s.config.Gate.Admit(now, access.Workspace); err != nil {
+		return access, err
+	}
+	// Admission may have waited for another instance, or the process been
+	// suspended.
+	return s.config.Gate.Check(s.config.Clock(), s.credentials)
 }
 
 func (s *Session) need(now time.Time, access Access) Need {
@@ -209,7 +214,7 @@
 	}
 	access, err := s.admit(start)
 	if err != nil {
-		s.observe(start, start, statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
+		s.observe(start, s.config.Clock(), statement, Need{Route: access.Route, Workspace: access.Workspace}, 0, err)
 		return s.failed(err)
 	}
 	need := s.need(start, access)
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -261,3 +261,23 @@
 		}
 	}
 }
+
+// TestSlowAdmission guards against a key that is withdrawn while its operation
+// waits for admission, and against a wait that no log line shows.
+func TestSlowAdmission(t *testing.T) {
+	for _, kind := range []session.StatementKind{session.StatementBegin, session.StatementRead} {
+		s := newServer("a")
+		w := newWorld(s)
+		w.onAdmit = func() { w.now, w.withdrawn = w.now.Add(70*time.Millisecond), true }
+		result := w.open().Do(statement(kind))
+		if diff := cmp.Diff(session.KindUnauthorized, kinds(result)); diff != "" {
+			t.Errorf("%s: outcome (-want +got):\n%s", kind, diff)
+		}
+		if len(s.ran) > 0 {
+			t.Errorf("%s: %v ran", kind, s.ran)
+		}
+		if len(w.ended) != 1 || w.ended[0].Latency != 70*time.Millisecond {
+			t.Errorf("%s: observed %+v, want one that took 70 ms", kind, w.ended)
+		}
+	}
+}
