fix: read through relays while joining

Cause: after an outage of the store all but the first instances join for 4.7 s, and read the store by themselves for that time; and the first pause of 80 ms after a failed call was a call each for 68 instances.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -94,7 +94,7 @@
 // follow calls apply after each answer until the context ends. Changed is
 // empty if the answer only proves that nothing has changed.
 func (f *follower) follow(ctx context.Context, apply func(now time.Time, changed []feed.Row)) error {
-	retry := firstRetry
+	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		wait := f.wait
 		f.urgent = f.takeInterrupt() || f.lost
@@ -109,25 +109,25 @@
 		if err != nil {
 			f.note(err)
 			var recovered bool
+			retry = f.nextRetry(retry)
 			if changed, recovered = f.awaitStore(ctx, retry); !recovered {
-				retry = min(2*retry, f.maxRetry())
 				continue
 			}
 		}
 		f.note(nil)
-		retry = firstRetry
+		retry = 0
 		apply(f.gateway.config.Clock(), changed)
 	}
 	return nil
 }
 
-// maxRetry bounds the pause after a call that failed. An instance with a relay
-// hears from it when the store is back.
-func (f *follower) maxRetry() time.Duration {
+// nextRetry returns the pause after a call that failed, from that before it. An
+// instance with a relay hears from it when the store is back.
+func (f *follower) nextRetry(before time.Duration) time.Duration {
 	if _, found := f.gateway.relay(time.Time{}); f.relayed && found {
-		return maxRelayedRetry
+		return min(max(2*before, maxRetry), maxRelayedRetry)
 	}
-	return maxRetry
+	return min(max(2*before, firstRetry), maxRetry)
 }
 
 // awaitStore waits until the store may be asked again. If the relay has a newer
--- a/workspace/participation.go
+++ b/workspace/participation.go
@@ -91,6 +91,12 @@
 	}
 }
 
+// MustLook reports whether the next look must show the own row as it was last
+// written, and so may not come from a copy.
+func (p *Participation) MustLook() bool {
+	return p.phase == PhaseStarting || (p.phase == PhaseHolding && !p.confirmed)
+}
+
 // Next returns the phase that the own row is to show, and whether it shows
 // another one.
 func (p *Participation) Next() (phase Phase, changed bool) {
