--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// firstLatency is assumed of a server that has not answered yet.
-	firstLatency = 25 * time.Millisecond
-	// latencyWeight is the weight of one answer in the average: it follows a
-	// change within some tens of answers.
-	latencyWeight = 0.1
 	// openCost is twice the time in which a connection is opened, because the
 	// opening takes the slot of another request as well.
 	openCost = 28 * time.Millisecond
@@ -31,11 +26,8 @@
 
 // cost estimates how long a request takes on a server. The caller holds the
 // lock.
-func (g *Gateway) cost(server *backendServer, workspace fleet.WorkspaceID, primary bool) time.Duration {
-	latency := server.latency
-	if latency == 0 {
-		latency = firstLatency
-	}
+func (g *Gateway) cost(now time.Time, server *backendServer, workspace fleet.WorkspaceID, primary bool) time.Duration {
+	latency := server.latency.Estimate(now)
 	slots := server.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -54,15 +46,6 @@
 	return cost + time.Duration(g.random.Float64()*float64(cost)/8)
 }
 
-// noteLatency takes in how long an answer took.
-func (s *backendServer) noteLatency(latency time.Duration) {
-	if s.latency == 0 {
-		s.latency = latency
-		return
-	}
-	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
-}
-
 // noteLag keeps reads away from a replica that lacked a position.
 func (s *backendServer) noteLag(now time.Time) {
 	s.lagBackoff = min(maxLagPause, max(firstLagPause, 2*s.lagBackoff))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 	// lagUntil keeps reads from a replica that lacked a position.
 	lagBackoff time.Duration
 	lagUntil   time.Time
-	latency    time.Duration
+	latency    pool.Latency
 	// missingSince is when the server's entry was dropped, or zero.
 	missingSince time.Time
 }
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -13,6 +13,8 @@
 
 // lease is a server connection held by one session.
 type lease struct {
+	// began is when the lease was asked for, until its first answer.
+	began      time.Time
 	after      fleet.Position
 	gateway    *Gateway
 	generation primacy.Generation
@@ -60,6 +62,9 @@
 func (l *lease) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
 	g := l.gateway
 	sent := g.config.Clock()
+	if l.began.IsZero() {
+		l.began = sent
+	}
 	reply, failure := l.held.Run(deadline, commands)
 	now := g.config.Clock()
 	if failure != nil && (failure.Kind == session.KindUnknown || failure.Kind == session.KindTimeout) {
@@ -74,13 +79,14 @@
 	}
 	switch {
 	case failure == nil:
-		server.noteLatency(now.Sub(sent))
+		server.latency.Note(now, now.Sub(l.began))
 		if !l.primary {
 			server.lagBackoff = 0
 		}
 	case failure.Kind == session.KindLagging:
 		server.noteLag(now)
 	}
+	l.began = time.Time{}
 	state := g.group(l.group)
 	if failure == nil && l.primary && state.watch.Exclusive(now, l.generation) {
 		state.samples.Add(reply.Position, sent)
@@ -88,6 +94,17 @@
 	return reply, failure
 }
 
+// noteLatency takes in a wait for a connection that was in vain.
+func (l *lease) noteLatency() {
+	g := l.gateway
+	now := g.config.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if server := g.servers[l.server]; server != nil {
+		server.latency.Note(now, now.Sub(l.began))
+	}
+}
+
 // Server names the server.
 func (l *lease) Server() fleet.ServerID {
 	return l.server
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -110,7 +110,7 @@
 			!g.routing.IsInService(candidate.DataCentre) || !candidate.warm(now) || (!isPrimary && now.Before(candidate.lagUntil)) {
 			continue
 		}
-		cost := g.cost(candidate, need.Workspace, isPrimary)
+		cost := g.cost(now, candidate, need.Workspace, isPrimary)
 		if best == "" || cost < bestCost {
 			best, bestCost = id, cost
 		}
@@ -127,6 +127,7 @@
 
 // lease opens or takes a connection for a lease.
 func (g *Gateway) lease(need session.Need, l *lease) (session.Lease, *session.Error) {
+	l.began = g.config.Clock()
 	held, failure := g.pool.Acquire(l.server, pool.Request{
 		Deadline: need.Deadline.Add(-answerReserve), Priority: need.Route.Priority, Values: need.Values, Workspace: need.Workspace,
 	})
@@ -134,6 +135,7 @@
 		l.held = held
 		return l, nil
 	}
+	l.noteLatency()
 	l.done()
 	if failure.Kind != session.KindBusy {
 		g.reportFailure(l.server)
