--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -46,7 +46,8 @@
 	// memberPrune is the age from which the leader drops the row of an instance
 	// that is gone: far longer than a restart takes.
 	memberPrune = time.Minute
-	// firstPoll is the time between the first two looks.
+	// firstPoll is the time between looks of an instance that is about to hold
+	// parts of limits.
 	firstPoll = 400 * time.Millisecond
 )
 
@@ -209,9 +210,13 @@
 			err := g.lookAtMembers(ctx, f)
 			f.note(err)
 			if err == nil {
-				if g.participate(g.config.Clock()) {
+				changed, starting := g.participate(g.config.Clock())
+				if changed {
 					nextBeat = now
 				}
+				if starting {
+					nextLook = now.Add(firstPoll)
+				}
 				g.prune(ctx)
 			}
 		}
--- a/gateway/participation.go
+++ b/gateway/participation.go
@@ -8,15 +8,17 @@
 )
 
 // participate takes in a look at the rows and divides the limits anew. It
-// reports whether the own row must show another phase.
-func (g *Gateway) participate(now time.Time) bool {
+// reports whether the own row must show another phase, and whether the instance
+// is about to hold parts.
+func (g *Gateway) participate(now time.Time) (changed, starting bool) {
 	g.mu.Lock()
 	members := g.members.participants(g.storeClock.StoreTime(now))
 	g.members.participation.Look(g.ownAge(now), members)
-	_, changed := g.members.participation.Next()
+	_, changed = g.members.participation.Next()
+	starting = g.members.participation.MustLook()
 	g.mu.Unlock()
 	g.divideLimits(now)
-	return changed
+	return changed, starting
 }
 
 // resume takes over the row of an earlier run of the instance, if it still
