fix: start anew when the row of an earlier run has lapsed

Cause: found by reading. A restarted instance took over the phase of its row; if its first write succeeded only after the row had counted as gone, it held its parts of the limits while others had taken them over. TestRestartTakesOverOwnRow fails without the change. A store that comes and goes wakes an instance only if its row is due.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -233,8 +233,7 @@
 		return
 	}
 	f.gateway.config.Log.Record(event.StoreAvailable, event.Fields{Text: string(f.table)})
-	// The own row may be due for long.
-	f.gateway.wake()
+	f.gateway.wakeIfDue()
 }
 
 // jitteredPause waits for a span between a half and the whole one, so that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -283,6 +283,17 @@
 	}
 }
 
+// wakeIfDue has the own row written now if that is due for long, because writes
+// failed.
+func (g *Gateway) wakeIfDue() {
+	g.mu.Lock()
+	due := g.config.Clock().Sub(g.presence.At()) > beatInterval
+	g.mu.Unlock()
+	if due {
+		g.wake()
+	}
+}
+
 // announce wakes requests that wait for a change of servers or records. The
 // caller holds the lock.
 func (g *Gateway) announce() {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -268,8 +268,9 @@
 // written. News is true if the rows must be looked at for what it shows.
 func (g *Gateway) beat(ctx context.Context, now time.Time) (written, news bool) {
 	g.mu.Lock()
-	if !g.counts(now) && !g.presence.At().IsZero() {
-		// Others may have taken over what this instance held.
+	if !g.counts(now) {
+		// Others may have taken over what this instance, or its earlier run,
+		// held.
 		g.members.participation.Lapse()
 		g.members.readAt = time.Time{}
 	}
--- a/gateway/lend.go
+++ b/gateway/peers.go
@@ -53,8 +53,9 @@
 	Workspace fleet.WorkspaceID
 }
 
-// TakeAnswer is what the owner gives. RetryAfter is set if it has nothing left.
-type TakeAnswer struct {
+// Answer is the answer to a question: for one that takes, what the owner gives.
+// RetryAfter is set if it has nothing left.
+type Answer struct {
 	RetryAfter time.Duration `json:",omitempty"`
 	Taken      float64
 }
@@ -79,8 +80,8 @@
 	})
 }
 
-func (g *Gateway) answer(question Question) TakeAnswer {
-	var answer TakeAnswer
+func (g *Gateway) answer(question Question) Answer {
+	var answer Answer
 	if question.Look {
 		select {
 		case g.lookNow <- struct{}{}:
@@ -146,7 +147,7 @@
 }
 
 // takeFrom asks an owner, which may be this instance.
-func (g *Gateway) takeFrom(owner fleet.InstanceID, take TakeQuestion) (TakeAnswer, error) {
+func (g *Gateway) takeFrom(owner fleet.InstanceID, take TakeQuestion) (Answer, error) {
 	question := Question{Take: &take}
 	if owner == g.config.Instance {
 		return g.answer(question), nil
@@ -155,28 +156,28 @@
 }
 
 // ask asks another instance.
-func (g *Gateway) ask(instance fleet.InstanceID, question Question) (TakeAnswer, error) {
+func (g *Gateway) ask(instance fleet.InstanceID, question Question) (Answer, error) {
 	g.mu.Lock()
 	m := g.members.members[instance]
 	g.mu.Unlock()
 	if m == nil || m.row.Address == "" || g.config.Peers == nil {
-		return TakeAnswer{}, &Error{Err: errors.New("its address is not known"), Kind: KindNotDone, Op: "ask"}
+		return Answer{}, &Error{Err: errors.New("its address is not known"), Kind: KindNotDone, Op: "ask"}
 	}
 	content, err := json.Marshal(question)
 	if err != nil {
-		return TakeAnswer{}, &Error{Err: err, Kind: KindInvalid, Op: "ask"}
+		return Answer{}, &Error{Err: err, Kind: KindInvalid, Op: "ask"}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askBound)
 	defer cancel()
 	encoded, err := g.config.Peers.Ask(ctx, m.row.Address, m.row.Secret, content)
-	var answer TakeAnswer
+	var answer Answer
 	if err == nil {
 		err = json.Unmarshal(encoded, &answer)
 	}
 	countPeerCall(err)
 	if err != nil {
 		// What was given is lost.
-		return TakeAnswer{}, &Error{Err: err, Kind: KindUnknown, Op: "ask"}
+		return Answer{}, &Error{Err: err, Kind: KindUnknown, Op: "ask"}
 	}
 	return answer, nil
 }
--- /dev/null
+++ b/gateway/resume_test.go
@@ -0,0 +1,113 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+const instanceTable gateway.Table = "nutmegpier-instances"
+
+// restartStore holds the row of an earlier run of the instance. The first writes
+// fail, and take a time of the test's clock.
+type restartStore struct {
+	store
+	failures int
+	takes    time.Duration
+	written  chan gateway.MemberRow
+
+	clockMu sync.Mutex
+	now     time.Time
+}
+
+func (s *restartStore) clock() time.Time {
+	s.clockMu.Lock()
+	defer s.clockMu.Unlock()
+	return s.now
+}
+
+func (s *restartStore) advance(span time.Duration) {
+	s.clockMu.Lock()
+	defer s.clockMu.Unlock()
+	s.now = s.now.Add(span)
+}
+
+func (s *restartStore) Read(_ context.Context, table gateway.Table, _ []gateway.Partition) (feed.Snapshot, error) {
+	snapshot := feed.Snapshot{Complete: true, Revision: 5, StoreTime: time.Hour}
+	if table == instanceTable {
+		row, err := json.Marshal(gateway.MemberRow{At: time.Hour - time.Second, Epoch: 7, Phase: workspace.PhaseHolding, Since: time.Minute})
+		if err != nil {
+			return snapshot, err
+		}
+		snapshot.Rows = []feed.Row{{Key: "i", Revision: 4, Value: row}}
+	}
+	return snapshot, nil
+}
+
+func (s *restartStore) Write(_ context.Context, writes []gateway.Write) (gateway.WriteResult, error) {
+	if writes[0].Key != "i" {
+		return gateway.WriteResult{}, errors.New("not the own row")
+	}
+	s.advance(s.takes)
+	if s.failures > 0 {
+		s.failures--
+		return gateway.WriteResult{}, errors.New("no answer")
+	}
+	var row gateway.MemberRow
+	if err := json.Unmarshal(writes[0].Value, &row); err != nil {
+		return gateway.WriteResult{}, err
+	}
+	select {
+	case s.written <- row:
+	default:
+	}
+	return gateway.WriteResult{Applied: true, Revision: 6}, nil
+}
+
+// TestRestartTakesOverOwnRow guards against a restarted instance that leaves its
+// parts of the limits unused for seconds, and against one that takes them up
+// although its row has counted as gone meanwhile, so that others hold them too.
+func TestRestartTakesOverOwnRow(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		failures int
+		takes    time.Duration
+		want     workspace.Phase
+	}{
+		{name: "at once", want: workspace.PhaseHolding},
+		{name: "after 5 s without an answer", failures: 1, takes: 5 * time.Second, want: workspace.PhaseStarting},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &restartStore{failures: test.failures, now: time.Unix(1_000_000, 0), takes: test.takes, written: make(chan gateway.MemberRow, 1)}
+			recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
+			g := gateway.New(gateway.Config{
+				Clock: s.clock, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
+				Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: s,
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = g.Run(ctx)
+			}()
+			defer func() {
+				cancel()
+				<-done
+			}()
+			if diff := cmp.Diff(test.want, (<-s.written).Phase); diff != "" {
+				t.Errorf("phase of the first row (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
