--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
-	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/session"
 )
 
 const (
@@ -73,6 +73,26 @@
 	return gateway.WriteResult{Applied: true, Revision: s.revision}, nil
 }
 
+// runGateway runs an instance named i until the test ends.
+func runGateway(t *testing.T, store gateway.Store, clock session.Clock) {
+	t.Helper()
+	recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
+	g := gateway.New(gateway.Config{
+		Clock: clock, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
+		Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: store,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
 // TestFirstCallAfterLossIsAnsweredAtOnce guards against an instance that waits
 // for a change before it has a proof again: after the store was away for 6 s,
 // primaries were not used for 5 s more.
@@ -80,21 +100,7 @@
 	for _, table := range []gateway.Table{sheetTable, serverTable, "nutmegpier-primaries"} {
 		t.Run(string(table), func(t *testing.T) {
 			s := &store{watched: table, waits: make(chan time.Duration), results: make(chan error)}
-			recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
-			g := gateway.New(gateway.Config{
-				Clock: time.Now, Epoch: 1, Instance: fleet.InstanceID("i"), Log: gateway.NewLog(recorder, 1),
-				Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: s,
-			})
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				_ = g.Run(ctx)
-			}()
-			defer func() {
-				cancel()
-				<-done
-			}()
+			runGateway(t, s, time.Now)
 			var waited []bool
 			for _, result := range []error{nil, errors.New("lost"), nil, nil} {
 				waited = append(waited, <-s.waits > 0)
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/gateway"
 	"github.com/nutmegpier/nutmegpier/workspace"
@@ -90,21 +88,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := &restartStore{failures: test.failures, now: time.Unix(1_000_000, 0), takes: test.takes, written: make(chan gateway.MemberRow, 1)}
-			recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
-			g := gateway.New(gateway.Config{
-				Clock: s.clock, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
-				Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: s,
-			})
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				_ = g.Run(ctx)
-			}()
-			defer func() {
-				cancel()
-				<-done
-			}()
+			runGateway(t, s, s.clock)
 			if diff := cmp.Diff(test.want, (<-s.written).Phase); diff != "" {
 				t.Errorf("phase of the first row (-want +got):\n%s", diff)
 			}
