--- a/workspace/limiter_test.go
+++ b/workspace/limiter_test.go
@@ -105,3 +105,26 @@
 func near(a, b workspace.Share) bool {
 	return math.Abs(a.Capacity-b.Capacity) < 1e-6 && math.Abs(a.Level-b.Level) < 1e-6 && math.Abs(a.Rate-b.Rate) < 1e-6
 }
+
+// TestTake guards against a pool that gives more than it holds, or less than a
+// whole request, and against an empty one without a time to come back.
+func TestTake(t *testing.T) {
+	limiter := workspace.NewLimiter()
+	limiter.Renew(begin, begin.Add(time.Minute))
+	limiter.Set(begin, "w", workspace.Share{Capacity: 3.5, Level: 3.5, Rate: 2})
+	type take struct {
+		Taken      float64
+		RetryAfter time.Duration
+	}
+	var got []take
+	for _, want := range []float64{0.3, 2, 5, 1} {
+		taken, retryAfter := limiter.Take(begin, "w", want)
+		got = append(got, take{taken, retryAfter})
+	}
+	taken, retryAfter := limiter.Take(begin.Add(time.Second), "w", 5)
+	got = append(got, take{taken, retryAfter})
+	want := []take{{Taken: 1}, {Taken: 2}, {RetryAfter: 250 * time.Millisecond}, {RetryAfter: 250 * time.Millisecond}, {Taken: 2.5}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("takings (-want +got):\n%s", diff)
+	}
+}
