--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -30,7 +30,7 @@
 	}
 	g.limits.Count(now, workspace)
 	decision := g.limits.Admit(now, workspace)
-	reason := ""
+	reason := "other requests took what its pools gave"
 	for tries := 0; !decision.Admitted && tries < admitTries; tries++ {
 		taken, retryAfter, why := g.borrow(g.config.Clock(), workspace)
 		if !taken {
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -117,6 +117,7 @@
 	}
 }
 
+// apply sets the parts by the ages of the members at a time.
 func (d *Division) apply(now time.Time) {
 	members := make([]Member, len(d.members))
 	for i, m := range d.members {
