--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -74,12 +74,12 @@
 }
 
 // runGateway runs an instance named i until the test ends.
-func runGateway(t *testing.T, store gateway.Store, clock session.Clock) {
+func runGateway(t *testing.T, store gateway.Store, clock session.Clock, relays gateway.Relays) {
 	t.Helper()
 	recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
 	g := gateway.New(gateway.Config{
 		Clock: clock, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
-		Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: store,
+		Relays: relays, Settings: gateway.Settings{KeyLease: time.Second}, Source: source{}, Store: store,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -100,7 +100,7 @@
 	for _, table := range []gateway.Table{sheetTable, serverTable, "nutmegpier-primaries"} {
 		t.Run(string(table), func(t *testing.T) {
 			s := &store{watched: table, waits: make(chan time.Duration), results: make(chan error)}
-			runGateway(t, s, time.Now)
+			runGateway(t, s, time.Now, nil)
 			var waited []bool
 			for _, result := range []error{nil, errors.New("lost"), nil, nil} {
 				waited = append(waited, <-s.waits > 0)
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,117 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/relay"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+// awayStore answers the first reads, and nothing after that. Its row of another
+// instance makes that one the relay of the instance named i.
+type awayStore struct {
+	*restartStore
+	// calls gets the tables that were asked for.
+	calls chan gateway.Table
+	relay fleet.InstanceID
+}
+
+func (s *awayStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (feed.Snapshot, error) {
+	snapshot, err := s.restartStore.Read(ctx, table, partitions)
+	if err != nil || table != instanceTable {
+		return snapshot, err
+	}
+	row, err := json.Marshal(gateway.MemberRow{Address: "10.0.0.1:1", At: time.Hour, Epoch: 1, Phase: workspace.PhaseHolding})
+	snapshot.Rows = append(snapshot.Rows, feed.Row{Key: string(s.relay), Revision: 4, Value: row})
+	return snapshot, err
+}
+
+func (s *awayStore) Changes(ctx context.Context, table gateway.Table, _ feed.Revision, _ time.Duration) (feed.Snapshot, error) {
+	if table == sheetTable {
+		select {
+		case s.calls <- table:
+		case <-ctx.Done():
+		}
+	}
+	return feed.Snapshot{}, errors.New("no answer")
+}
+
+// scriptedRelay answers requests for the sheet in turn: it has no answer from the
+// store for a while, and then has one.
+type scriptedRelay struct {
+	requests chan relay.Request
+	results  chan error
+}
+
+func (r *scriptedRelay) Changes(ctx context.Context, _ string, _ []byte, request relay.Request) (feed.Snapshot, error) {
+	if request.Table != string(sheetTable) {
+		return feed.Snapshot{}, errors.New("not followed")
+	}
+	select {
+	case r.requests <- request:
+	case <-ctx.Done():
+		return feed.Snapshot{}, ctx.Err()
+	}
+	select {
+	case err := <-r.results:
+		return feed.Snapshot{Revision: 6, StoreTime: request.StoreTime + time.Second}, err
+	case <-ctx.Done():
+		return feed.Snapshot{}, ctx.Err()
+	}
+}
+
+// next returns the next request, which is to come within seconds.
+func (r *scriptedRelay) next(t *testing.T) relay.Request {
+	t.Helper()
+	const bound = 30 * time.Second
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case request := <-r.requests:
+		return request
+	case <-timer.C:
+		t.Fatalf("no request to the relay within %v", bound)
+		return relay.Request{}
+	}
+}
+
+// TestRelayWhileStoreIsAway guards against instances that all go on calling a
+// store that is down, and against ones that hear later than their relay that it
+// is back.
+func TestRelayWhileStoreIsAway(t *testing.T) {
+	other := fleet.InstanceID("j")
+	for fleet.Owners("relay", []fleet.InstanceID{"i", other}, 1)[0] != other {
+		other += "j"
+	}
+	s := &awayStore{
+		restartStore: &restartStore{now: time.Unix(1_000_000, 0), written: make(chan gateway.MemberRow, 1)},
+		calls:        make(chan gateway.Table, 10),
+		relay:        other,
+	}
+	r := &scriptedRelay{requests: make(chan relay.Request), results: make(chan error)}
+	runGateway(t, s, s.clock, r)
+	// The store is called once, before or after a first request to the relay.
+	// From then on only the relay is asked, until it has an answer.
+	for asked := 0; asked < 2; {
+		if request := r.next(t); !request.Wait {
+			asked++
+		}
+		r.results <- errors.New("not from the store")
+	}
+	r.next(t)
+	r.results <- nil
+	if request := r.next(t); !request.Wait {
+		t.Error("after its answer, the relay is asked again instead of waited for")
+	}
+	r.results <- nil
+	if got := len(s.calls); got != 1 {
+		t.Errorf("%d calls to the store, want 1", got)
+	}
+}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -88,7 +88,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := &restartStore{failures: test.failures, now: time.Unix(1_000_000, 0), takes: test.takes, written: make(chan gateway.MemberRow, 1)}
-			runGateway(t, s, s.clock)
+			runGateway(t, s, s.clock, nil)
 			if diff := cmp.Diff(test.want, (<-s.written).Phase); diff != "" {
 				t.Errorf("phase of the first row (-want +got):\n%s", diff)
 			}
