--- a/workspace/division.go
+++ b/workspace/division.go
@@ -247,10 +247,10 @@
 // setShare sets a fraction of a limit, which begins filled for startLevel or with
 // what was minted before.
 func setShare(limiter *Limiter, now time.Time, limit Limit, fraction float64, fill bool) {
-	share := Share{Capacity: limit.Burst * fraction, Rate: limit.Rate * fraction}
+	share := Share{}
 	if fraction > 0 && limit.Rate > 0 {
 		// A bucket under one request would never admit any.
-		share.Capacity = math.Max(1, share.Capacity)
+		share = Share{Capacity: math.Max(1, limit.Burst*fraction), Rate: limit.Rate * fraction}
 	}
 	if fill {
 		share.Level = math.Min(share.Capacity, fraction+share.Rate*startLevel.Seconds())
