refactor: one loop over the other live instances, one way to close the oldest connection

Found in the last reading of the change: five loops over the rows of instances with the same condition, three copies of closing the connection that was idle for longest, two of waking those who wait for a relay, two of cancelling a running statement. Behaviour is unchanged.

--- a/caller/routes.go
+++ b/caller/routes.go
@@ -87,6 +87,5 @@
 	}
 	ctx, done := context.WithTimeout(context.Background(), cancelBound)
 	defer done()
-	s.cancelled = true
-	_ = s.lease.Conn().Cancel(ctx)
+	s.cancelRunning(ctx)
 }
--- a/caller/session.go
+++ b/caller/session.go
@@ -109,6 +109,11 @@
 	if s.lease == nil {
 		return
 	}
+	s.cancelRunning(ctx)
+}
+
+// cancelRunning cancels what the leased connection runs. The caller holds mu.
+func (s *session) cancelRunning(ctx context.Context) {
 	s.cancelled = true
 	_ = s.lease.Conn().Cancel(ctx)
 }
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -12,10 +12,8 @@
 func (g *Gateway) demandPart(now time.Time) float64 {
 	own := g.limits.TotalDemand(now)
 	all := []float64{own}
-	for id, m := range g.members.members {
-		if id != g.members.self && g.members.live(m) {
-			all = append(all, m.row.Demand)
-		}
+	for _, row := range g.members.others() {
+		all = append(all, row.Demand)
 	}
 	return workspace.DemandShare(own, all)
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"iter"
 	"math"
 	"slices"
 	"strconv"
@@ -147,13 +148,22 @@
 	return !primacy.IsSilent(v.readStore - m.row.At)
 }
 
+// others returns the rows of the other live instances.
+func (v *memberView) others() iter.Seq2[fleet.InstanceID, MemberRow] {
+	return func(yield func(fleet.InstanceID, MemberRow) bool) {
+		for id, m := range v.members {
+			if id != v.self && v.live(m) && !yield(id, m.row) {
+				return
+			}
+		}
+	}
+}
+
 // liveInstances returns the live instances, this one first.
 func (v *memberView) liveInstances() []fleet.InstanceID {
 	instances := []fleet.InstanceID{v.self}
-	for id, m := range v.members {
-		if id != v.self && v.live(m) {
-			instances = append(instances, id)
-		}
+	for id := range v.others() {
+		instances = append(instances, id)
 	}
 	return instances
 }
@@ -165,8 +175,8 @@
 
 // suspects reports whether another live instance can't use a primary.
 func (v *memberView) suspects(primary fleet.ServerID) bool {
-	for id, m := range v.members {
-		if id != v.self && v.live(m) && slices.Contains(m.row.Unreachable, primary) {
+	for _, row := range v.others() {
+		if slices.Contains(row.Unreachable, primary) {
 			return true
 		}
 	}
--- a/gateway/participation.go
+++ b/gateway/participation.go
@@ -56,10 +56,8 @@
 // participants returns the other live instances at a time of the store.
 func (v *memberView) participants(now time.Duration) []workspace.Member {
 	var members []workspace.Member
-	for id, m := range v.members {
-		if id != v.self && v.live(m) {
-			members = append(members, workspace.Member{Age: now - m.row.Since, Instance: id, Phase: m.row.Phase})
-		}
+	for id, row := range v.others() {
+		members = append(members, workspace.Member{Age: now - row.Since, Instance: id, Phase: row.Phase})
 	}
 	return members
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,12 +98,12 @@
 // choose the same one from the same rows.
 func (v *memberView) relayOf(dataCentre fleet.DataCentre) fleet.InstanceID {
 	near, all := []fleet.InstanceID{v.self}, []fleet.InstanceID{v.self}
-	for id, m := range v.members {
-		if id == v.self || !v.live(m) || m.row.Phase != workspace.PhaseHolding || m.row.Address == "" {
+	for id, row := range v.others() {
+		if row.Phase != workspace.PhaseHolding || row.Address == "" {
 			continue
 		}
 		all = append(all, id)
-		if m.row.DataCentre == dataCentre {
+		if row.DataCentre == dataCentre {
 			near = append(near, id)
 		}
 	}
@@ -160,9 +160,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := f.mirror.Apply(snapshot, proof)
-	f.fromStore = fromStore
-	close(f.advanced)
-	f.advanced = make(chan struct{})
+	f.advance(fromStore)
 	return changed
 }
 
@@ -170,7 +168,12 @@
 func (f *follower) fail() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fromStore = false
+	f.advance(false)
+}
+
+// advance wakes those who wait for the next answer. The caller holds f.mu.
+func (f *follower) advance(fromStore bool) {
+	f.fromStore = fromStore
 	close(f.advanced)
 	f.advanced = make(chan struct{})
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -280,8 +280,7 @@
 	}
 	if len(s.idle) > 0 {
 		// The one that was not used for longest makes room.
-		s.idle[0].Close()
-		s.idle = s.idle[1:]
+		s.closeOldest()
 		return nil, nil, nil
 	}
 	w := &waiter{granted: make(chan *Held, 1), priority: request.Priority, since: now, workspace: request.Workspace}
@@ -397,8 +396,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
 		for len(s.idle) > 0 && now.Sub(s.idle[0].released) > idleBound {
-			s.idle[0].Close()
-			s.idle = s.idle[1:]
+			s.closeOldest()
 			s.open--
 		}
 	}
@@ -427,12 +425,18 @@
 // were not used for longest first.
 func (s *serverState) trimIdle() {
 	for len(s.idle) > s.server.Idle {
-		s.idle[0].Close()
-		s.idle = s.idle[1:]
+		s.closeOldest()
 		s.open--
 	}
 }
 
+// closeOldest closes the idle connection that was not used for longest. Its
+// place stays counted.
+func (s *serverState) closeOldest() {
+	s.idle[0].Close()
+	s.idle = s.idle[1:]
+}
+
 func (s *serverState) closeIdle() {
 	for _, held := range s.idle {
 		held.Close()
