fix: move a transaction again when its new server refuses the BEGIN

Cause of TestDataCentreDrainInTransactions under load: a block that has only begun moves to the new primary when its first write is refused. Until the router knows the new primary, it chooses the old one, which is being fenced and refuses the replayed BEGIN; ensureLease then failed the transaction instead of trying again, although nothing had run.

Ruled out: the first BEGIN of a block, which canRerun already retries. Test: TestBlockMovesAfterRefusedBegin failed before (08006) and passes now.

--- a/caller/begin_test.go
+++ b/caller/begin_test.go
@@ -45,3 +45,30 @@
 		})
 	}
 }
+
+// TestBlockMovesAfterRefusedBegin guards against a transaction block that fails while
+// it moves to the new primary, because the server to which it moves refuses its BEGIN:
+// until the router knows the new primary, that is the old one, which is being fenced.
+func TestBlockMovesAfterRefusedBegin(t *testing.T) {
+	var writeRefusals, beginRefusals atomic.Int32
+	script := func(sql string) reply {
+		switch {
+		case strings.HasPrefix(sql, "insert") && writeRefusals.Add(-1) >= 0:
+			beginRefusals.Store(2)
+			return reply{code: "25006"}
+		case strings.HasPrefix(sql, "begin") && beginRefusals.Add(-1) >= 0:
+			return reply{code: "25006"}
+		}
+		return scriptedPrimary(sql)
+	}
+	for name, mode := range protocolModes() {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, script, nil, func(config *caller.Config) { config.RequestTimeout = 2 * time.Second })
+			conn := d.connect(t, mode)
+			writeRefusals.Store(1)
+			mustExec(t, conn, "begin")
+			mustExec(t, conn, "insert into t values (1)")
+			mustExec(t, conn, "commit")
+		})
+	}
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -175,8 +175,14 @@
 	var exclude fleet.ServerID
 	for attempt := 0; ; attempt++ {
 		movable := s.lease == nil || s.replayableBegin != ""
-		if err := s.ensureLease(r, exclude); err != nil {
-			return s.failAcquire(r, err)
+		if server, err := s.ensureLease(r, exclude); err != nil {
+			if !s.canRetrySetup(r, server, err) {
+				return s.failAcquire(r, err)
+			}
+			s.server.record(Event{Group: s.group, Name: EventRetry, Server: server, Workspace: s.workspace})
+			s.waitRetryDelay(attempt)
+			exclude = server
+			continue
 		}
 		done := s.limitStatement(r)
 		result, callerErr := s.attempt(r)
@@ -209,6 +215,12 @@
 	if result.code == sqlstateReadOnly {
 		r.access = AccessWrite
 	}
+	s.waitRetryDelay(attempt)
+}
+
+// waitRetryDelay waits for the delay before the next attempt, or until the session is
+// stopped.
+func (s *session) waitRetryDelay(attempt int) {
 	ctx, done := s.waitContext()
 	defer done()
 	timer := time.NewTimer(sessionpkg.RetryDelay(attempt, s.server.config.Jitter()))
@@ -259,14 +271,27 @@
 	return nil
 }
 
+// canRetrySetup reports whether the request may be tried on another connection after
+// a connection to a server could not be set up for it. Nothing of the request has run
+// then. A server that is being fenced, for example, refuses to begin again the
+// transaction that moves away from it.
+func (s *session) canRetrySetup(r *request, server fleet.ServerID, err error) bool {
+	var proxyErr *Error
+	if server == "" || s.isStopping() || !errors.As(err, &proxyErr) || proxyErr.Kind != KindBackendLost {
+		return false
+	}
+	attempt := sessionpkg.Attempt{Deadline: r.arrivedAt.Add(s.requestTimeout(r)), Refused: true}
+	return attempt.MayRetry(s.server.config.Now()) && s.server.retries.tryWithdraw()
+}
+
 // ensureLease acquires a connection and sets up the session's state on it, unless
-// the session already holds one.
-func (s *session) ensureLease(r *request, exclude fleet.ServerID) error {
+// the session already holds one. If the set-up failed, it returns the server.
+func (s *session) ensureLease(r *request, exclude fleet.ServerID) (fleet.ServerID, error) {
 	if s.lease != nil {
-		return nil
+		return "", nil
 	}
 	if err := s.ensureToken(r); err != nil {
-		return err
+		return "", err
 	}
 	config := &s.server.config
 	ctx, done := s.waitContext()
@@ -284,10 +309,15 @@
 		Workspace: s.workspace,
 	})
 	if err != nil {
-		return s.waitError(ctx, err)
+		return "", s.waitError(ctx, err)
 	}
 	s.setLease(lease)
-	conn := lease.Conn()
+	return lease.Server(), s.setUp(lease.Conn())
+}
+
+// setUp sets up the session's state on the connection of its lease, and releases the
+// lease if that fails.
+func (s *session) setUp(conn *backend.Conn) error {
 	if err := conn.PrepareFor(s.id, s.settingsSQL); err != nil {
 		s.release(conn.Reusable())
 		return setupError(err)
