--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/platform"
 	"github.com/nutmegpier/nutmegpier/relay"
 	"github.com/nutmegpier/nutmegpier/session"
@@ -45,6 +46,12 @@
 	// maxIdleConnections is the maximum number of idle connections to a host. The
 	// store needs one for each table that is followed, and some for other calls.
 	maxIdleConnections = 8
+	// maxIdleOwnerConnections is the maximum number of idle connections to one owner
+	// of groups.
+	maxIdleOwnerConnections = 4
+	// ownerConnectTimeout bounds opening a connection to an owner, which takes a few
+	// milliseconds.
+	ownerConnectTimeout = 200 * time.Millisecond
 )
 
 func newServeCmd() *cobra.Command {
@@ -133,14 +140,14 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 
-	gw, relayServer := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
+	gw, peerHandler := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
 	callers := platform.NewCallerServer(session.Config{
 		Clock: bootTime, AccessController: gw, Jitter: rand.Float64, Observer: gw, Sleep: time.Sleep, Router: gw,
 	}, gw.TransactionIdle)
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 	controllerCtx, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
-	failures := start(controllerCtx, gw, callers, relayServer, opened)
+	failures := start(controllerCtx, gw, callers, peerHandler, opened)
 	for {
 		select {
 		case err := <-failures:
@@ -162,15 +169,15 @@
 }
 
 // start starts the gateway and all servers. The channel receives their failures.
-func start(ctx context.Context, gw *gateway.Gateway, callers *platform.CallerServer, relayServer *relay.Server, opened listeners) <-chan error {
+func start(ctx context.Context, gw *gateway.Gateway, callers *platform.CallerServer, peerHandler http.Handler, opened listeners) <-chan error {
 	const maxFailures = 5
 	failures := make(chan error, maxFailures)
 	ready := platform.ReadyHandler(func() bool { return gw.Ready(bootTime()) })
 	go func() { failures <- gw.Run(ctx) }()
 	go func() { failures <- callers.Serve(opened.callers) }()
 	go serveHTTP(opened.ready, ready, failures)
-	if relayServer != nil {
-		go serveHTTP(opened.relay, relayServer.Handler(), failures)
+	if peerHandler != nil {
+		go serveHTTP(opened.relay, peerHandler, failures)
 	}
 	if opened.metrics != nil {
 		go serveHTTP(opened.metrics, expvar.Handler(), failures)
@@ -201,10 +208,10 @@
 	debug.SetMemoryLimit(int64(settings.MemoryLimit) * megabyte / 2)
 }
 
-// newGateway returns the gateway, and the server that relays the store's contents to
-// other instances. Without a connection for peers there is no relay, and the server is
-// nil.
-func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) (*gateway.Gateway, *relay.Server) {
+// newGateway returns the gateway, and the handler of the other instances' requests: for
+// the store's contents, and for statements on the servers that this instance owns.
+// Without a connection for peers there are none, and the handler is nil.
+func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) (*gateway.Gateway, http.Handler) {
 	dialer := platform.NetDialer()
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
 	client := &http.Client{Transport: transport}
@@ -228,9 +235,23 @@
 	}
 	endpoint := datagram.New(peers)
 	config.PeerTransport = endpoint
+	config.OwnerClient = owner.NewClient(&http.Client{Transport: &http.Transport{
+		DialContext: newOwnerDialer(), DisableCompression: true, MaxIdleConnsPerHost: maxIdleOwnerConnections,
+	}})
 	config.RelayClient = relay.NewClient(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}})
 	gw = gateway.New(config)
-	return gw, relay.NewServer(endpoint.Secret(), gw)
+	mux := http.NewServeMux()
+	mux.Handle(relay.NewServer(endpoint.Secret(), gw).Handler())
+	mux.Handle(owner.NewServer(endpoint.Secret(), gw).Handler())
+	return gw, mux
+}
+
+// newOwnerDialer returns a function that opens connections to owners of groups. If one
+// does not accept, another owner is called.
+func newOwnerDialer() func(context.Context, string, string) (net.Conn, error) {
+	dialer := platform.NetDialer()
+	dialer.Timeout = ownerConnectTimeout
+	return dialer.DialContext
 }
 
 // serveHTTP serves HTTP requests and sends the failure of the server to the channel.
@@ -252,7 +273,8 @@
 		time.Sleep(drainPollInterval)
 	}
 	callers.ExpireTransactions()
-	for callers.Sessions() > 0 && bootTime().Before(startedAt.Add(settings.StopBound-shutdownReserve)) {
+	// Other instances may still use connections of this one.
+	for callers.Sessions()+gw.PeerWork() > 0 && bootTime().Before(startedAt.Add(settings.StopBound-shutdownReserve)) {
 		time.Sleep(drainPollInterval)
 	}
 	_ = listener.Close()
--- a/feed/calibration.go
+++ b/feed/calibration.go
@@ -45,6 +45,18 @@
 	return localTime, c.calibrated
 }
 
+// DeadlineTime converts a store time that may lie in the future to a time on this
+// instance's clock, or an earlier one. It reports false before this instance's first
+// own answer from the store.
+func (c *Calibration) DeadlineTime(storeTime time.Duration) (time.Time, bool) {
+	return c.originBound.Add(storeTime), c.calibrated
+}
+
+// Calibrated reports whether this instance has had an answer from the store.
+func (c *Calibration) Calibrated() bool {
+	return c.calibrated
+}
+
 // StoreTime converts a time of the instance to the store's clock. The result is
 // ahead of that clock by at most the time of the fastest call.
 func (c *Calibration) StoreTime(now time.Time) time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/pool"
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/session"
@@ -149,6 +150,9 @@
 	Epoch    fleet.Epoch
 	Instance fleet.InstanceID
 	Log      *Log
+	// OwnerClient runs statements at the instances that own the groups' servers. If it
+	// is nil, this instance uses all servers itself.
+	OwnerClient OwnerClient
 	// PeerTransport sends requests to the other instances. If it is nil, the
 	// instance takes no tokens from rate limit pools on other instances.
 	PeerTransport PeerTransport
@@ -215,6 +219,15 @@
 	// row and to read those of all instances now.
 	heartbeatRequests chan struct{}
 	draining          bool
+	// drainingSince is when Drain was called.
+	drainingSince time.Time
+	// owners says which instances own the servers of each group. It is written by
+	// everything that changes the members or the sheet.
+	owners *owner.Directory
+	// peerLeases are the leases of other instances on connections of this one.
+	peerLeases *peerLeases
+	// remoteLeaseCount counts the leases of this instance at others.
+	remoteLeaseCount uint64
 }
 
 // backendServer is a registered server and this instance's measurements of it.
@@ -262,6 +275,8 @@
 		members:            newMemberView(config.Instance, config.Epoch),
 		memberPollRequests: make(chan struct{}, 1),
 		heartbeatRequests:  make(chan struct{}, 1),
+		owners:             owner.NewDirectory(),
+		peerLeases:         newPeerLeases(),
 		random:             rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
@@ -291,7 +306,9 @@
 func (g *Gateway) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
+	g.draining, g.drainingSince = true, g.config.Clock()
+	// The other instances choose other owners for this instance's groups.
+	g.requestHeartbeat()
 }
 
 // Ready reports whether the instance should get new callers: it is not draining,
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -18,7 +18,7 @@
 	// after the first response.
 	requestedAt time.Time
 	// minPosition is the log position that a replica must have applied before it
-	// runs a read. It is zero on the primary.
+	// runs the first read or begin. It is zero on the primary, and afterwards.
 	minPosition fleet.Position
 	gateway     *Gateway
 	// generation is that of the primary record in use. It is zero on a replica.
@@ -30,11 +30,6 @@
 	server  fleet.ServerID
 }
 
-// MinPosition returns the log position that reads must require of the server, or zero.
-func (l *lease) MinPosition() fleet.Position {
-	return l.minPosition
-}
-
 // Exclusive reports whether the server was guaranteed to be the only primary up to
 // now. It is always true for a replica.
 func (l *lease) Exclusive(now time.Time) bool {
@@ -66,15 +61,19 @@
 	}
 }
 
-// Run runs commands on the server and updates its latency, lag and health from the
+// Run runs a batch on the server and updates its latency, lag and health from the
 // outcome.
-func (l *lease) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
+func (l *lease) Run(deadline time.Time, batch session.Batch) (session.Reply, *session.RunError) {
 	g := l.gateway
 	sent := g.config.Clock()
 	if l.requestedAt.IsZero() {
 		l.requestedAt = sent
 	}
-	reply, failure := l.conn.Run(deadline, commands)
+	if len(batch.Commands) > 0 {
+		batch.Commands[0].MinPosition = l.minPosition
+		l.minPosition = fleet.Position{}
+	}
+	reply, failure := l.conn.State.Run(l.conn, deadline, batch)
 	now := g.config.Clock()
 	if failure != nil && (failure.Kind == session.KindUnknown || failure.Kind == session.KindTimeout) {
 		l.conn.MarkBroken()
@@ -119,8 +118,3 @@
 func (l *lease) Server() fleet.ServerID {
 	return l.server
 }
-
-// State returns the session state that the server keeps for the connection.
-func (l *lease) State() *session.ConnState {
-	return l.conn.State
-}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -73,12 +73,16 @@
 	DataCentre fleet.DataCentre
 	// Demand is the demand on the instance in requests per second.
 	Demand float64
+	// Draining says that the instance is about to stop.
+	Draining bool `json:",omitempty"`
 	// Epoch identifies the run of the instance's process.
 	Epoch fleet.Epoch
 	// Left lists the primaries that the instance has stopped using.
 	Left []GroupLeft `json:",omitempty"`
 	// Phase is whether the instance holds shares of the rate limits.
 	Phase workspace.Phase
+	// ProcessorShare is the processor time that the instance may use, in cores.
+	ProcessorShare float64 `json:",omitempty"`
 	// Since is the store's monotonic time since which the row has been valid
 	// without interruption.
 	Since time.Duration
@@ -414,7 +418,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Epoch: g.members.epoch, Phase: phase, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 var (
 	requestsByOutcome = expvar.NewMap("RequestsByOutcome")
 	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
+	ownerCalls        = expvar.NewMap("OwnerCalls")
 	peerCalls         = expvar.NewMap("PeerCalls")
 	relayCalls        = expvar.NewMap("RelayCalls")
 	storeCalls        = expvar.NewMap("StoreCalls")
@@ -57,6 +58,11 @@
 	peerCalls.Add(callOutcome(err), 1)
 }
 
+// countOwnerCall counts a request to an owner of a group by its outcome.
+func countOwnerCall(err error) {
+	ownerCalls.Add(callOutcome(err), 1)
+}
+
 // countRelayCall counts a request to a relay by its outcome.
 func countRelayCall(err error) {
 	relayCalls.Add(callOutcome(err), 1)
--- /dev/null
+++ b/gateway/peerleases.go
@@ -0,0 +1,276 @@
+package gateway
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/owner"
+	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+const (
+	// peerLeaseIdleMargin is added to the idle timeout of transactions for the time
+	// after which a lease of another instance is given up. That instance ends an idle
+	// transaction itself, unless it has died.
+	peerLeaseIdleMargin = time.Second
+	// peerRollbackTimeout bounds the rollback of a transaction that was given up.
+	peerRollbackTimeout = 500 * time.Millisecond
+	// ownerStopDelay is how long an instance that is stopping accepts new leases of
+	// other instances, which by then have chosen another owner.
+	ownerStopDelay = 2 * time.Second
+)
+
+var _ owner.Runner = &Gateway{}
+
+// Errors because of which another owner should be called.
+var (
+	errNoRecord           = errors.New("the primary is not known to this instance")
+	errNotProved          = errors.New("this instance can't prove which server is primary")
+	errPrimaryUnreachable = errors.New("the primary does not answer this instance")
+	errStopping           = errors.New("the instance is stopping")
+)
+
+// isOwnerUnavailable reports whether another owner may be able to serve the request.
+func isOwnerUnavailable(err error) bool {
+	return errors.Is(err, errNoRecord) || errors.Is(err, errNotProved) || errors.Is(err, errPrimaryUnreachable) || errors.Is(err, errStopping)
+}
+
+// peerLease is a lease that this instance holds for a session of another one.
+type peerLease struct {
+	// expiry ends the lease after it was idle for too long.
+	expiry *time.Timer
+	lease  session.Lease
+
+	// mu is held while a batch runs.
+	mu    sync.Mutex
+	ended bool
+}
+
+// peerLeases are the leases of other instances. It is safe for concurrent use.
+type peerLeases struct {
+	mu     sync.Mutex
+	leases map[owner.LeaseID]*peerLease
+	// running counts the batches that are being run.
+	running int
+}
+
+func newPeerLeases() *peerLeases {
+	return &peerLeases{leases: map[owner.LeaseID]*peerLease{}}
+}
+
+func (p *peerLeases) get(id owner.LeaseID) *peerLease {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leases[id]
+}
+
+// addRunning adds to the number of batches that are being run.
+func (p *peerLeases) addRunning(delta int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += delta
+}
+
+// count returns the number of leases and running batches.
+func (p *peerLeases) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.leases) + p.running
+}
+
+// PeerWork returns the number of leases that other instances hold here and of their
+// batches that are being run.
+func (g *Gateway) PeerWork() int {
+	return g.peerLeases.count()
+}
+
+// Owners returns the instances that own the servers of a group, in order of rank, as far
+// as this instance knows. It returns none if each instance uses the servers itself.
+func (g *Gateway) Owners(group fleet.GroupID) []fleet.InstanceID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.owners.Owners(group))
+}
+
+// RunForPeer runs one batch for a session of another instance.
+func (g *Gateway) RunForPeer(request owner.Request) owner.Response {
+	g.peerLeases.addRunning(1)
+	defer g.peerLeases.addRunning(-1)
+	now := g.config.Clock()
+	g.mu.Lock()
+	deadline, calibrated := g.storeClock.DeadlineTime(request.Deadline)
+	requirementsDeadline, _ := g.storeClock.DeadlineTime(request.RequirementsDeadline)
+	g.mu.Unlock()
+	if !calibrated {
+		return refusedBatch(errNotProved)
+	}
+	if !now.Before(deadline) {
+		// The caller has given the request up, for example because this instance was
+		// suspended.
+		return owner.Response{Failure: &session.RunError{Kind: session.KindBusy, Text: "the deadline has passed"}}
+	}
+	if request.Requirements == nil {
+		return g.continuePeerLease(deadline, request)
+	}
+	requirements := *request.Requirements
+	requirements.Deadline = requirementsDeadline
+	// A later start only requires a more recent log.
+	requirements.StartedAt = now
+	return g.openPeerLease(deadline, requirements, request)
+}
+
+// refusedBatch is the response to a batch that did not run because this instance
+// can't use the servers.
+func refusedBatch(err error) owner.Response {
+	return owner.Response{Failure: &session.RunError{Kind: session.KindBusy, Text: err.Error()}, Unavailable: true}
+}
+
+// openPeerLease acquires a connection and runs the first batch on it.
+func (g *Gateway) openPeerLease(deadline time.Time, requirements session.Requirements, request owner.Request) owner.Response {
+	if g.stoppedOwning(g.config.Clock()) {
+		return refusedBatch(errStopping)
+	}
+	acquired, err := g.acquire(requirements, true)
+	if err != nil {
+		return owner.Response{
+			Failure:     &session.RunError{Kind: err.Kind, RetryAfter: err.RetryAfter, Text: err.Err.Error()},
+			Unavailable: isOwnerUnavailable(err.Err),
+		}
+	}
+	held := &peerLease{lease: acquired}
+	response := g.runPeerBatch(held, deadline, session.KindReadOnly, request.Batch)
+	switch {
+	case request.Batch.Final || request.Lease == "":
+		acquired.Release()
+	case response.Failure != nil:
+		rollBack(g.config.Clock(), acquired)
+	default:
+		held.expiry = time.AfterFunc(g.TransactionIdle()+peerLeaseIdleMargin, func() { g.expirePeerLease(request.Lease) })
+		g.peerLeases.mu.Lock()
+		g.peerLeases.leases[request.Lease] = held
+		g.peerLeases.mu.Unlock()
+	}
+	return response
+}
+
+// continuePeerLease runs a later batch of a lease.
+func (g *Gateway) continuePeerLease(deadline time.Time, request owner.Request) owner.Response {
+	lost := owner.Response{Failure: &session.RunError{Kind: session.KindAborted, Text: "the transaction has ended"}}
+	held := g.peerLeases.get(request.Lease)
+	if held == nil {
+		return lost
+	}
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	if held.ended {
+		return lost
+	}
+	held.expiry.Reset(g.TransactionIdle() + peerLeaseIdleMargin)
+	response := g.runPeerBatch(held, deadline, session.KindAborted, request.Batch)
+	if request.Batch.Final {
+		g.endPeerLease(request.Lease, held)
+		held.lease.Release()
+	}
+	return response
+}
+
+// runPeerBatch runs a batch unless the server may no longer be the only primary. Then
+// it returns an error of kind refusal.
+func (g *Gateway) runPeerBatch(held *peerLease, deadline time.Time, refusal session.Kind, batch session.Batch) owner.Response {
+	response := owner.Response{Server: held.lease.Server()}
+	isRollback := len(batch.Commands) == 1 && batch.Commands[0].Kind == session.StatementRollback
+	if !isRollback && !held.lease.Exclusive(g.config.Clock()) {
+		response.Failure = &session.RunError{Kind: refusal, Text: "the primary may have been replaced"}
+		return response
+	}
+	response.Reply, response.Failure = held.lease.Run(deadline, batch)
+	response.Exclusive = held.lease.Exclusive(g.config.Clock())
+	return response
+}
+
+// expirePeerLease gives up a lease whose holder has not used it for too long.
+func (g *Gateway) expirePeerLease(id owner.LeaseID) {
+	held := g.peerLeases.get(id)
+	if held == nil {
+		return
+	}
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	if !held.ended {
+		g.endPeerLease(id, held)
+		rollBack(g.config.Clock(), held.lease)
+	}
+}
+
+// endPeerLease removes a lease. The caller holds held.mu.
+func (g *Gateway) endPeerLease(id owner.LeaseID, held *peerLease) {
+	held.ended = true
+	held.expiry.Stop()
+	g.peerLeases.mu.Lock()
+	defer g.peerLeases.mu.Unlock()
+	delete(g.peerLeases.leases, id)
+}
+
+// rollBack rolls back the transaction of a lease and releases it. If that fails, the
+// connection is closed, which rolls back as well.
+func rollBack(now time.Time, lease session.Lease) {
+	_, _ = lease.Run(now.Add(peerRollbackTimeout), session.Batch{
+		Commands: []session.Command{{Statement: session.Statement{Kind: session.StatementRollback}}}, Final: true,
+	})
+	lease.Release()
+}
+
+// stoppedOwning reports whether this instance is stopping and no longer accepts
+// leases of other instances.
+func (g *Gateway) stoppedOwning(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining && now.Sub(g.drainingSince) >= ownerStopDelay
+}
+
+// ownerCandidates returns the instances that may own groups: those that hold shares of
+// the rate limits, because the others have just started, or all if none does. The
+// caller holds g.mu.
+func (g *Gateway) ownerCandidates() []owner.Candidate {
+	var holding, all []owner.Candidate
+	for id, m := range g.members.members {
+		row := m.row
+		if id == g.members.self {
+			row = g.members.lastWritten
+			row.Draining = g.draining
+		}
+		if (id != g.members.self && !g.members.isLive(m)) || row.Address == "" || row.Draining {
+			continue
+		}
+		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
+		all = append(all, candidate)
+		if row.Phase == workspace.PhaseHolding {
+			holding = append(holding, candidate)
+		}
+	}
+	if len(holding) == 0 {
+		return all
+	}
+	return holding
+}
+
+// updateOwners chooses the owners of the groups whose servers accept too few
+// connections for all live instances. The caller holds g.mu.
+func (g *Gateway) updateOwners() {
+	owners := map[fleet.GroupID][]fleet.InstanceID{}
+	if g.routing != nil && g.config.OwnerClient != nil {
+		candidates := g.ownerCandidates()
+		live := g.members.liveCount()
+		for group := range g.routing.Groups() {
+			if g.isOwned(group, live) {
+				owners[group] = owner.Choose(group, candidates)
+			}
+		}
+	}
+	g.owners.Set(owners)
+	g.owners.Prune(g.config.Clock())
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -24,30 +24,44 @@
 	drainingUseTime = 5 * time.Second
 )
 
-// Acquire returns a connection to a server that meets the requirements: the primary
-// for writes and for routes that require it, or else a server with a recent enough
-// log.
+// Acquire returns a lease that meets the requirements: on a connection of the group's
+// owner, or else on one of this instance.
 func (g *Gateway) Acquire(requirements session.Requirements) (session.Lease, *session.Error) {
+	if l, found := g.remoteLease(requirements); found {
+		return l, nil
+	}
+	return g.acquire(requirements, false)
+}
+
+// acquire returns a connection to a server that meets the requirements: the primary
+// for writes and for routes that require it, or else a server with a recent enough
+// log. If forPeer is true, the request came from another instance, which can turn to
+// another owner.
+func (g *Gateway) acquire(requirements session.Requirements, forPeer bool) (session.Lease, *session.Error) {
 	if requirements.Write || requirements.Route.Consistency == sheet.ConsistencyPrimary {
-		return g.acquirePrimary(requirements)
+		return g.acquirePrimary(requirements, forPeer)
 	}
 	server, minPosition, primary, found := g.chooseReplica(requirements)
 	if !found {
 		return nil, &session.Error{Err: errors.New("no server with a recent enough log can be reached"), Kind: session.KindLagging, Op: "route", RetryAfter: primaryRetryAfter}
 	}
 	if primary {
-		return g.acquirePrimary(requirements)
+		return g.acquirePrimary(requirements, forPeer)
 	}
 	return g.lease(requirements, &lease{minPosition: minPosition, gateway: g, group: requirements.Route.Group, server: server})
 }
 
 // acquirePrimary returns a connection to the primary. It waits until the primary may
-// be used, at most until the deadline less executionReserve.
-func (g *Gateway) acquirePrimary(requirements session.Requirements) (session.Lease, *session.Error) {
+// be used, at most until the deadline less executionReserve. For another instance, it
+// does not wait for a proof that this instance lacks.
+func (g *Gateway) acquirePrimary(requirements session.Requirements, forPeer bool) (session.Lease, *session.Error) {
 	for {
 		now := g.config.Clock()
 		g.mu.Lock()
 		l, changed, err := g.tryUsePrimary(now, requirements)
+		if l == nil && err == nil && forPeer {
+			err = g.missingProof(now, requirements.Route.Group)
+		}
 		g.mu.Unlock()
 		if err != nil {
 			return nil, err
@@ -68,7 +82,7 @@
 	state := g.group(requirements.Route.Group)
 	record := state.primaryLease.Record()
 	if record.Phase == primacy.PhaseServing && g.isUnreachable(record.Primary) {
-		return nil, nil, &session.Error{Err: errors.New("the primary does not answer this instance"), Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
+		return nil, nil, &session.Error{Err: errPrimaryUnreachable, Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
 	}
 	server := g.servers[record.Primary]
 	if record.Phase == primacy.PhaseServing && server != nil && !g.usable(now, server) {
@@ -86,11 +100,24 @@
 	return &lease{gateway: g, generation: generation, group: requirements.Route.Group, primary: true, server: id}, nil, nil
 }
 
+// missingProof returns an error if this instance can't use the group's primary although
+// another one may. The caller holds g.mu.
+func (g *Gateway) missingProof(now time.Time, group fleet.GroupID) *session.Error {
+	lease := &g.group(group).primaryLease
+	switch {
+	case lease.Record().Generation == 0:
+		return &session.Error{Err: errNoRecord, Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
+	case lease.Record().Phase == primacy.PhaseServing && !lease.Active(now):
+		return &session.Error{Err: errNotProved, Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
+	}
+	return nil
+}
+
 // usable reports whether a server may get requests that only it can run: its data
 // centre is in service, and it has not been draining for drainingUseTime or longer.
 // The caller holds g.mu.
 func (g *Gateway) usable(now time.Time, server *backendServer) bool {
-	if !g.routing.IsInService(server.DataCentre) {
+	if g.routing == nil || !g.routing.IsInService(server.DataCentre) {
 		return false
 	}
 	return !server.Draining || now.Sub(server.drainingSince) < drainingUseTime
@@ -114,7 +141,7 @@
 	for id, candidate := range g.servers {
 		isPrimary := id == record.Primary
 		if candidate.Group != requirements.Route.Group || requirements.Avoid[id] || g.isUnreachable(id) || candidate.Draining ||
-			!g.routing.IsInService(candidate.DataCentre) || !candidate.allowRead(now) || (!isPrimary && now.Before(candidate.lagBackoffUntil)) {
+			g.routing == nil || !g.routing.IsInService(candidate.DataCentre) || !candidate.allowRead(now) || (!isPrimary && now.Before(candidate.lagBackoffUntil)) {
 			continue
 		}
 		cost := g.cost(now, candidate, requirements.Workspace, isPrimary)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,6 +21,9 @@
 	// MemoryLimit is the memory limit of the instance in megabytes. The soft
 	// memory limit of the Go runtime is set to half of it.
 	MemoryLimit int
+	// ProcessorShare is the processor time that the instance may use, in cores.
+	// Instances with a large share work for the others.
+	ProcessorShare float64
 	// PromotionAddress is the address to which promotion orders are sent.
 	PromotionAddress string
 	// StopBound is the time that a planned stop may take before the process is
@@ -66,6 +69,7 @@
 		{Path: "Listen.Ready", Format: document.FormatAddress, Required: true},
 		{Path: "Log.LinesPerSecond", Default: "20", Min: 0, Max: 100_000},
 		{Path: "MemoryLimit", Default: "284", Min: 16, Max: 1 << 20},
+		{Path: "ProcessorShare", Default: "1", Min: 0.01, Max: 1024},
 		{Path: "PromotionAddress", Format: document.FormatAddress, Required: true},
 		{Path: "StopBound", Default: "6s", Min: float64(time.Second), Max: float64(time.Hour)},
 		{Path: "StoreAddress", Format: document.FormatAddress, Required: true},
--- /dev/null
+++ b/owner/choose.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+const (
+	// Ranks is the number of owners of a group. The second one is called while the
+	// first one is unavailable.
+	Ranks = 2
+	// minLargeCandidates is the number of large instances from which on only these
+	// own groups.
+	minLargeCandidates = 4
+)
+
+// Candidate is a live instance that may own groups.
+type Candidate struct {
+	DataCentre fleet.DataCentre
+	Instance   fleet.InstanceID
+	// ProcessorShare is the processor time that the instance may use, in cores.
+	ProcessorShare float64
+}
+
+// Choose returns the owners of a group in order of rank. All instances that know the
+// same candidates choose the same ones. The owners of a group are in different data
+// centres if possible. Instances with less than half of the largest processor share
+// are chosen only if there are few others, because an owner also works for the
+// sessions of the others.
+func Choose(group fleet.GroupID, candidates []Candidate) []fleet.InstanceID {
+	eligible := largeCandidates(candidates)
+	dataCentres := make(map[fleet.InstanceID]fleet.DataCentre, len(eligible))
+	instances := make([]fleet.InstanceID, 0, len(eligible))
+	for _, candidate := range eligible {
+		dataCentres[candidate.Instance] = candidate.DataCentre
+		instances = append(instances, candidate.Instance)
+	}
+	ranked := fleet.Owners(string(group), instances, len(instances))
+	if len(ranked) <= Ranks {
+		return ranked
+	}
+	second := slices.IndexFunc(ranked, func(id fleet.InstanceID) bool { return dataCentres[id] != dataCentres[ranked[0]] })
+	return []fleet.InstanceID{ranked[0], ranked[max(second, 1)]}
+}
+
+// largeCandidates returns the candidates with at least half of the largest processor
+// share, or all of them if these are fewer than minLargeCandidates.
+func largeCandidates(candidates []Candidate) []Candidate {
+	largest := 0.0
+	for _, candidate := range candidates {
+		largest = max(largest, candidate.ProcessorShare)
+	}
+	large := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.ProcessorShare < largest/2 })
+	if len(large) < minLargeCandidates {
+		return candidates
+	}
+	return large
+}
--- a/pool/share.go
+++ b/pool/share.go
@@ -42,3 +42,35 @@
 	}
 	return minConnections, min(idle, minConnections)
 }
+
+const (
+	// firstOwnerFraction and secondOwnerFraction are the fractions of a server's
+	// connection budget that its owners may use. The rest is as for sharedFraction,
+	// and for instances that can't reach an owner.
+	firstOwnerFraction  = 0.6
+	secondOwnerFraction = 0.2
+)
+
+// NeedsOwner reports whether the connection budget of a server is so small that most
+// instances could not keep one connection to it. The server is then used through an
+// instance that owns it. A zero budget means that it is unknown.
+func NeedsOwner(budget, live int) bool {
+	return budget > 0 && sharedFraction*float64(budget) < float64(live)
+}
+
+// OwnerLimits returns how many connections an owner of a server may open, and how many
+// of them it may keep idle. The rank is that of the owner, from zero.
+func OwnerLimits(budget, rank int) (limit, idle int) {
+	fraction := firstOwnerFraction
+	if rank > 0 {
+		fraction = secondOwnerFraction
+	}
+	limit = max(minConnections, int(fraction*float64(budget)))
+	return limit, limit
+}
+
+// DirectLimits returns the same for an instance that uses an owned server itself,
+// which it does only while it can't reach an owner.
+func DirectLimits() (limit, idle int) {
+	return minConnections, 0
+}
--- a/primacy/lease.go
+++ b/primacy/lease.go
@@ -57,7 +57,7 @@
 // Acquire starts a use of the primary. It reports false if the primary may not
 // be used now. Each use must be ended by Release.
 func (l *PrimaryLease) Acquire(now time.Time) (server fleet.ServerID, generation Generation, usable bool) {
-	if l.record.Phase != PhaseServing || !l.isActive(now) {
+	if l.record.Phase != PhaseServing || !l.Active(now) {
 		return "", 0, false
 	}
 	l.activeUses++
@@ -73,7 +73,7 @@
 // been the only primary up to now. During a change this stays true until the
 // instance has confirmed that it left the primary.
 func (l *PrimaryLease) Exclusive(now time.Time, generation Generation) bool {
-	if !l.isActive(now) {
+	if !l.Active(now) {
 		return false
 	}
 	if l.record.Phase == PhaseServing {
@@ -99,6 +99,7 @@
 	return l.leftGeneration, true
 }
 
-func (l *PrimaryLease) isActive(now time.Time) bool {
+// Active reports whether the lease has not expired.
+func (l *PrimaryLease) Active(now time.Time) bool {
 	return now.Before(l.leaseStart.Add(LeaseTime))
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,11 +54,9 @@
 	return &Server{secret: base64.StdEncoding.EncodeToString(secret), source: source}
 }
 
-// Handler returns the HTTP handler of the service.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(nutmegpierv1connect.NewRelayServiceHandler(s))
-	return mux
+// Handler returns the path and the HTTP handler of the service.
+func (s *Server) Handler() (string, http.Handler) {
+	return nutmegpierv1connect.NewRelayServiceHandler(s)
 }
 
 // Changes serves one call.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,7 +29,9 @@
 
 func serve(t *testing.T, s *source) (address string) {
 	t.Helper()
-	server := httptest.NewServer(relay.NewServer([]byte("secret"), s).Handler())
+	mux := http.NewServeMux()
+	mux.Handle(relay.NewServer([]byte("secret"), s).Handler())
+	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/session/connstate.go
+++ b/session/connstate.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 )
 
 // ConnState tracks the session variables and prepared statements that are
@@ -49,6 +50,37 @@
 	return commands
 }
 
+// Runner runs commands on a backend connection in one round trip.
+type Runner interface {
+	// Run returns the reply to the last command, or the error of the first one that
+	// failed.
+	Run(deadline time.Time, commands []Command) (Reply, *RunError)
+}
+
+// Run brings the connection to the state that the batch needs and runs its commands.
+// The state is set in a round trip of its own, so that no statement runs with other
+// variables. A begin needs none: it runs nothing, and is rolled back if it failed.
+func (c *ConnState) Run(conn Runner, deadline time.Time, batch Batch) (Reply, *RunError) {
+	setup := c.Sync(batch.Variables, batch.Template)
+	if len(setup) > 0 && beginsTransaction(batch.Commands) {
+		return conn.Run(deadline, append(setup, batch.Commands...))
+	}
+	if len(setup) > 0 {
+		if _, failure := conn.Run(deadline, setup); failure != nil {
+			if !failure.Kind.NotRun() {
+				// None of these commands writes, so the request had no effect.
+				failure.Kind = KindBusy
+			}
+			return Reply{}, failure
+		}
+	}
+	return conn.Run(deadline, batch.Commands)
+}
+
+func beginsTransaction(commands []Command) bool {
+	return len(commands) > 0 && (commands[0].Kind == StatementBegin || commands[0].Kind == StatementBeginRead)
+}
+
 // HasVariables reports whether exactly these session variables are set on the
 // connection.
 func (c *ConnState) HasVariables(variables map[string]string) bool {
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -112,18 +112,20 @@
 	environment *environment
 }
 
-func (l *lease) MinPosition() fleet.Position { return fleet.Position{} }
-func (l *lease) Exclusive(time.Time) bool    { return !l.server.replaced }
-func (l *lease) Release()                    { l.environment.released++ }
-func (l *lease) Server() fleet.ServerID      { return l.server.id }
-func (l *lease) State() *session.ConnState   { return l.server.state }
+func (l *lease) Exclusive(time.Time) bool { return !l.server.replaced }
+func (l *lease) Release()                 { l.environment.released++ }
+func (l *lease) Server() fleet.ServerID   { return l.server.id }
+
+func (l *lease) Run(deadline time.Time, batch session.Batch) (session.Reply, *session.RunError) {
+	return l.server.state.Run(l.server, deadline, batch)
+}
 
 func (s *server) endsTransaction(kind session.StatementKind) bool {
 	return kind == session.StatementCommit || kind == session.StatementRollback
 }
 
-func (l *lease) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
-	s := l.server
+// Run runs the commands one after the other.
+func (s *server) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
 	s.deadlines = append(s.deadlines, deadline)
 	var reply session.Reply
 	for _, command := range commands {
--- a/session/router.go
+++ b/session/router.go
@@ -56,27 +56,43 @@
 type RunError struct {
 	// Kind is KindUnknown if the connection was lost before the answer.
 	Kind Kind
+	// RetryAfter is how long to wait before a retry can succeed, or zero if it
+	// isn't known.
+	RetryAfter time.Duration
 	// Text is the server's error message, or describes the connection error.
 	Text string
 }
 
+// Batch is what Lease.Run runs in one call.
+type Batch struct {
+	// Commands run in order. Commands after a failed one may run as well.
+	Commands []Command
+	// Final says that the lease will run nothing else, so that the connection can
+	// be used for other sessions at once.
+	Final bool
+	// Template is prepared on the connection first, unless it is nil or already
+	// prepared there.
+	Template *Template
+	// Variables are the session variables that must be set on the connection. The
+	// map must not be modified.
+	Variables map[string]string
+}
+
 // Lease is a backend connection that is reserved for one session.
 type Lease interface {
-	// MinPosition is the log position that the server must have applied before
-	// it answers a read, or zero.
-	MinPosition() fleet.Position
 	// Exclusive reports whether the server has certainly been the only primary
 	// from when the lease was acquired until now. It is always true for a lease
 	// on a replica.
 	Exclusive(now time.Time) bool
 	// Release returns the connection to the pool.
 	Release()
-	// Run sends the commands in one batch and returns the reply to the last one,
-	// or the error of the first one that failed. Commands after a failed one may
-	// run as well.
-	Run(deadline time.Time, commands []Command) (Reply, *RunError)
-	// Server returns the ID of the server.
+	// Run brings the connection to the state that the batch needs, runs its
+	// commands, and returns the reply to the last one, or the error of the first
+	// one that failed. If the state could not be set, the error has a kind for
+	// which nothing ran. A read or begin that is the first command of the lease
+	// runs only if the server has a recent enough log.
+	Run(deadline time.Time, batch Batch) (Reply, *RunError)
+	// Server returns the ID of the server. It is empty if that is not known, which
+	// it may be before the first call of Run.
 	Server() fleet.ServerID
-	// State returns the session state that is set on the connection.
-	State() *ConnState
 }
--- a/session/session.go
+++ b/session/session.go
@@ -273,8 +273,8 @@
 			return Reply{}, err
 		}
 		*attempts++
-		s.lastServer = lease.Server()
 		reply, err := run(lease)
+		s.lastServer = lease.Server()
 		if err == nil {
 			return reply, nil
 		}
@@ -288,9 +288,11 @@
 		if *attempts >= maxAttempts || !attempt.MayRetry(s.config.Clock().Add(delay)) {
 			return Reply{}, s.readOutcome(write, err)
 		}
-		avoid := map[fleet.ServerID]bool{lease.Server(): true}
-		maps.Copy(avoid, requirements.Avoid)
-		requirements.Avoid = avoid
+		if server := lease.Server(); server != "" {
+			avoid := map[fleet.ServerID]bool{server: true}
+			maps.Copy(avoid, requirements.Avoid)
+			requirements.Avoid = avoid
+		}
 		s.config.Sleep(delay)
 	}
 }
@@ -316,17 +318,10 @@
 // runOn runs a statement outside a transaction and releases the connection.
 func (s *Session) runOn(lease Lease, requirements Requirements, deadline time.Time, statement Statement, template *Template) (Reply, *Error) {
 	defer lease.Release()
-	if err := s.syncConnection(lease, deadline, template, nil); err != nil {
-		return Reply{}, err
-	}
-	command := newCommand(statement, template)
-	if !requirements.Write {
-		command.MinPosition = lease.MinPosition()
-	}
 	if requirements.Write && !lease.Exclusive(s.config.Clock()) {
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "run"}
 	}
-	reply, failure := lease.Run(deadline, []Command{command})
+	reply, failure := lease.Run(deadline, Batch{Commands: []Command{newCommand(statement, template)}, Final: true, Template: template, Variables: s.variables})
 	if failure != nil {
 		return Reply{}, wrapRunError("run", failure)
 	}
@@ -339,27 +334,9 @@
 	return reply, nil
 }
 
-// syncConnection brings the connection to the state that the session and the
-// template need, and runs extraCommands in the same batch.
-func (s *Session) syncConnection(lease Lease, deadline time.Time, template *Template, extraCommands []Command) *Error {
-	commands := append(lease.State().Sync(s.variables, template), extraCommands...)
-	if len(commands) == 0 {
-		return nil
-	}
-	if _, failure := lease.Run(deadline, commands); failure != nil {
-		err := wrapRunError("prepare connection", failure)
-		if err.Kind == KindUnknown || err.Kind == KindTimeout {
-			// None of these commands writes, so the request certainly had no effect.
-			err.Kind = KindBusy
-		}
-		return err
-	}
-	return nil
-}
-
 // wrapRunError converts a failed command into the error of an operation.
 func wrapRunError(op string, failure *RunError) *Error {
-	return &Error{Err: errors.New(failure.Text), Kind: failure.Kind, Op: op}
+	return &Error{Err: errors.New(failure.Text), Kind: failure.Kind, Op: op, RetryAfter: failure.RetryAfter}
 }
 
 // newCommand returns the command that runs a statement on a server. For a prepared
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -24,11 +24,8 @@
 		if err := s.openTransaction(t, template, &attempts); err != nil {
 			return s.failStatement(start, statement, err)
 		}
-	} else if err := s.syncConnection(t.lease, deadline, template, nil); err != nil {
-		return s.failStatement(start, statement, &Error{Err: err.Err, Kind: KindAborted, Op: err.Op})
 	}
-	s.lastServer = t.lease.Server()
-	reply, failure := t.lease.Run(deadline, []Command{newCommand(statement, template)})
+	reply, failure := t.lease.Run(deadline, Batch{Commands: []Command{newCommand(statement, template)}, Template: template, Variables: s.variables})
 	if failure != nil {
 		err := wrapRunError("run in transaction", failure)
 		if err.Kind != KindFailed && err.Kind != KindNoStatement {
@@ -49,14 +46,19 @@
 		kind = StatementBegin
 	}
 	_, err := s.runWithRetries(&t.requirements, attempts, false, func(lease Lease) (Reply, *Error) {
-		begin := Command{Statement: Statement{Kind: kind}, MinPosition: lease.MinPosition()}
 		if t.requirements.Write && !lease.Exclusive(s.config.Clock()) {
 			lease.Release()
 			return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "begin"}
 		}
-		if err := s.syncConnection(lease, t.requirements.Deadline, template, []Command{begin}); err != nil {
+		begin := Batch{Commands: []Command{{Statement: Statement{Kind: kind}}}, Template: template, Variables: s.variables}
+		if _, failure := lease.Run(t.requirements.Deadline, begin); failure != nil {
 			s.rollback(lease)
 			lease.Release()
+			err := wrapRunError("begin", failure)
+			if err.Kind == KindUnknown || err.Kind == KindTimeout {
+				// Nothing was written, so the transaction certainly had no effect.
+				err.Kind = KindBusy
+			}
 			return Reply{}, err
 		}
 		t.lease = lease
@@ -121,7 +123,7 @@
 	if t.wrote && !t.lease.Exclusive(start) {
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindAborted, Op: "commit"}
 	}
-	reply, failure := t.lease.Run(deadline, []Command{{Statement: statement}})
+	reply, failure := t.lease.Run(deadline, Batch{Commands: []Command{{Statement: statement}}, Final: true, Variables: s.variables})
 	if failure != nil {
 		err := wrapRunError("commit", failure)
 		lost := err.Kind == KindUnknown || err.Kind == KindTimeout
@@ -156,5 +158,5 @@
 // connection whose rollback fails is closed, which rolls back as well.
 func (s *Session) rollback(lease Lease) {
 	deadline := s.config.Clock().Add(rollbackTimeout)
-	_, _ = lease.Run(deadline, []Command{{Statement: Statement{Kind: StatementRollback}}})
+	_, _ = lease.Run(deadline, Batch{Commands: []Command{{Statement: Statement{Kind: StatementRollback}}}, Final: true, Variables: s.variables})
 }
