--- a/feed/feed.go
+++ b/feed/feed.go
@@ -12,8 +12,18 @@
 // row.
 type Revision uint64
 
+// RowVersion is the value of a row as of a revision of it. The zero value stands for a
+// row that isn't known.
+type RowVersion struct {
+	Revision Revision
+	Value    []byte
+}
+
 // Row is one row of a table, or a change of one.
 type Row struct {
+	// Base is the version that the change replaces, if a receiver that knows the
+	// table up to the revision of the request certainly has it.
+	Base RowVersion
 	// Deleted is true in a change that deletes the row.
 	Deleted  bool
 	Key      string
@@ -44,7 +54,9 @@
 	verifiedAt time.Time
 	revision   Revision
 	rows       map[string]Row
-	storeTime  time.Duration
+	// replaced holds the version that the row with the same key replaced.
+	replaced  map[string]RowVersion
+	storeTime time.Duration
 }
 
 // maxTombstones is the number of deleted rows that are kept for ChangesSince.
@@ -53,7 +65,7 @@
 
 // NewMirror returns an empty copy that has not been loaded yet.
 func NewMirror() *Mirror {
-	return &Mirror{tombstones: map[string]Row{}, rows: map[string]Row{}}
+	return &Mirror{tombstones: map[string]Row{}, rows: map[string]Row{}, replaced: map[string]RowVersion{}}
 }
 
 // Apply processes an answer that shows the table as it was at verifiedAt or
@@ -70,10 +82,14 @@
 		clear(m.tombstones)
 	}
 	for _, row := range snapshot.Rows {
-		if known, found := m.rows[row.Key]; found && known.Revision >= row.Revision {
+		row.Base = RowVersion{}
+		known, found := m.rows[row.Key]
+		if found && known.Revision >= row.Revision {
 			continue
 		}
+		m.replaced[row.Key] = RowVersion{Revision: known.Revision, Value: known.Value}
 		if row.Deleted {
+			delete(m.replaced, row.Key)
 			delete(m.rows, row.Key)
 			m.tombstones[row.Key] = row
 		} else {
@@ -108,6 +124,7 @@
 			row.Deleted = true
 			deleted = append(deleted, row)
 			delete(m.rows, key)
+			delete(m.replaced, key)
 		}
 	}
 	return deleted
@@ -120,6 +137,9 @@
 	for _, rows := range []map[string]Row{m.rows, m.tombstones} {
 		for _, row := range rows {
 			if row.Revision > after || (snapshot.Complete && !row.Deleted) {
+				if base := m.replaced[row.Key]; !snapshot.Complete && !row.Deleted && base.Revision <= after {
+					row.Base = base
+				}
 				snapshot.Rows = append(snapshot.Rows, row)
 			}
 		}
@@ -156,6 +176,12 @@
 	return row, found
 }
 
+// Version returns the version of the row with a key that the copy holds.
+func (m *Mirror) Version(key string) RowVersion {
+	row := m.rows[key]
+	return RowVersion{Revision: row.Revision, Value: row.Value}
+}
+
 // Rows returns all rows by key. The map must not be changed.
 func (m *Mirror) Rows() map[string]Row {
 	return m.rows
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,6 +226,11 @@
 	owners *owner.Directory
 	// peerLeases are the leases of other instances on connections of this one.
 	peerLeases *peerLeases
+	// poolServersUpdatedAt is when the membership controller last started
+	// updatePoolServers.
+	poolServersUpdatedAt time.Time
+	// rowBatcher writes the rows of the instances for which this one is the relay.
+	rowBatcher *rowBatcher
 	// remoteLeaseCount counts the leases of this instance at others.
 	remoteLeaseCount uint64
 }
@@ -278,6 +283,7 @@
 		owners:             owner.NewDirectory(),
 		peerLeases:         newPeerLeases(),
 		random:             rand.New(rand.NewPCG(uint64(config.Epoch), 1)),
+		rowBatcher:         newRowBatcher(config.Store.Write),
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
 	}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -37,7 +37,10 @@
 	// heartbeatInterval is the time between two writes of this instance's row. Two
 	// intervals fit in the lease, and a failed write is retried sooner.
 	heartbeatInterval = 2100 * time.Millisecond
-	// minHeartbeatRetry is the first retry delay after a failed write. It doubles
+	// conflictRetry is the first retry delay after a failed write, which may have
+	// failed only because an earlier one was applied whose response was lost.
+	conflictRetry = 100 * time.Millisecond
+	// minHeartbeatRetry is the second retry delay after a failed write. It doubles
 	// up to heartbeatInterval.
 	minHeartbeatRetry = 450 * time.Millisecond
 	// minHeartbeatSpacing is the minimum time between two writes.
@@ -46,6 +49,9 @@
 	writeTimeout = 1200 * time.Millisecond
 	// memberPollInterval is the time between two reads of the instances' rows.
 	memberPollInterval = 1500 * time.Millisecond
+	// demandUpdateInterval is the time between two updates of this instance's share of
+	// the connections from the demands of all instances.
+	demandUpdateInterval = 3 * time.Second
 	// memberRetention is the age at which the leader deletes the row of an instance
 	// that no longer runs. It is much longer than a restart takes.
 	memberRetention = time.Minute
@@ -64,15 +70,16 @@
 // MemberRow is the membership row that an instance writes periodically for the others
 // to read.
 type MemberRow struct {
-	// Address is where the instance serves requests of other instances.
-	Address string `json:",omitempty"`
-	// At is the store's monotonic time at which the row was sent.
+	// At is the store's monotonic time at which the row was sent. The fields that
+	// change with each write come first, because only the changed part is relayed.
 	At time.Duration
 	// Beat is a heartbeat counter that changes with each write.
-	Beat       uint64
-	DataCentre fleet.DataCentre
+	Beat uint64
 	// Demand is the demand on the instance in requests per second.
 	Demand float64
+	// Address is where the instance serves requests of other instances.
+	Address    string `json:",omitempty"`
+	DataCentre fleet.DataCentre
 	// Draining says that the instance is about to stop.
 	Draining bool `json:",omitempty"`
 	// Epoch identifies the run of the instance's process.
@@ -155,9 +162,10 @@
 	return partitions
 }
 
-// memberPartition returns the partition that holds an instance's row.
-func memberPartition(id fleet.InstanceID) Partition {
-	return Partition("instances-" + strconv.Itoa(int(xxhash.Sum64String(string(id))%memberPartitionCount)))
+// memberPartition returns the partition that holds the rows of a data centre's instances,
+// so that their relay can write them in one transaction.
+func memberPartition(dataCentre fleet.DataCentre) Partition {
+	return Partition("instances-" + strconv.Itoa(int(xxhash.Sum64String(string(dataCentre))%memberPartitionCount)))
 }
 
 // isLive reports whether the lease of an instance may still be valid.
@@ -216,7 +224,7 @@
 	}
 	// Instances that start at the same time see each other in the second read.
 	nextHeartbeat, nextPoll := time.Time{}, g.config.Clock().Add(startupPollInterval)
-	retryDelay := minHeartbeatRetry
+	retryDelay := conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
 		if !now.Before(nextHeartbeat) {
@@ -224,9 +232,9 @@
 			written, pollNow := g.writeOwnRow(ctx, now)
 			if !written {
 				nextHeartbeat = now.Add(retryDelay)
-				retryDelay = min(2*retryDelay, heartbeatInterval)
+				retryDelay = min(max(2*retryDelay, minHeartbeatRetry), heartbeatInterval)
 			} else {
-				retryDelay = minHeartbeatRetry
+				retryDelay = conflictRetry
 			}
 			if pollNow {
 				nextPoll = now
@@ -308,8 +316,9 @@
 	phase, phaseChanged := g.members.participation.NextPhase()
 	row := g.buildOwnRow(now, phase)
 	write := g.ownRowWrite(row)
+	urgent := row.isNews(g.members.lastWritten)
 	g.mu.Unlock()
-	result, err := g.write(ctx, write)
+	result, err := g.writeUnlessRequested(ctx, write, urgent)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
@@ -324,7 +333,7 @@
 	}
 	g.members.ownRevision = result.Revision
 	g.members.participation.PhaseWritten(phase)
-	if !slices.Equal(row.Left, g.members.lastWritten.Left) || !slices.Equal(row.Unreachable, g.members.lastWritten.Unreachable) {
+	if row.isNews(g.members.lastWritten) {
 		go g.notifyLeader()
 	}
 	g.members.lastWritten = row
@@ -333,6 +342,40 @@
 	return true, phaseChanged
 }
 
+// isNews reports whether the row says something that other instances wait for, compared
+// with an earlier row of the instance.
+func (r MemberRow) isNews(earlier MemberRow) bool {
+	return r.Draining != earlier.Draining || r.Phase != earlier.Phase ||
+		!slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
+}
+
+// writeUnlessRequested writes this instance's row. A heartbeat request that arrives while
+// the row waits for others ends the write, whose outcome is then unknown, so that the
+// newer row can be written at once.
+func (g *Gateway) writeUnlessRequested(ctx context.Context, write Write, urgent bool) (WriteResult, error) {
+	if urgent {
+		return g.writeMemberRow(ctx, write, urgent)
+	}
+	writeCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type outcome struct {
+		err    error
+		result WriteResult
+	}
+	written := make(chan outcome, 1)
+	go func() {
+		result, err := g.writeMemberRow(writeCtx, write, urgent)
+		written <- outcome{err: err, result: result}
+	}()
+	select {
+	case o := <-written:
+		return o.result, o.err
+	case <-g.heartbeatRequests:
+		g.requestHeartbeat()
+		return WriteResult{}, &Error{Err: errSuperseded, Kind: KindUnknown, Op: "write row"}
+	}
+}
+
 // renewLeadership acquires or renews the leader's row when that is due.
 func (g *Gateway) renewLeadership(ctx context.Context, now time.Time) {
 	g.mu.Lock()
@@ -368,7 +411,7 @@
 	var removal *Write
 	for id, m := range g.members.members {
 		if g.members.leading && id != g.members.self && g.members.verifiedStoreTime-m.row.At > memberRetention {
-			removal = &Write{Key: string(id), Partition: memberPartition(id), Remove: true, Revision: m.revision, Table: memberTable}
+			removal = &Write{Key: string(id), Partition: memberPartition(m.row.DataCentre), Remove: true, Revision: m.revision, Table: memberTable}
 			break
 		}
 	}
@@ -376,8 +419,17 @@
 	if removal == nil {
 		return
 	}
-	if _, err := g.write(ctx, *removal); err != nil {
-		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "delete the row of instance " + removal.Key + ": " + err.Error()})
+	// An earlier version of this program wrote rows to other partitions.
+	partitions := slices.DeleteFunc(memberPartitions(), func(p Partition) bool { return p == leaderPartition || p == removal.Partition })
+	for _, partition := range append([]Partition{removal.Partition}, partitions...) {
+		removal.Partition = partition
+		result, err := g.write(ctx, *removal)
+		if err != nil {
+			g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "delete the row of instance " + removal.Key + ": " + err.Error()})
+		}
+		if err != nil || result.Applied {
+			return
+		}
 	}
 }
 
@@ -442,7 +494,7 @@
 	if err != nil {
 		g.config.Log.Record(event.EntryRefused, event.Fields{Text: "encode this instance's row: " + err.Error()})
 	}
-	return Write{Key: string(g.members.self), Partition: memberPartition(g.members.self), Revision: g.members.ownRevision, Table: memberTable, Value: content}
+	return Write{Key: string(g.members.self), Partition: memberPartition(g.config.Settings.DataCentre), Revision: g.members.ownRevision, Table: memberTable, Value: content}
 }
 
 // observeLeader processes the leader's row as it was read. A deleted or malformed
@@ -485,7 +537,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	liveBefore := g.members.liveCount()
-	leaderSeen := false
+	leaderSeen, membersChanged := false, false
 	for _, row := range changed {
 		if row.Key == leaderKey {
 			leaderSeen = true
@@ -494,7 +546,7 @@
 			}
 			continue
 		}
-		g.observeMember(now, row)
+		membersChanged = g.observeMember(now, row) || membersChanged
 	}
 	if !leaderSeen {
 		if row, found := f.mirror.Row(leaderKey); !found {
@@ -507,7 +559,10 @@
 		g.members.verifiedAt, g.members.verifiedStoreTime = tableVerifiedAt, g.storeClock.StoreTime(tableVerifiedAt)
 	}
 	g.probeReportedPrimaries()
-	if count := g.members.liveCount(); count != liveBefore || len(changed) > 0 {
+	// The demands, which also count for the connections, change with each heartbeat.
+	overdue := now.Sub(g.poolServersUpdatedAt) >= demandUpdateInterval
+	if membersChanged || overdue || g.members.liveCount() != liveBefore {
+		g.poolServersUpdatedAt = now
 		go g.updatePoolServers()
 	}
 	return nil
@@ -524,18 +579,18 @@
 	}
 }
 
-// observeMember processes the row of an instance as it was read. The caller holds
-// g.mu.
-func (g *Gateway) observeMember(now time.Time, row feed.Row) {
+// observeMember processes the row of an instance as it was read. It reports whether
+// anything but the heartbeat and the demand changed. The caller holds g.mu.
+func (g *Gateway) observeMember(now time.Time, row feed.Row) (changed bool) {
 	id := fleet.InstanceID(row.Key)
 	if row.Deleted {
 		delete(g.members.members, id)
-		return
+		return true
 	}
 	var decoded MemberRow
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
 		g.config.Log.Record(event.EntryRefused, event.Fields{Text: row.Key + ": decode the row of an instance: " + err.Error()})
-		return
+		return false
 	}
 	if id == g.members.self && row.Revision > g.members.ownRevision {
 		g.members.ownRevision = row.Revision
@@ -545,17 +600,20 @@
 	}
 	// The membership and promotion controllers each keep a copy of the table, and
 	// one may be behind the other.
-	if known := g.members.members[id]; known != nil && known.revision >= row.Revision {
-		return
+	known := g.members.members[id]
+	if known != nil && known.revision >= row.Revision {
+		return false
 	}
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
+	return known == nil || known.row.Address != decoded.Address || known.row.Epoch != decoded.Epoch ||
+		known.row.Since != decoded.Since || decoded.isNews(known.row)
 }
 
 // Leave deletes this instance's row at a planned stop, so that the others take over
 // its shares of the rate limits at once and no change of primary waits for it.
 func (g *Gateway) Leave(ctx context.Context) {
 	g.mu.Lock()
-	write := Write{Key: string(g.members.self), Partition: memberPartition(g.members.self), Remove: true, Revision: g.members.ownRevision, Table: memberTable}
+	write := Write{Key: string(g.members.self), Partition: memberPartition(g.config.Settings.DataCentre), Remove: true, Revision: g.members.ownRevision, Table: memberTable}
 	g.presence.Reset()
 	g.mu.Unlock()
 	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
@@ -24,6 +25,9 @@
 	// relayPollTimeout is the timeout of a request that the relay serves without
 	// waiting for a change.
 	relayPollTimeout = 300 * time.Millisecond
+	// relayWriteTimeout is the timeout of a write through the relay. After it there is
+	// time to write the row directly before the lease of 4.5 s ends.
+	relayWriteTimeout = 1100 * time.Millisecond
 	// relayBackoff is how long an instance reads the store itself after its relay
 	// failed. It is shorter than the time until the other instances see that an
 	// instance is gone.
@@ -36,8 +40,12 @@
 // RelayClient fetches table changes that another instance has read from the store.
 type RelayClient interface {
 	// Changes requests changes from the instance at an address. The secret is that
-	// of the called instance.
-	Changes(ctx context.Context, address string, secret []byte, request relay.Request) (feed.Snapshot, error)
+	// of the called instance. The function known returns the version of a row that
+	// this instance has.
+	Changes(ctx context.Context, address string, secret []byte, request relay.Request, known func(key string) feed.RowVersion) (feed.Snapshot, error)
+	// WriteRow writes this instance's membership row through the instance at an
+	// address.
+	WriteRow(ctx context.Context, address string, secret []byte, write relay.RowWrite) (relay.RowWriteResult, error)
 }
 
 var _ relay.Source = &Gateway{}
@@ -72,6 +80,61 @@
 	}
 }
 
+// WriteRow writes the membership row of another instance together with those of others.
+func (g *Gateway) WriteRow(ctx context.Context, write relay.RowWrite) (relay.RowWriteResult, error) {
+	if !slices.Contains(memberPartitions(), Partition(write.Partition)) {
+		return relay.RowWriteResult{}, &Error{Err: errors.New("the row is not in a partition of the instances' rows"), Kind: KindInvalid, Op: "write row"}
+	}
+	result, err := g.rowBatcher.Write(ctx, Write{
+		Key: write.Key, Partition: Partition(write.Partition), Revision: write.Revision, Table: memberTable, Value: write.Value,
+	}, write.Urgent)
+	if err != nil {
+		return relay.RowWriteResult{}, err
+	}
+	return relay.RowWriteResult{Applied: result.Applied, Current: result.currentRow(), Revision: result.Revision}, nil
+}
+
+// writeMemberRow writes this instance's row: in a batch with the rows of others if this
+// instance has a relay or is one, and otherwise by itself. If the relay does not answer,
+// it writes the row itself; of the two writes, at most one is applied.
+func (g *Gateway) writeMemberRow(ctx context.Context, write Write, urgent bool) (WriteResult, error) {
+	peer, found := g.currentRelay(g.config.Clock())
+	if !found {
+		if g.isRelay() {
+			return g.rowBatcher.Write(ctx, write, urgent)
+		}
+		return g.write(ctx, write)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, relayWriteTimeout)
+	defer cancel()
+	result, err := g.config.RelayClient.WriteRow(callCtx, peer.address, peer.secret, relay.RowWrite{
+		Key: write.Key, Partition: string(write.Partition), Revision: write.Revision, Urgent: urgent, Value: write.Value,
+	})
+	countRelayCall(err)
+	if err == nil {
+		return WriteResult{Applied: result.Applied, Current: []CurrentRow{{Row: result.Current, Table: memberTable}}, Revision: result.Revision}, nil
+	}
+	if ctx.Err() != nil {
+		return WriteResult{}, &Error{Err: ctx.Err(), Kind: KindUnknown, Op: "write row"}
+	}
+	var relayErr *relay.Error
+	if errors.As(err, &relayErr) && relayErr.Kind == relay.KindStoreFailed {
+		// The store would fail for this instance too, and for all others of the relay
+		// at the same moment.
+		return WriteResult{}, &Error{Err: err, Kind: KindUnknown, Op: "write row"}
+	}
+	g.recordRelayLost(g.config.Clock(), peer, err)
+	return g.write(ctx, write)
+}
+
+// isRelay reports whether other instances may read from this one.
+func (g *Gateway) isRelay() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.config.RelayClient != nil && !g.members.participation.NeedsFreshRead() && g.members.liveCount() > 1 &&
+		g.members.relayFor(g.config.Settings.DataCentre) == g.members.self
+}
+
 // relaySnapshot returns the changes since a revision, and a channel that is closed at
 // the next response or failure. It fails unless the last response came from the
 // store itself.
@@ -152,7 +215,7 @@
 	defer cancel()
 	snapshot, err := f.gateway.config.RelayClient.Changes(callCtx, peer.address, peer.secret, relay.Request{
 		After: f.mirror.Revision(), StoreTime: f.mirror.StoreTime(), Table: string(f.table), Wait: wait > 0,
-	})
+	}, f.mirror.Version)
 	countRelayCall(err)
 	if err != nil {
 		return nil, err
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -51,7 +51,7 @@
 	results  chan error
 }
 
-func (r *scriptedRelay) Changes(ctx context.Context, _ string, _ []byte, request relay.Request) (feed.Snapshot, error) {
+func (r *scriptedRelay) Changes(ctx context.Context, _ string, _ []byte, request relay.Request, _ func(string) feed.RowVersion) (feed.Snapshot, error) {
 	if request.Table != string(sheetTable) {
 		return feed.Snapshot{}, errors.New("not followed")
 	}
@@ -68,6 +68,10 @@
 	}
 }
 
+func (r *scriptedRelay) WriteRow(context.Context, string, []byte, relay.RowWrite) (relay.RowWriteResult, error) {
+	return relay.RowWriteResult{}, errors.New("not written")
+}
+
 // next returns the next request, and fails the test if none arrives in time.
 func (r *scriptedRelay) next(t *testing.T) relay.Request {
 	t.Helper()
--- a/gen/nutmegpier/v1/nutmegpierv1connect/relay.connect.go
+++ b/gen/nutmegpier/v1/nutmegpierv1connect/relay.connect.go
@@ -35,6 +35,8 @@
 const (
 	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
 	RelayServiceChangesProcedure = "/nutmegpier.v1.RelayService/Changes"
+	// RelayServiceWriteRowProcedure is the fully-qualified name of the RelayService's WriteRow RPC.
+	RelayServiceWriteRowProcedure = "/nutmegpier.v1.RelayService/WriteRow"
 )
 
 // RelayServiceClient is a client for the nutmegpier.v1.RelayService service.
@@ -42,6 +44,9 @@
 	// Changes returns the changes of a table since a revision, from the newest response
 	// of the store that the called instance has.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+	// WriteRow writes the membership row of the calling instance, in one transaction with
+	// those of other instances.
+	WriteRow(context.Context, *connect.Request[v1.WriteRowRequest]) (*connect.Response[v1.WriteRowResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the nutmegpier.v1.RelayService service. By default,
@@ -61,12 +66,19 @@
 			connect.WithSchema(relayServiceMethods.ByName("Changes")),
 			connect.WithClientOptions(opts...),
 		),
+		writeRow: connect.NewClient[v1.WriteRowRequest, v1.WriteRowResponse](
+			httpClient,
+			baseURL+RelayServiceWriteRowProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("WriteRow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	changes *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
+	changes  *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
+	writeRow *connect.Client[v1.WriteRowRequest, v1.WriteRowResponse]
 }
 
 // Changes calls nutmegpier.v1.RelayService.Changes.
@@ -74,11 +86,19 @@
 	return c.changes.CallUnary(ctx, req)
 }
 
+// WriteRow calls nutmegpier.v1.RelayService.WriteRow.
+func (c *relayServiceClient) WriteRow(ctx context.Context, req *connect.Request[v1.WriteRowRequest]) (*connect.Response[v1.WriteRowResponse], error) {
+	return c.writeRow.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the nutmegpier.v1.RelayService service.
 type RelayServiceHandler interface {
 	// Changes returns the changes of a table since a revision, from the newest response
 	// of the store that the called instance has.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+	// WriteRow writes the membership row of the calling instance, in one transaction with
+	// those of other instances.
+	WriteRow(context.Context, *connect.Request[v1.WriteRowRequest]) (*connect.Response[v1.WriteRowResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +114,18 @@
 		connect.WithSchema(relayServiceMethods.ByName("Changes")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceWriteRowHandler := connect.NewUnaryHandler(
+		RelayServiceWriteRowProcedure,
+		svc.WriteRow,
+		connect.WithSchema(relayServiceMethods.ByName("WriteRow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/nutmegpier.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceChangesProcedure:
 			relayServiceChangesHandler.ServeHTTP(w, r)
+		case RelayServiceWriteRowProcedure:
+			relayServiceWriteRowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +138,7 @@
 func (UnimplementedRelayServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("nutmegpier.v1.RelayService.Changes is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) WriteRow(context.Context, *connect.Request[v1.WriteRowRequest]) (*connect.Response[v1.WriteRowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("nutmegpier.v1.RelayService.WriteRow is not implemented"))
+}
--- a/relay/error.go
+++ b/relay/error.go
@@ -11,6 +11,11 @@
 
 // Kinds of errors.
 const (
+	// KindInvalid means that a response can't be decoded or applied.
+	KindInvalid Kind = "Invalid"
+	// KindStoreFailed means that the relay's call to the store failed. A row may have
+	// been written.
+	KindStoreFailed Kind = "StoreFailed"
 	// KindUnauthorized means that the request carried a wrong secret.
 	KindUnauthorized Kind = "Unauthorized"
 	// KindUnavailable means that the instance did not answer, or does not read
@@ -39,8 +44,12 @@
 
 // kindOf returns the kind of an error of a call.
 func kindOf(err error) Kind {
-	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+	switch connect.CodeOf(err) {
+	case connect.CodeFailedPrecondition:
+		return KindStoreFailed
+	case connect.CodeUnauthenticated:
 		return KindUnauthorized
+	default:
+		return KindUnavailable
 	}
-	return KindUnavailable
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,7 +19,9 @@
 type source struct {
 	err      error
 	requests []relay.Request
+	result   relay.RowWriteResult
 	snapshot feed.Snapshot
+	writes   []relay.RowWrite
 }
 
 func (s *source) ReadChanges(_ context.Context, request relay.Request) (feed.Snapshot, error) {
@@ -27,6 +29,14 @@
 	return s.snapshot, s.err
 }
 
+func (s *source) WriteRow(_ context.Context, write relay.RowWrite) (relay.RowWriteResult, error) {
+	s.writes = append(s.writes, write)
+	return s.result, s.err
+}
+
+// unknown is the known version of rows for a caller that has none.
+func unknown(string) feed.RowVersion { return feed.RowVersion{} }
+
 func serve(t *testing.T, s *source) (address string) {
 	t.Helper()
 	mux := http.NewServeMux()
@@ -44,7 +54,7 @@
 		Rows: []feed.Row{{Key: "a", Revision: 8, Value: []byte("x")}, {Deleted: true, Key: "b", Revision: 9}},
 	}}
 	request := relay.Request{After: 7, StoreTime: time.Second, Table: "t", Wait: true}
-	got, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, s), []byte("secret"), request)
+	got, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, s), []byte("secret"), request, unknown)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +80,7 @@
 		{name: "source", secret: "secret", source: &source{err: errors.New("does not read from the store")}, want: relay.KindUnavailable, wantRequests: 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			_, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, test.source), []byte(test.secret), relay.Request{Table: "t"})
+			_, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, test.source), []byte(test.secret), relay.Request{Table: "t"}, unknown)
 			var failure *relay.Error
 			if !errors.As(err, &failure) || failure.Kind != test.want {
 				t.Errorf("error %v, want %s", err, test.want)
@@ -81,3 +91,64 @@
 		})
 	}
 }
+
+// TestRelayedDelta guards against a row that is sent whole although only its heartbeat
+// changed, and against a changed part that is applied to another value than the one it
+// was made for.
+func TestRelayedDelta(t *testing.T) {
+	before := feed.RowVersion{Revision: 4, Value: []byte(`{"At":100,"Beat":7,"Address":"10.0.0.1:7561"}`)}
+	after := []byte(`{"At":2100,"Beat":8,"Address":"10.0.0.1:7561"}`)
+	s := &source{snapshot: feed.Snapshot{Revision: 9, Rows: []feed.Row{{Base: before, Key: "i", Revision: 8, Value: after}}}}
+	address := serve(t, s)
+	changes := func(known feed.RowVersion) (feed.Snapshot, error) {
+		return relay.NewClient(http.DefaultClient).Changes(context.Background(), address, []byte("secret"), relay.Request{After: 5}, func(string) feed.RowVersion { return known })
+	}
+	snapshot, err := changes(before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := feed.Snapshot{Revision: 9, Rows: []feed.Row{{Key: "i", Revision: 8, Value: after}}}
+	if diff := cmp.Diff(want, snapshot); diff != "" {
+		t.Errorf("snapshot (-want +got):\n%s", diff)
+	}
+	for name, known := range map[string]feed.RowVersion{
+		"no value": {}, "later value": {Revision: 6, Value: before.Value}, "shorter value": {Revision: 4, Value: []byte("{}")},
+	} {
+		_, err := changes(known)
+		var relayErr *relay.Error
+		if !errors.As(err, &relayErr) || relayErr.Kind != relay.KindInvalid {
+			t.Errorf("%s: error %v, want kind Invalid", name, err)
+		}
+	}
+}
+
+// TestWriteRow guards against fields of a write or its result that are lost on the way,
+// and against a failed call to the store that looks like a silent relay, so that all
+// instances turn to the store at once.
+func TestWriteRow(t *testing.T) {
+	s := &source{result: relay.RowWriteResult{Current: feed.Row{Key: "i", Revision: 12, Value: []byte("x")}}}
+	address := serve(t, s)
+	write := relay.RowWrite{Key: "i", Partition: "instances-1", Revision: 11, Urgent: true, Value: []byte("y")}
+	call := func() (relay.RowWriteResult, error) {
+		return relay.NewClient(http.DefaultClient).WriteRow(context.Background(), address, []byte("secret"), write)
+	}
+	for _, want := range []relay.RowWriteResult{s.result, {Applied: true, Revision: 13}} {
+		s.result = want
+		got, err := call()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+	}
+	if diff := cmp.Diff([]relay.RowWrite{write, write}, s.writes); diff != "" {
+		t.Errorf("writes (-want +got):\n%s", diff)
+	}
+	s.err = errors.New("no answer")
+	_, err := call()
+	var relayErr *relay.Error
+	if !errors.As(err, &relayErr) || relayErr.Kind != relay.KindStoreFailed {
+		t.Errorf("error %v, want kind StoreFailed", err)
+	}
+}
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -117,11 +118,23 @@
 func (d *DistributedLimiter) Divide(now time.Time, limits []Limit, members []Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	slices.SortFunc(limits, func(a, b Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	unchanged := d.nextChangeAt.IsZero() && timeToNextChange(members) == 0 && slices.Equal(d.limits, limits) && slices.EqualFunc(d.members, members, sameMember)
 	d.limits, d.members, d.dividedAt = limits, members, now
+	if unchanged {
+		return
+	}
 	d.setShares(now)
 	d.removeUnlimited()
 }
 
+// sameMember reports whether two members are the same one with the same phase. Their
+// ages only matter while timeToNextChange is positive.
+func sameMember(a, b Member) bool {
+	return a.Instance == b.Instance && a.Phase == b.Phase && a.holdsAfter(0) == b.holdsAfter(0)
+}
+
 // refreshShares recomputes the shares if the age of a member has changed them.
 func (d *DistributedLimiter) refreshShares(now time.Time) {
 	if !d.nextChangeAt.IsZero() && !now.Before(d.nextChangeAt) {
