--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -41,6 +41,9 @@
 
 // followSheet keeps the routing up to date with the latest published sheet.
 func (g *Gateway) followSheet(ctx context.Context) error {
+	if !waitUntilClosed(ctx, g.discovered) {
+		return nil
+	}
 	f := g.newFollower(g.config.Source.SheetTable(), sheetLongPollWait, "")
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		if len(changed) > 0 {
@@ -61,6 +64,17 @@
 	})
 }
 
+// waitUntilClosed waits until a channel is closed. It reports false if the context was
+// cancelled first.
+func waitUntilClosed(ctx context.Context, channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // applySheet puts a sheet into force unless a newer version is known.
 func (g *Gateway) applySheet(update SheetUpdate) {
 	g.mu.Lock()
@@ -78,6 +92,9 @@
 
 // followServers keeps the registered backend servers up to date.
 func (g *Gateway) followServers(ctx context.Context) error {
+	if !waitUntilClosed(ctx, g.discovered) {
+		return nil
+	}
 	f := g.newFollower(g.config.Source.ServerTable(), serverLongPollWait, "")
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
@@ -214,9 +231,7 @@
 // row has been written, because a change of primary does not wait for an instance
 // without a row.
 func (g *Gateway) followRecords(ctx context.Context) error {
-	select {
-	case <-g.joined:
-	case <-ctx.Done():
+	if !waitUntilClosed(ctx, g.joined) || !waitUntilClosed(ctx, g.discovered) {
 		return nil
 	}
 	f := g.newFollower(recordTable, recordLongPollWait, recordPartition)
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -48,6 +48,8 @@
 
 	// partitions are the partitions of the table that hold rows.
 	partitions []Partition
+	// loadRefusals counts the requests for the whole table that the relay refused.
+	loadRefusals int
 	// useRelay is true if the copy may be read from a relay, and may be relayed to
 	// other instances.
 	useRelay bool
@@ -83,7 +85,7 @@
 	retryDelay := time.Duration(0)
 	for ctx.Err() == nil {
 		longPollWait := f.longPollWait
-		f.bypassRelay = f.clearInterrupt() || f.unavailable
+		f.bypassRelay = f.clearInterrupt() || (f.unavailable && f.mirror.Loaded())
 		if f.bypassRelay {
 			// The last verification is old: a response is needed now rather than at
 			// the next change.
@@ -93,6 +95,10 @@
 		if err != nil && f.isInterrupted() {
 			continue
 		}
+		if isRelayRefusal(err) {
+			f.gateway.jitteredSleep(ctx, relayPollInterval)
+			continue
+		}
 		if err != nil {
 			f.logAvailability(err)
 			var recovered bool
@@ -181,11 +187,18 @@
 func (f *tableFollower) fetch(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	now := f.gateway.config.Clock()
 	peer, useRelay := f.gateway.currentRelay(now)
-	if useRelay && f.useRelay && f.mirror.Loaded() && !f.bypassRelay {
+	if useRelay && f.useRelay && !f.bypassRelay {
+		if !f.mirror.Loaded() {
+			wait = 0
+		}
 		changed, err := f.fetchFromRelay(ctx, peer, wait)
 		if err == nil || ctx.Err() != nil {
 			return changed, err
 		}
+		if !f.mirror.Loaded() && isRelayRefusal(err) && f.loadRefusals < maxLoadRefusals {
+			f.loadRefusals++
+			return nil, err
+		}
 		if !f.isInterrupted() {
 			f.gateway.recordRelayLost(f.gateway.config.Clock(), peer, err)
 		}
@@ -241,7 +254,7 @@
 // again. In the second case it also requests a write of this instance's row if that
 // is overdue.
 func (f *tableFollower) logAvailability(err error) {
-	if (err != nil) == f.unavailable {
+	if (err != nil) == f.unavailable || isRelayRefusal(err) {
 		return
 	}
 	f.unavailable = err != nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,7 +172,7 @@
 	rateLimits *workspace.DistributedLimiter
 	pool       *pool.Pool
 
-	// mu guards the fields below, except for the channels joined,
+	// mu guards the fields below, except for the channels discovered, joined,
 	// memberPollRequests and heartbeatRequests.
 	mu sync.Mutex
 	// stateChanged is closed and replaced by notifyStateChange.
@@ -201,9 +201,12 @@
 	// joined is closed when this instance's row is first written. Primary records
 	// read before that must not be relied on, because a change of primary does not
 	// yet wait for this instance.
-	joined   chan struct{}
-	joinOnce sync.Once
-	members  memberView
+	joined chan struct{}
+	// discovered is closed when the instances in this data centre are known, one of
+	// which may relay the tables.
+	discovered chan struct{}
+	joinOnce   sync.Once
+	members    memberView
 	// health holds the servers that have been probed. It is written by everything
 	// that communicates with a server.
 	health map[fleet.ServerID]*serverHealth
@@ -275,6 +278,7 @@
 		followers:          map[Table]*tableFollower{},
 		groups:             map[fleet.GroupID]*groupState{},
 		health:             map[fleet.ServerID]*serverHealth{},
+		discovered:         make(chan struct{}),
 		joined:             make(chan struct{}),
 		rateLimits:         workspace.NewDistributedLimiter(config.Instance),
 		members:            newMemberView(config.Instance, config.Epoch),
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -212,18 +212,8 @@
 // others, and renews the leadership and the lease on the rate limits.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
-	for ctx.Err() == nil {
-		if err := g.pollMembers(ctx, f); err != nil {
-			f.logAvailability(err)
-			g.jitteredSleep(ctx, minRetryDelay)
-			continue
-		}
-		f.logAvailability(nil)
-		g.updateParticipation(g.config.Clock())
-		break
-	}
-	// Instances that start at the same time see each other in the second read.
-	nextHeartbeat, nextPoll := time.Time{}, g.config.Clock().Add(startupPollInterval)
+	g.discoverMembers(ctx, f)
+	nextHeartbeat, nextPoll := time.Time{}, time.Time{}
 	retryDelay := conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
@@ -246,7 +236,7 @@
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
 			if err == nil {
-				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock())
+				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
 					nextHeartbeat = now
 				}
@@ -265,6 +255,55 @@
 	return nil
 }
 
+// discoverMembers reads the rows of the instances in this data centre until it succeeds,
+// so that one of them can relay everything else. If there are none, they may all start
+// now: it then writes this instance's row, and reads the others' once more.
+func (g *Gateway) discoverMembers(ctx context.Context, f *tableFollower) {
+	defer close(g.discovered)
+	for attempt := 0; attempt < 2 && ctx.Err() == nil; attempt++ {
+		for ctx.Err() == nil {
+			err := g.readLocalMembers(ctx)
+			f.logAvailability(err)
+			if err == nil {
+				break
+			}
+			g.jitteredSleep(ctx, minRetryDelay)
+		}
+		if attempt > 0 || g.config.RelayClient == nil || g.hasLocalRelay() {
+			return
+		}
+		g.writeOwnRow(ctx, g.config.Clock())
+		sleep(ctx, startupPollInterval)
+	}
+}
+
+// readLocalMembers reads the rows of the instances in this data centre.
+func (g *Gateway) readLocalMembers(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := g.config.Clock()
+	snapshot, err := g.config.Store.Read(readCtx, memberTable, []Partition{memberPartition(g.config.Settings.DataCentre)})
+	if err != nil {
+		return err
+	}
+	now := g.config.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.verifiedStoreTime = g.storeClock.StoreTime(g.storeClock.Observe(sent, now, snapshot.StoreTime))
+	for _, row := range snapshot.Rows {
+		g.observeMember(now, row)
+	}
+	return nil
+}
+
+// hasLocalRelay reports whether another instance in this data centre relays the tables.
+func (g *Gateway) hasLocalRelay() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members.relayCandidates(g.config.Settings.DataCentre)) >= minLocalRelayGroup &&
+		g.members.relayFor(g.config.Settings.DataCentre) != g.members.self
+}
+
 // waitForHeartbeatRequest waits until the timeout or a heartbeat request, and at
 // least for minHeartbeatSpacing. It reports whether there was a request.
 func (g *Gateway) waitForHeartbeatRequest(ctx context.Context, timeout time.Duration) bool {
--- a/gateway/participation.go
+++ b/gateway/participation.go
@@ -3,18 +3,22 @@
 import (
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 // updateParticipation updates this instance's participation in the rate limits
-// after the instances' rows were read, and recomputes the shares. It reports
+// after the instances' rows were read as of a revision, and recomputes the shares. A
+// relayed read may be older than this instance's own row. It reports
 // whether the phase in this instance's row must change, and whether the instance
 // is about to hold shares and so must read the rows again soon.
-func (g *Gateway) updateParticipation(now time.Time) (phaseChanged, aboutToHold bool) {
+func (g *Gateway) updateParticipation(now time.Time, revision feed.Revision) (phaseChanged, aboutToHold bool) {
 	g.mu.Lock()
-	members := g.members.otherParticipants(g.storeClock.StoreTime(now))
-	g.members.participation.ObserveMembers(g.ownRowAge(now), members)
+	if revision >= g.members.ownRevision {
+		members := g.members.otherParticipants(g.storeClock.StoreTime(now))
+		g.members.participation.ObserveMembers(g.ownRowAge(now), members)
+	}
 	_, phaseChanged = g.members.participation.NextPhase()
 	aboutToHold = g.members.participation.NeedsFreshRead()
 	g.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,7 +10,6 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/relay"
-	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -32,6 +31,17 @@
 	// failed. It is shorter than the time until the other instances see that an
 	// instance is gone.
 	relayBackoff = 3 * time.Second
+	// relayRefusalBackoff replaces relayBackoff after a response that the relay can't
+	// serve the table now.
+	relayRefusalBackoff = 400 * time.Millisecond
+	// maxLoadRefusals is how often an instance without a copy of a table asks the relay
+	// again that can't serve it, before it reads the store. The relay may just have
+	// started too.
+	maxLoadRefusals = 4
+	// relayStartSpread and relayMinAge say when an instance may be a relay: if it has
+	// started together with the first ones, or long enough ago to have read the tables.
+	relayStartSpread = 3 * time.Second
+	relayMinAge      = 5 * time.Second
 	// minLocalRelayGroup is the minimum number of instances in a data centre for
 	// which it has a relay of its own. With fewer, all data centres are considered.
 	minLocalRelayGroup = 4
@@ -131,7 +141,7 @@
 func (g *Gateway) isRelay() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.config.RelayClient != nil && !g.members.participation.NeedsFreshRead() && g.members.liveCount() > 1 &&
+	return g.config.RelayClient != nil && g.members.liveCount() > 1 &&
 		g.members.relayFor(g.config.Settings.DataCentre) == g.members.self
 }
 
@@ -141,20 +151,19 @@
 func (f *tableFollower) relaySnapshot(after feed.Revision) (feed.Snapshot, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.fromStore {
+	if !f.fromStore || !f.mirror.Loaded() {
 		return feed.Snapshot{}, nil, &Error{Err: errors.New("this instance does not read from the store now"), Kind: KindNotDone, Op: "relay"}
 	}
 	return f.mirror.ChangesSince(after), f.nextResponse, nil
 }
 
 // currentRelay returns the instance from which this one reads the tables. It reports
-// false if this one must read the store itself: because it is the relay, because
-// its relay failed recently, or because it must see its own row in the store. If
-// now is zero, a relay that failed recently is returned as well.
+// false if this one must read the store itself: because it is the relay, or because its
+// relay failed recently. If now is zero, a relay that failed recently is returned as well.
 func (g *Gateway) currentRelay(now time.Time) (peer relayPeer, found bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.config.RelayClient == nil || g.members.participation.NeedsFreshRead() {
+	if g.config.RelayClient == nil {
 		return relayPeer{}, false
 	}
 	relayID := g.members.relayFor(g.config.Settings.DataCentre)
@@ -168,9 +177,22 @@
 // relayFor returns the relay for the instances in a data centre. All of them choose
 // the same one, by rendezvous hashing over the same rows.
 func (v *memberView) relayFor(dataCentre fleet.DataCentre) fleet.InstanceID {
+	return fleet.Owners("relay", v.relayCandidates(dataCentre), 1)[0]
+}
+
+// relayCandidates returns the instances of which one relays to those in a data centre:
+// the live ones there, or in all data centres if there are few. Instances that have
+// started much later than others are left out, because they have not read the tables
+// yet. This instance is always one.
+func (v *memberView) relayCandidates(dataCentre fleet.DataCentre) []fleet.InstanceID {
+	earliest := v.verifiedStoreTime
+	for _, row := range v.otherLive() {
+		earliest = min(earliest, row.Since)
+	}
 	local, all := []fleet.InstanceID{v.self}, []fleet.InstanceID{v.self}
 	for id, row := range v.otherLive() {
-		if row.Phase != workspace.PhaseHolding || row.Address == "" {
+		startedLater := row.Since-earliest >= relayStartSpread && v.verifiedStoreTime-row.Since < relayMinAge
+		if startedLater || row.Address == "" || row.Draining {
 			continue
 		}
 		all = append(all, id)
@@ -179,9 +201,9 @@
 		}
 	}
 	if len(local) < minLocalRelayGroup {
-		local = all
+		return all
 	}
-	return fleet.Owners("relay", local, 1)[0]
+	return local
 }
 
 // recordRelayLost makes this instance read the store itself for relayBackoff because
@@ -189,13 +211,23 @@
 func (g *Gateway) recordRelayLost(now time.Time, peer relayPeer, err error) {
 	g.mu.Lock()
 	alreadyLost := now.Before(g.relayBackoffUntil[peer.instance])
-	g.relayBackoffUntil[peer.instance] = now.Add(relayBackoff)
+	backoff := relayBackoff
+	if isRelayRefusal(err) {
+		backoff = relayRefusalBackoff
+	}
+	g.relayBackoffUntil[peer.instance] = now.Add(backoff)
 	g.mu.Unlock()
 	if !alreadyLost {
 		g.config.Log.Record(event.RelayLost, event.Fields{Text: string(peer.instance) + ": relay request failed: " + err.Error()})
 	}
 }
 
+// isRelayRefusal reports whether the relay answered that it can't serve the request.
+func isRelayRefusal(err error) bool {
+	var relayErr *relay.Error
+	return errors.As(err, &relayErr) && relayErr.Kind == relay.KindRefused
+}
+
 // recordRelayRecovered makes this instance read from its relay again.
 func (g *Gateway) recordRelayRecovered(peer relayPeer) {
 	g.mu.Lock()
--- a/relay/error.go
+++ b/relay/error.go
@@ -13,13 +13,14 @@
 const (
 	// KindInvalid means that a response can't be decoded or applied.
 	KindInvalid Kind = "Invalid"
+	// KindRefused means that the instance can't serve the table now.
+	KindRefused Kind = "Refused"
 	// KindStoreFailed means that the relay's call to the store failed. A row may have
 	// been written.
 	KindStoreFailed Kind = "StoreFailed"
 	// KindUnauthorized means that the request carried a wrong secret.
 	KindUnauthorized Kind = "Unauthorized"
-	// KindUnavailable means that the instance did not answer, or does not read
-	// the table from the store.
+	// KindUnavailable means that the instance did not answer.
 	KindUnavailable Kind = "Unavailable"
 )
 
@@ -47,6 +48,8 @@
 	switch connect.CodeOf(err) {
 	case connect.CodeFailedPrecondition:
 		return KindStoreFailed
+	case connect.CodeAborted:
+		return KindRefused
 	case connect.CodeUnauthenticated:
 		return KindUnauthorized
 	default:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,7 +97,7 @@
 		Table: message.GetTable(), Wait: message.GetWait(),
 	})
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, connect.NewError(connect.CodeAborted, err)
 	}
 	answer := &nutmegpierv1.ChangesResponse{
 		Complete: snapshot.Complete, Revision: uint64(snapshot.Revision), StoreTimeNs: int64(snapshot.StoreTime),
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -77,7 +77,7 @@
 		wantRequests int
 	}{
 		{name: "secret", secret: "other", source: &source{}, want: relay.KindUnauthorized},
-		{name: "source", secret: "secret", source: &source{err: errors.New("does not read from the store")}, want: relay.KindUnavailable, wantRequests: 1},
+		{name: "source", secret: "secret", source: &source{err: errors.New("does not read from the store")}, want: relay.KindRefused, wantRequests: 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			_, err := relay.NewClient(http.DefaultClient).Changes(t.Context(), serve(t, test.source), []byte(test.secret), relay.Request{Table: "t"}, unknown)
--- a/workspace/participation.go
+++ b/workspace/participation.go
@@ -80,7 +80,7 @@
 }
 
 // ObserveMembers updates the phase after a read of the membership rows. Age is the
-// age of this instance's row, which must have been written before the read.
+// age of this instance's row, which the read must include as it was last written.
 func (p *Participation) ObserveMembers(age time.Duration, others []Member) {
 	if p.written == PhaseHolding {
 		p.confirmed = true
@@ -96,8 +96,8 @@
 	}
 }
 
-// NeedsFreshRead reports whether the next read must include this instance's row as
-// it was last written, and so must not be served from a cached copy.
+// NeedsFreshRead reports whether this instance waits for a read that includes its row as
+// it was last written.
 func (p *Participation) NeedsFreshRead() bool {
 	return p.phase == PhaseStarting || (p.phase == PhaseHolding && !p.confirmed)
 }
