--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -119,6 +119,8 @@
 	ownRevision feed.Revision
 	// participation decides when this instance holds shares of the rate limits.
 	participation *workspace.Participation
+	// phaseRevision is the revision as of which this instance's row has its phase.
+	phaseRevision feed.Revision
 	// verifiedAt is a time at which members was verified to be up to date.
 	verifiedAt time.Time
 	// verifiedStoreTime is verifiedAt on the store's clock.
@@ -371,6 +373,9 @@
 		return false, false
 	}
 	g.members.ownRevision = result.Revision
+	if phaseChanged {
+		g.members.phaseRevision = result.Revision
+	}
 	g.members.participation.PhaseWritten(phase)
 	if row.isNews(g.members.lastWritten) {
 		go g.notifyLeader()
--- a/gateway/participation.go
+++ b/gateway/participation.go
@@ -10,12 +10,13 @@
 
 // updateParticipation updates this instance's participation in the rate limits
 // after the instances' rows were read as of a revision, and recomputes the shares. A
-// relayed read may be older than this instance's own row. It reports
+// relayed read may be older than the phase in this instance's row, and then tells nothing
+// about it. It reports
 // whether the phase in this instance's row must change, and whether the instance
 // is about to hold shares and so must read the rows again soon.
 func (g *Gateway) updateParticipation(now time.Time, revision feed.Revision) (phaseChanged, aboutToHold bool) {
 	g.mu.Lock()
-	if revision >= g.members.ownRevision {
+	if revision >= g.members.phaseRevision {
 		members := g.members.otherParticipants(g.storeClock.StoreTime(now))
 		g.members.participation.ObserveMembers(g.ownRowAge(now), members)
 	}
@@ -34,6 +35,7 @@
 	if remaining > 0 {
 		g.members.rowSince, g.members.resumedRowValidUntil = row.Since, now.Add(remaining)
 		g.members.participation.Resume(row.Phase)
+		g.members.phaseRevision = g.members.ownRevision
 	}
 }
 
