fix: never hand on a connection with an open transaction

The owner now rolls back after a failed last batch, and the pool closes a connection on which the server reports an open transaction.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -128,7 +128,9 @@
 	// recordsVerifiedAt is a time at which the primary records were verified to
 	// be up to date.
 	recordsVerifiedAt time.Time
-	self              fleet.InstanceID
+	// processorShare is that of this instance.
+	processorShare float64
+	self           fleet.InstanceID
 	// resumedRowValidUntil is when the row written by an earlier run of this
 	// instance expires. Until then it counts as this instance's row.
 	resumedRowValidUntil time.Time
@@ -377,7 +379,7 @@
 		g.members.phaseRevision = result.Revision
 	}
 	g.members.participation.PhaseWritten(phase)
-	if row.isNews(g.members.lastWritten) {
+	if row.concernsLeader(g.members.lastWritten) {
 		go g.notifyLeader()
 	}
 	g.members.lastWritten = row
@@ -389,8 +391,13 @@
 // isNews reports whether the row says something that other instances wait for, compared
 // with an earlier row of the instance.
 func (r MemberRow) isNews(earlier MemberRow) bool {
-	return r.Draining != earlier.Draining || r.Phase != earlier.Phase ||
-		!slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
+	return r.Draining != earlier.Draining || r.Phase != earlier.Phase || r.concernsLeader(earlier)
+}
+
+// concernsLeader reports whether the row says something new about a primary, compared
+// with an earlier row of the instance.
+func (r MemberRow) concernsLeader(earlier MemberRow) bool {
+	return !slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
 }
 
 // writeUnlessRequested writes this instance's row. A heartbeat request that arrives while
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -171,10 +171,16 @@
 	}
 	held.expiry.Reset(g.TransactionIdle() + peerLeaseIdleMargin)
 	response := g.runPeerBatch(held, deadline, session.KindAborted, request.Batch)
-	if request.Batch.Final {
-		g.endPeerLease(request.Lease, held)
-		held.lease.Release()
+	if !request.Batch.Final {
+		return response
+	}
+	g.endPeerLease(request.Lease, held)
+	if response.Failure != nil {
+		// A commit that was refused leaves the transaction open.
+		rollBack(g.config.Clock(), held.lease)
+		return response
 	}
+	held.lease.Release()
 	return response
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/relay"
 )
 
@@ -21,6 +22,9 @@
 	// the relay. After it an instance calls the store, while its leases are still
 	// valid for more than 2 s.
 	relayGrace = 500 * time.Millisecond
+	// relayLoadTimeout is the timeout of a request for a whole table. When all instances
+	// start together, the relay sends it to each of them at the same time.
+	relayLoadTimeout = 2 * time.Second
 	// relayPollTimeout is the timeout of a request that the relay serves without
 	// waiting for a change.
 	relayPollTimeout = 300 * time.Millisecond
@@ -177,27 +181,34 @@
 // relayFor returns the relay for the instances in a data centre. All of them choose
 // the same one, by rendezvous hashing over the same rows.
 func (v *memberView) relayFor(dataCentre fleet.DataCentre) fleet.InstanceID {
-	return fleet.Owners("relay", v.relayCandidates(dataCentre), 1)[0]
+	candidates := owner.Large(v.relayCandidates(dataCentre), 1)
+	instances := make([]fleet.InstanceID, len(candidates))
+	for i, candidate := range candidates {
+		instances[i] = candidate.Instance
+	}
+	return fleet.Owners("relay", instances, 1)[0]
 }
 
 // relayCandidates returns the instances of which one relays to those in a data centre:
 // the live ones there, or in all data centres if there are few. Instances that have
 // started much later than others are left out, because they have not read the tables
 // yet. This instance is always one.
-func (v *memberView) relayCandidates(dataCentre fleet.DataCentre) []fleet.InstanceID {
+func (v *memberView) relayCandidates(dataCentre fleet.DataCentre) []owner.Candidate {
 	earliest := v.verifiedStoreTime
 	for _, row := range v.otherLive() {
 		earliest = min(earliest, row.Since)
 	}
-	local, all := []fleet.InstanceID{v.self}, []fleet.InstanceID{v.self}
+	own := owner.Candidate{DataCentre: dataCentre, Instance: v.self, ProcessorShare: v.processorShare}
+	local, all := []owner.Candidate{own}, []owner.Candidate{own}
 	for id, row := range v.otherLive() {
 		startedLater := row.Since-earliest >= relayStartSpread && v.verifiedStoreTime-row.Since < relayMinAge
 		if startedLater || row.Address == "" || row.Draining {
 			continue
 		}
-		all = append(all, id)
+		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
+		all = append(all, candidate)
 		if row.DataCentre == dataCentre {
-			local = append(local, id)
+			local = append(local, candidate)
 		}
 	}
 	if len(local) < minLocalRelayGroup {
@@ -240,6 +251,9 @@
 // relayGrace.
 func (f *tableFollower) fetchFromRelay(ctx context.Context, peer relayPeer, wait time.Duration) ([]feed.Row, error) {
 	timeout := relayPollTimeout
+	if !f.mirror.Loaded() {
+		timeout = relayLoadTimeout
+	}
 	if wait > 0 {
 		timeout = relayLongPollWait + relayGrace
 	}
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -29,7 +29,7 @@
 // are chosen only if there are few others, because an owner also works for the
 // sessions of the others.
 func Choose(group fleet.GroupID, candidates []Candidate) []fleet.InstanceID {
-	eligible := largeCandidates(candidates)
+	eligible := Large(candidates, minLargeCandidates)
 	dataCentres := make(map[fleet.InstanceID]fleet.DataCentre, len(eligible))
 	instances := make([]fleet.InstanceID, 0, len(eligible))
 	for _, candidate := range eligible {
@@ -44,15 +44,15 @@
 	return []fleet.InstanceID{ranked[0], ranked[max(second, 1)]}
 }
 
-// largeCandidates returns the candidates with at least half of the largest processor
-// share, or all of them if these are fewer than minLargeCandidates.
-func largeCandidates(candidates []Candidate) []Candidate {
+// Large returns the candidates with at least half of the largest processor share, or all
+// of them if these are fewer than atLeast.
+func Large(candidates []Candidate, atLeast int) []Candidate {
 	largest := 0.0
 	for _, candidate := range candidates {
 		largest = max(largest, candidate.ProcessorShare)
 	}
 	large := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.ProcessorShare < largest/2 })
-	if len(large) < minLargeCandidates {
+	if len(large) < atLeast {
 		return candidates
 	}
 	return large
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -37,6 +37,9 @@
 	// determined without sending anything.
 	Alive() bool
 	Close()
+	// Reusable reports whether another session may use the connection: its stream is
+	// intact, and no transaction is open on it.
+	Reusable() bool
 	// Run sends the commands in one batch and returns the reply to the last one.
 	Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError)
 }
@@ -375,7 +378,7 @@
 		conn.Close()
 		return
 	}
-	if conn.broken || s.open > s.limit {
+	if conn.broken || !conn.Reusable() || s.open > s.limit {
 		conn.Close()
 		s.open--
 		s.wakeWaiters(now)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -23,8 +24,9 @@
 }
 
 type conn struct {
-	dead   bool
-	dialer *dialer
+	dead          bool
+	dialer        *dialer
+	inTransaction bool
 }
 
 func (d *dialer) Dial(_ time.Time, _ pool.Server, workspace fleet.WorkspaceID) (pool.Conn, *session.RunError) {
@@ -41,6 +43,8 @@
 
 func (c *conn) Alive() bool { return !c.dead }
 
+func (c *conn) Reusable() bool { return !c.inTransaction }
+
 func (c *conn) Close() {
 	c.dialer.mu.Lock()
 	defer c.dialer.mu.Unlock()
@@ -166,6 +170,30 @@
 	}
 }
 
+// TestOpenTransaction guards against a session that continues the transaction of another
+// one, because the connection was released although its transaction had not ended.
+func TestOpenTransaction(t *testing.T) {
+	d := &dialer{}
+	p := newPool(d, 1)
+	held := acquire(t, p, "w")
+	waiting := make(chan *pool.PooledConn, 1)
+	go func() {
+		next, _ := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Minute), Workspace: "w"})
+		waiting <- next
+	}()
+	for p.Counts("s").Waiting == 0 {
+		runtime.Gosched()
+	}
+	held.Conn.(*conn).inTransaction = true
+	p.Release("s", held)
+	if next := <-waiting; next == nil || next.Conn == held.Conn {
+		t.Error("the connection of an open transaction was granted to another session")
+	}
+	if d.open != 1 {
+		t.Errorf("%d connections are open, want 1", d.open)
+	}
+}
+
 // TestPriority guards against a request that waits behind requests of lower
 // priority.
 func TestPriority(t *testing.T) {
