--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -580,6 +580,11 @@
 
 // pollMembers reads the rows of the instances and the leader.
 func (g *Gateway) pollMembers(ctx context.Context, f *tableFollower) error {
+	g.mu.Lock()
+	// Instances that start together begin to hold shares at the same moment only if
+	// their reads are equally recent. The others wait until they have joined.
+	f.bypassRelay = f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	g.mu.Unlock()
 	changed, err := f.fetch(ctx, 0)
 	if err != nil {
 		return err
