--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -216,8 +216,7 @@
 // others, and renews the leadership and the lease on the rate limits.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
-	g.discoverMembers(ctx, f)
-	nextHeartbeat, nextPoll := time.Time{}, time.Time{}
+	nextHeartbeat, nextPoll := g.discoverMembers(ctx, f), time.Time{}
 	retryDelay := conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
@@ -261,8 +260,9 @@
 
 // discoverMembers reads the rows of the instances in this data centre until it succeeds,
 // so that one of them can relay everything else. If there are none, they may all start
-// now: it then writes this instance's row, and reads the others' once more.
-func (g *Gateway) discoverMembers(ctx context.Context, f *tableFollower) {
+// now: it then writes this instance's row, and reads the others' once more. It returns
+// when this instance's row is to be written next.
+func (g *Gateway) discoverMembers(ctx context.Context, f *tableFollower) (nextHeartbeat time.Time) {
 	defer close(g.discovered)
 	for attempt := 0; attempt < 2 && ctx.Err() == nil; attempt++ {
 		for ctx.Err() == nil {
@@ -274,11 +274,15 @@
 			g.jitteredSleep(ctx, minRetryDelay)
 		}
 		if attempt > 0 || g.config.RelayClient == nil || g.hasLocalRelay() {
-			return
+			return nextHeartbeat
+		}
+		now := g.config.Clock()
+		if written, _ := g.writeOwnRow(ctx, now); written {
+			nextHeartbeat = now.Add(heartbeatInterval)
 		}
-		g.writeOwnRow(ctx, g.config.Clock())
 		sleep(ctx, startupPollInterval)
 	}
+	return nextHeartbeat
 }
 
 // readLocalMembers reads the rows of the instances in this data centre.
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -21,7 +21,7 @@
 	ownerSilenceThreshold = 300 * time.Millisecond
 	// ownerProbeAttempts is the number of probes that an owner must leave unanswered
 	// to count as silent.
-	ownerProbeAttempts = 2
+	ownerProbeAttempts = 3
 )
 
 // OwnerClient runs batches at other instances. An error of kind owner.KindNotSent
