--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -227,6 +227,9 @@
 	// owners says which instances own the servers of each group. It is written by
 	// everything that changes the members or the sheet.
 	owners *owner.Directory
+	// witnesses are the instances that decide whether the primary of an owned group
+	// has failed. They are written together with owners.
+	witnesses map[fleet.GroupID][]fleet.InstanceID
 	// peerLeases are the leases of other instances on connections of this one.
 	peerLeases *peerLeases
 	// poolServersUpdatedAt is when the membership controller last started
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -109,6 +109,7 @@
 		if unreachable {
 			number = event.ServerUnreachable
 			g.pool.CloseIdle(server.ID)
+			g.notifyWitnesses(server)
 		}
 		g.config.Log.Record(number, event.Fields{Database: server.Group, Server: server.ID})
 		g.requestHeartbeat()
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -632,8 +632,8 @@
 // can't use, so that an instance with little traffic detects a failure as early as
 // they do. The caller holds g.mu.
 func (g *Gateway) probeReportedPrimaries() {
-	for _, state := range g.groups {
-		if primary := state.primaryLease.Record().Primary; g.members.reportedUnreachable(primary) {
+	for id, state := range g.groups {
+		if primary := state.primaryLease.Record().Primary; g.isWitness(id, g.config.Instance) && g.members.reportedUnreachable(primary) {
 			g.startProbing(primary)
 		}
 	}
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/owner"
+	"github.com/nutmegpier/nutmegpier/pool"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
@@ -264,19 +266,49 @@
 	return holding
 }
 
+// isWitness reports whether an instance decides on the failure of the group's primary.
+// Without owners, all instances do. The caller holds g.mu.
+func (g *Gateway) isWitness(group fleet.GroupID, instance fleet.InstanceID) bool {
+	return len(g.owners.Owners(group)) == 0 || slices.Contains(g.witnesses[group], instance)
+}
+
+// notifyWitnesses makes the witnesses of a group check a server of it, if the server is
+// its primary and the group is used through owners. The others, which have no traffic
+// with the server, would learn of the failure only from the rows of the instances.
+func (g *Gateway) notifyWitnesses(server pool.Server) {
+	g.mu.Lock()
+	var witnesses []fleet.InstanceID
+	if len(g.owners.Owners(server.Group)) > 0 && g.group(server.Group).primaryLease.Record().Primary == server.ID {
+		witnesses = slices.Clone(g.witnesses[server.Group])
+	}
+	g.mu.Unlock()
+	for _, witness := range witnesses {
+		if witness == g.config.Instance {
+			continue
+		}
+		go func() {
+			if _, err := g.callPeer(witness, PeerRequest{Probe: server.ID}); err != nil {
+				g.config.Log.Record(event.PeerSilent, event.Fields{Server: server.ID, Text: "ask " + string(witness) + " to check the server: " + err.Error()})
+			}
+		}()
+	}
+}
+
 // updateOwners chooses the owners of the groups whose servers accept too few
 // connections for all live instances. The caller holds g.mu.
 func (g *Gateway) updateOwners() {
-	owners := map[fleet.GroupID][]fleet.InstanceID{}
+	owners, witnesses := map[fleet.GroupID][]fleet.InstanceID{}, map[fleet.GroupID][]fleet.InstanceID{}
 	if g.routing != nil && g.config.OwnerClient != nil {
 		candidates := g.ownerCandidates()
-		live := g.members.liveCount()
+		live := g.members.liveInstances()
 		for group := range g.routing.Groups() {
-			if g.isOwned(group, live) {
+			if g.isOwned(group, len(live)) {
 				owners[group] = owner.Choose(group, candidates)
+				witnesses[group] = owner.Witnesses(group, owners[group], live)
 			}
 		}
 	}
 	g.owners.Set(owners)
+	g.witnesses = witnesses
 	g.owners.Prune(g.config.Clock())
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -49,6 +49,8 @@
 	// Look tells the leader to read the instances' rows now, because the sender's
 	// row has new information about a primary.
 	Look bool `json:",omitempty"`
+	// Probe names a server that the sender can't reach and the receiver is to check.
+	Probe fleet.ServerID `json:",omitempty"`
 	// Take is nil if no tokens are requested.
 	Take *TakeRequest `json:",omitempty"`
 }
@@ -98,6 +100,9 @@
 		default:
 		}
 	}
+	if request.Probe != "" {
+		g.reportFailure(request.Probe)
+	}
 	if take := request.Take; take != nil {
 		response.Taken, response.RetryAfter = g.rateLimits.TakeFromPool(g.config.Clock(), take.Workspace, take.Want)
 	}
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -269,7 +269,7 @@
 // stopped using it. The caller holds g.mu.
 func (p *promotionController) memberStatus(id fleet.InstanceID, m *member, group fleet.GroupID, record primacy.Record) primacy.Member {
 	g := p.gateway
-	status := primacy.Member{Live: g.members.isLive(m)}
+	status := primacy.Member{Bystander: !g.isWitness(group, id), Live: g.members.isLive(m)}
 	if id == g.members.self {
 		status.Live = true
 		status.Left = g.members.left[group]
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -44,6 +44,22 @@
 	return []fleet.InstanceID{ranked[0], ranked[max(second, 1)]}
 }
 
+// maxWitnesses is the number of instances that decide whether the primary of an owned
+// group has failed: enough for a majority when a data centre is cut off.
+const maxWitnesses = 9
+
+// Witnesses returns the instances that decide whether the primary of a group has failed:
+// its owners, which have the traffic, and others.
+func Witnesses(group fleet.GroupID, owners, live []fleet.InstanceID) []fleet.InstanceID {
+	witnesses := slices.Clone(owners)
+	for _, instance := range fleet.Owners(string(group), live, maxWitnesses) {
+		if len(witnesses) < maxWitnesses && !slices.Contains(witnesses, instance) {
+			witnesses = append(witnesses, instance)
+		}
+	}
+	return witnesses
+}
+
 // Large returns the candidates with at least half of the largest processor share, or all
 // of them if these are fewer than atLeast.
 func Large(candidates []Candidate, atLeast int) []Candidate {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -139,14 +139,25 @@
 			t.Errorf("%s: first owner %s after the second was lost, want %s", group, got[0], first.Instance)
 		}
 	}
-	if diff := cmp.Diff(3, len(candidates(3))); diff != "" {
-		t.Fatal(diff)
-	}
 	if owners := owner.Choose("g", candidates(3)); len(owners) != owner.Ranks {
 		t.Errorf("owners among three instances: %v", owners)
 	}
 }
 
+// TestWitnesses guards against an owner that has no say in the failure of its primary,
+// and against asking all instances.
+func TestWitnesses(t *testing.T) {
+	var live []fleet.InstanceID
+	for _, candidate := range candidates(60) {
+		live = append(live, candidate.Instance)
+	}
+	owners := []fleet.InstanceID{"i7", "i8"}
+	witnesses := owner.Witnesses("g", owners, live)
+	if diff := cmp.Diff(owners, witnesses[:2]); diff != "" || len(witnesses) != 9 {
+		t.Errorf("%d witnesses, the first ones (-want +got):\n%s", len(witnesses), diff)
+	}
+}
+
 // TestDirectory guards against requests that are sent to an owner that did not respond,
 // that can't use the servers or that is gone, and against one that is never called
 // again.
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -59,6 +59,9 @@
 
 // Member is the leader's view of one instance.
 type Member struct {
+	// Bystander says that the instance is not asked whether it can reach the primary,
+	// because it uses the primary through other instances.
+	Bystander bool
 	// Left is the latest generation for which the instance has confirmed that
 	// it no longer uses the primary.
 	Left Generation
@@ -230,12 +233,12 @@
 	return !slices.ContainsFunc(s.Members, func(m Member) bool { return m.Live && m.Left < s.Record.Generation })
 }
 
-// primaryUnreachable reports whether at least half of the live instances, and
-// at least one, can't reach the primary.
+// primaryUnreachable reports whether at least half of the live instances that are no
+// bystanders, and at least one, can't reach the primary.
 func (s Situation) primaryUnreachable() bool {
 	live, unreachable := 0, 0
 	for _, m := range s.Members {
-		if m.Live {
+		if m.Live && !m.Bystander {
 			live++
 			if m.Unreachable {
 				unreachable++
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -73,6 +73,8 @@
 		{name: "one of three", members: []primacy.Member{{Live: true, Unreachable: true}, {Live: true}, {Live: true}}, want: primacy.StepNone},
 		{name: "two of three", members: []primacy.Member{{Live: true, Unreachable: true}, {Live: true, Unreachable: true}, {Live: true}}, want: primacy.StepWrite},
 		{name: "the only live instance", members: []primacy.Member{{Live: true, Unreachable: true}, {}, {}}, want: primacy.StepWrite},
+		{name: "only bystanders don't report it", members: []primacy.Member{{Live: true, Unreachable: true}, {Bystander: true, Live: true}, {Bystander: true, Live: true}}, want: primacy.StepWrite},
+		{name: "only bystanders report it", members: []primacy.Member{{Live: true}, {Bystander: true, Live: true, Unreachable: true}, {Bystander: true, Live: true, Unreachable: true}}, want: primacy.StepNone},
 		{name: "unreachable only for instances with expired leases", members: []primacy.Member{{Live: true}, {Unreachable: true}, {Unreachable: true}}, want: primacy.StepNone},
 	} {
 		t.Run(test.name, func(t *testing.T) {
