--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -144,6 +144,7 @@
 	callers := platform.NewCallerServer(session.Config{
 		Clock: bootTime, AccessController: gw, Jitter: rand.Float64, Observer: gw, Sleep: time.Sleep, Router: gw,
 	}, gw.TransactionIdle)
+	gw.PublishState()
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 	controllerCtx, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -121,7 +121,7 @@
 		entry(MembershipLost, "MembershipLost", LevelWarning, "The instance failed to write its membership row for too long. Until it succeeds, it uses no primary and has no share of the rate limits.", "Text"),
 		entry(MembershipGained, "MembershipGained", LevelInfo, "The instance wrote its membership row again, or for the first time."),
 		entry(RelayLost, "RelayLost", LevelWarning, "The instance that relays the contents of the store to this instance did not answer. For a while, this instance reads the store directly.", "Text"),
-		entry(PeerSilent, "PeerSilent", LevelWarning, "The leader did not answer a notification of changed membership rows. It reads them at its next regular poll.", "Text"),
+		entry(PeerSilent, "PeerSilent", LevelWarning, "Another instance did not answer, or can't do what was asked. Text names it and the request: a notification of the leader, which then reads the rows at its next regular poll; a request to the owner of a group, which is then avoided for a while; or a request to check a server.", "Database", "Server", "Text"),
 		entry(PrimarySuspected, "PrimarySuspected", LevelWarning, "The primary of a database may have failed, or is about to be replaced. Text holds the reason.", "Database", "Server", "Term", "Text"),
 		entry(PrimaryHeard, "PrimaryHeard", LevelInfo, "The primary of a database is healthy: a suspected primary answers again, or a new primary answers.", "Database", "Server", "Term"),
 		entry(PromotionStarted, "PromotionStarted", LevelWarning, "This instance began a promotion and asks the backend servers to promise the new term.", "Database", "Term", "Text"),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,63 @@
 	storeCalls        = expvar.NewMap("StoreCalls")
 )
 
+// PublishState publishes what the instance depends on through expvar. It may be called
+// once in a process.
+func (g *Gateway) PublishState() {
+	expvar.Publish("LimitPhase", expvar.Func(func() any { return g.limitPhase() }))
+	expvar.Publish("Owners", expvar.Func(func() any { return g.allOwners() }))
+	expvar.Publish("Relay", expvar.Func(func() any { return g.relayState() }))
+}
+
+// RelayState says from where an instance reads the tables.
+type RelayState struct {
+	// AgeMilliseconds is the age of the last proof that the copy of a table is up to
+	// date.
+	AgeMilliseconds map[Table]int64
+	// Instance is the relay, or this instance if it reads the store.
+	Instance fleet.InstanceID
+}
+
+// relayState returns the current relay and the ages of the tables.
+func (g *Gateway) relayState() RelayState {
+	now := g.config.Clock()
+	state := RelayState{AgeMilliseconds: map[Table]int64{}, Instance: g.config.Instance}
+	if peer, found := g.currentRelay(now); found {
+		state.Instance = peer.instance
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for table, f := range g.followers {
+		f.mu.Lock()
+		state.AgeMilliseconds[table] = now.Sub(f.mirror.VerifiedAt()).Milliseconds()
+		f.mu.Unlock()
+	}
+	return state
+}
+
+// allOwners returns the owners of all groups that have some.
+func (g *Gateway) allOwners() map[fleet.GroupID][]fleet.InstanceID {
+	owners := map[fleet.GroupID][]fleet.InstanceID{}
+	for _, group := range g.routedGroups() {
+		if of := g.Owners(group); len(of) > 0 {
+			owners[group] = of
+		}
+	}
+	return owners
+}
+
+// limitPhase returns the phase in this instance's row. A phase that no read has
+// confirmed yet is marked.
+func (g *Gateway) limitPhase() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	phase, _ := g.members.participation.NextPhase()
+	if effective := g.members.participation.EffectivePhase(); effective != phase {
+		return string(phase) + ", not confirmed"
+	}
+	return string(phase)
+}
+
 // observeRequest counts a request by database and outcome, and by latency.
 func observeRequest(database fleet.GroupID, latency time.Duration, err *session.Error) {
 	outcome := "Served"
