--- a/pool/pool.go
+++ b/pool/pool.go
@@ -143,13 +143,14 @@
 	for _, server := range servers {
 		known[server.ID] = true
 		s := p.servers[server.ID]
-		if s != nil && s.server.Address != server.Address {
-			s.closeIdle()
-			s = nil
-		}
-		if s == nil {
+		if s == nil || s.server.Address != server.Address {
+			replaced := s
 			s = &serverState{limitChangedAt: now, limit: server.Limit}
 			p.servers[server.ID] = s
+			if replaced != nil {
+				replaced.closeIdle()
+				replaced.moveWaiters(s)
+			}
 		}
 		if server.Limit != s.server.Limit {
 			s.limit = server.Limit
@@ -161,6 +162,7 @@
 		if !known[id] {
 			s.closeIdle()
 			delete(p.servers, id)
+			s.moveWaiters(nil)
 		}
 	}
 }
@@ -523,6 +525,18 @@
 	return w
 }
 
+// moveWaiters lets all waiters go on with the state that replaced this one, or fail if
+// the server was removed.
+func (s *serverState) moveWaiters(replacement *serverState) {
+	for _, w := range s.waiting {
+		if replacement != nil {
+			replacement.open++
+		}
+		w.granted <- nil
+	}
+	s.waiting = nil
+}
+
 // wakeWaiters lets waiters open connections while the limit allows it.
 func (s *serverState) wakeWaiters(now time.Time) {
 	for len(s.waiting) > 0 && s.open < s.limit && !now.Before(s.refusedUntil) {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -194,6 +194,41 @@
 	}
 }
 
+// TestRemovedServer guards against a request that waits until its deadline for a
+// connection to a server that is gone, or whose address has changed.
+func TestRemovedServer(t *testing.T) {
+	for name, servers := range map[string][]pool.Server{
+		"removed": nil,
+		"moved":   {{Address: "b", ID: "s", Idle: 1, Limit: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(&dialer{}, 1)
+			held := acquire(t, p, "w")
+			failures := make(chan *session.RunError, 1)
+			go func() {
+				_, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Minute), Workspace: "w"})
+				failures <- failure
+			}()
+			for p.Counts("s").Waiting == 0 {
+				runtime.Gosched()
+			}
+			p.SetServers(time.Now(), servers)
+			select {
+			case failure := <-failures:
+				if removed := servers == nil; (failure != nil) != removed {
+					t.Errorf("Acquire() = %v", failure)
+				}
+			case <-time.After(30 * time.Second):
+				t.Fatal("the request still waits")
+			}
+			p.Release("s", held)
+			if diff := cmp.Diff(len(servers), p.Counts("s").Open); diff != "" {
+				t.Errorf("open connections (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestPriority guards against a request that waits behind requests of lower
 // priority.
 func TestPriority(t *testing.T) {
