fix: at most fifty rows in a batch of instances' rows

Cause: the store takes 100 entries in a transaction, and each row is two of them, its condition and its write. The test's store now refuses such a batch too; TestRowBatch failed before. It expects one transaction more, because 60 rows no longer fit in one.

--- a/gateway/rowbatcher.go
+++ b/gateway/rowbatcher.go
@@ -18,8 +18,9 @@
 	// urgentBatchWindow replaces rowBatchWindow once a row in the batch is urgent. When
 	// a primary is to be replaced, the rows of all instances become urgent together.
 	urgentBatchWindow = 15 * time.Millisecond
-	// maxRowsPerBatch is the maximum number of rows in a transaction of the store.
-	maxRowsPerBatch = 100
+	// maxRowsPerBatch is the maximum number of rows in a transaction. The store takes 100
+	// entries, of which each row has two: its condition and its write.
+	maxRowsPerBatch = 50
 )
 
 // errSuperseded is the error of a write that a later one of the same row has replaced.
--- a/gateway/rowbatcher_test.go
+++ b/gateway/rowbatcher_test.go
@@ -29,8 +29,13 @@
 }
 
 func (s *batchStore) Write(_ context.Context, writes []gateway.Write) (gateway.WriteResult, error) {
+	const maxEntries = 100
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// Conditions and writes are separate entries of the transaction.
+	if 2*len(writes) > maxEntries {
+		return gateway.WriteResult{}, &gateway.Error{Err: errors.New("too many entries"), Kind: gateway.KindNotDone, Op: "write"}
+	}
 	result := gateway.WriteResult{Applied: true, Revision: 100}
 	var keys []string
 	for _, write := range writes {
@@ -72,8 +77,8 @@
 }
 
 // TestRowBatch guards against heartbeats whose transactions grow with the number of
-// instances, and against one row with a conflict that keeps the others from being
-// written.
+// instances, against transactions with more entries than the store takes, and against
+// one row with a conflict that keeps the others from being written.
 func TestRowBatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &batchStore{conflicts: map[string]feed.Revision{"i3": 9}}
@@ -87,8 +92,8 @@
 				t.Errorf("row %d: error %v, result (-want +got):\n%s", i, errs[i], diff)
 			}
 		}
-		if len(store.transactions) != 2 || len(store.transactions[0]) != 60 || len(store.transactions[1]) != 59 {
-			t.Errorf("%d transactions, want one with all rows and one without the conflict", len(store.transactions))
+		if len(store.transactions) != 3 {
+			t.Errorf("%d transactions, want two for all rows and one more without the conflict", len(store.transactions))
 		}
 	})
 }
