fix: close a connection whose variables could not be set

A connection counted as having the variables of a batch although the batch that set them failed, so a later session could run with others. TestFailedSetup fails without the change (it needs ConnState.Uncertain).

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -380,7 +380,7 @@
 		conn.Close()
 		return
 	}
-	if conn.broken || !conn.Reusable() || s.open > s.limit {
+	if conn.broken || !conn.Reusable() || conn.State.Uncertain() || s.open > s.limit {
 		conn.Close()
 		s.open--
 		s.wakeWaiters(now)
--- a/session/connstate.go
+++ b/session/connstate.go
@@ -13,7 +13,9 @@
 // derived from their template, so sessions that prepare the same template share
 // one statement.
 type ConnState struct {
-	prepared  map[Template]bool
+	prepared map[Template]bool
+	// uncertain is true after commands failed that set the state.
+	uncertain bool
 	variables map[string]string
 }
 
@@ -24,7 +26,7 @@
 
 // Sync returns the commands that make the connection's session variables equal
 // to variables and prepare the template, if it isn't nil. It records the commands
-// as executed, so the connection must be closed if one of them fails.
+// as executed; if one of them fails, the state is uncertain.
 func (c *ConnState) Sync(variables map[string]string, template *Template) []Command {
 	var commands []Command
 	for name := range c.variables {
@@ -63,10 +65,13 @@
 func (c *ConnState) Run(conn Runner, deadline time.Time, batch Batch) (Reply, *RunError) {
 	setup := c.Sync(batch.Variables, batch.Template)
 	if len(setup) > 0 && beginsTransaction(batch.Commands) {
-		return conn.Run(deadline, append(setup, batch.Commands...))
+		reply, failure := conn.Run(deadline, append(setup, batch.Commands...))
+		c.uncertain = c.uncertain || failure != nil
+		return reply, failure
 	}
 	if len(setup) > 0 {
 		if _, failure := conn.Run(deadline, setup); failure != nil {
+			c.uncertain = true
 			if !failure.Kind.NotRun() {
 				// None of these commands writes, so the request had no effect.
 				failure.Kind = KindBusy
@@ -81,6 +86,12 @@
 	return len(commands) > 0 && (commands[0].Kind == StatementBegin || commands[0].Kind == StatementBeginRead)
 }
 
+// Uncertain reports whether the state may differ from the one that was requested, because
+// a command that set it failed. The connection must be closed then.
+func (c *ConnState) Uncertain() bool {
+	return c.uncertain
+}
+
 // HasVariables reports whether exactly these session variables are set on the
 // connection.
 func (c *ConnState) HasVariables(variables map[string]string) bool {
