--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -20,7 +20,7 @@
 			}
 			g.jitteredSleep(ctx, minRetryDelay)
 		}
-		if attempt > 0 || g.config.RelayClient == nil || g.hasLocalRelay() {
+		if attempt > 0 || g.config.RelayClient == nil || g.hasLocalRelay() || g.hasOldMember() {
 			return nextHeartbeat
 		}
 		now := g.config.Clock()
@@ -51,6 +51,20 @@
 	return nil
 }
 
+// hasOldMember reports whether an instance of this data centre, which may be an earlier
+// run of this one, has started long before now. Then nothing is gained by waiting for the
+// rows of others.
+func (g *Gateway) hasOldMember() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members.members {
+		if g.members.isLive(m) && g.members.verifiedStoreTime-m.row.Since >= relayStartSpread {
+			return true
+		}
+	}
+	return false
+}
+
 // hasLocalRelay reports whether another instance in this data centre relays the tables.
 func (g *Gateway) hasLocalRelay() bool {
 	g.mu.Lock()
--- a/gateway/memberwrite.go
+++ b/gateway/memberwrite.go
@@ -8,6 +8,10 @@
 	"github.com/nutmegpier/nutmegpier/relay"
 )
 
+// maxDirectWriters is the number of instances up to which each writes an urgent row by
+// itself, which takes less time than through the relay.
+const maxDirectWriters = 16
+
 // WriteRow writes the membership row of another instance together with those of others.
 func (g *Gateway) WriteRow(ctx context.Context, write relay.RowWrite) (relay.RowWriteResult, error) {
 	if !slices.Contains(memberPartitions(), Partition(write.Partition)) {
@@ -26,6 +30,12 @@
 // instance has a relay or is one, and otherwise by itself. If the relay does not answer,
 // it writes the row itself; of the two writes, at most one is applied.
 func (g *Gateway) writeMemberRow(ctx context.Context, write Write, urgent bool) (WriteResult, error) {
+	g.mu.Lock()
+	live := g.members.liveCount()
+	g.mu.Unlock()
+	if urgent && live <= maxDirectWriters {
+		return g.write(ctx, write)
+	}
 	peer, found := g.currentRelay(g.config.Clock())
 	if !found {
 		if g.isRelay() {
