--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -3,14 +3,8 @@
 import (
 	"context"
 	"time"
-
-	"github.com/nutmegpier/nutmegpier/event"
 )
 
-// localRefreshInterval is the minimum time between two calls of refreshLocalMembers that
-// read the store.
-const localRefreshInterval = 200 * time.Millisecond
-
 // discoverMembers reads the rows of the instances in this data centre until it succeeds,
 // so that one of them can relay everything else. If there are none, they may all start
 // now: it then writes this instance's row, and reads the others' once more. It returns
@@ -50,35 +44,13 @@
 	now := g.config.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verifiedAt := g.storeClock.Observe(sent, now, snapshot.StoreTime)
-	if g.members.verifiedAt.IsZero() {
-		// Later, the rows of the other data centres would look older than they are.
-		g.members.verifiedStoreTime = g.storeClock.StoreTime(verifiedAt)
-	}
+	g.members.verifiedStoreTime = g.storeClock.StoreTime(g.storeClock.Observe(sent, now, snapshot.StoreTime))
 	for _, row := range snapshot.Rows {
 		g.observeMember(now, row)
 	}
 	return nil
 }
 
-// refreshLocalMembers reads the rows of this data centre again, to learn the new secret of
-// a relay that has restarted. The followers of all tables may call it at the same time.
-func (g *Gateway) refreshLocalMembers(ctx context.Context) {
-	g.mu.Lock()
-	now := g.config.Clock()
-	due := now.Sub(g.localMembersRefreshedAt) >= localRefreshInterval
-	if due {
-		g.localMembersRefreshedAt = now
-	}
-	g.mu.Unlock()
-	if !due {
-		return
-	}
-	if err := g.readLocalMembers(ctx); err != nil {
-		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "read the rows of this data centre: " + err.Error()})
-	}
-}
-
 // hasOldMember reports whether an instance of this data centre, which may be an earlier
 // run of this one, has started long before now. Then nothing is gained by waiting for the
 // rows of others.
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -195,9 +195,6 @@
 		if err == nil || ctx.Err() != nil {
 			return changed, err
 		}
-		if isRelayRestarted(err) {
-			f.gateway.refreshLocalMembers(ctx)
-		}
 		if !f.mirror.Loaded() && isRelayRefusal(err) && f.loadRefusals < maxLoadRefusals {
 			f.loadRefusals++
 			return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -232,8 +232,6 @@
 	witnesses map[fleet.GroupID][]fleet.InstanceID
 	// peerLeases are the leases of other instances on connections of this one.
 	peerLeases *peerLeases
-	// localMembersRefreshedAt is when refreshLocalMembers last read the store.
-	localMembersRefreshedAt time.Time
 	// poolServersUpdatedAt is when the membership controller last started
 	// updatePoolServers.
 	poolServersUpdatedAt time.Time
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -238,9 +238,6 @@
 			nextPoll = now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
-			if isRelayRefusal(err) {
-				nextPoll = now.Add(startupPollInterval)
-			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -181,18 +181,10 @@
 	}
 }
 
-// isRelayRefusal reports whether the relay answered that it can't serve the request, or
-// does not know this instance because it has restarted.
+// isRelayRefusal reports whether the relay answered that it can't serve the request.
 func isRelayRefusal(err error) bool {
 	var relayErr *relay.Error
-	return errors.As(err, &relayErr) && (relayErr.Kind == relay.KindRefused || relayErr.Kind == relay.KindUnauthorized)
-}
-
-// isRelayRestarted reports whether the relay did not accept the secret in its row, so
-// that it has written a new one or is about to.
-func isRelayRestarted(err error) bool {
-	var relayErr *relay.Error
-	return errors.As(err, &relayErr) && relayErr.Kind == relay.KindUnauthorized
+	return errors.As(err, &relayErr) && relayErr.Kind == relay.KindRefused
 }
 
 // recordRelayRecovered makes this instance read from its relay again.
