--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,10 +1,12 @@
-// Command 2 checks that a key that was taken away runs no more statements, for a client
-// whose transaction is open when that happens.
+// Command 2 checks that no write is acknowledged at an old primary after another server was
+// promoted, when the old one can be reached again just after the new one has crashed.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/review/harness"
@@ -12,81 +14,120 @@
 
 const (
 	service = "ledger"
-	// workTime is the work of a statement: 6 ms of order-post, 30 ms of stock-look.
+	// workTime is the work of a statement: 6 ms of order-post.
 	workTime = 6 * time.Millisecond
-	// revokeLimit is revoke_ms.
-	revokeLimit = 5 * time.Second
-	// statements is the number of statements of the transaction, without BEGIN and COMMIT,
-	// and pause the client's pause before each.
-	statements = 10
-	pause      = time.Second
+	// lossTime is the time from the loss of a replica to the cut, in which its entry ends.
+	lossTime = 8 * time.Second
+	// cutTime is how long the primary is cut off, and crashBefore how long before the end
+	// of the cut the new primary crashes.
+	cutTime     = 7 * time.Second
+	crashBefore = time.Second
+	// watchTime is the time from the end of the cut to the end of the case.
+	watchTime = 5 * time.Second
+	// thawTime is thaw_ms: what is sent so soon after the end of the cut isn't counted.
+	thawTime = 300 * time.Millisecond
+	// writePause is the pause of a session between two writes.
+	writePause = 20 * time.Millisecond
+	// retryPause is the pause of a session after a refusal.
+	retryPause = 50 * time.Millisecond
 )
 
-func configuration(version int, keys ...string) harness.Config {
-	return harness.Config{
+func main() {
+	config := harness.Config{
 		Routes:   []harness.Route{{Host: "orders", Service: service, TimeoutMs: 800, Type: "primary"}},
 		Services: []string{service},
-		Tenants:  []harness.Tenant{{Burst: 134, Keys: keys, Name: "tenant-a", Rate: 134}},
-		Version:  version,
+		Tenants:  []harness.Tenant{{Burst: 134, Keys: []string{"key-a"}, Name: "tenant-a", Rate: 134}},
+		Version:  1,
 	}
-}
-
-func main() {
 	group := harness.GroupConfig{
 		Delays:      []time.Duration{0, 20 * time.Millisecond, 20 * time.Millisecond},
 		PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3],
 	}
-	harness.Main(configuration(1, "key-a", "key-b"), []harness.GroupConfig{group}, check)
+	harness.Main(config, []harness.GroupConfig{group}, check)
 }
 
-func check(d *harness.Deployment, trouble bool) (bool, error) {
-	c, opened := harness.Dial(d.Record, d.Instances[0].Front, "orders", "key-a")
-	if c == nil {
-		return false, fmt.Errorf("the session was refused: %s", opened.Code)
-	}
-	defer c.Close()
-	if answer := c.Do("BEGIN"); !answer.OK() {
-		return false, fmt.Errorf("BEGIN was refused: %s", answer.Code)
+// writers are sessions that write until they are stopped.
+type writers struct {
+	mu           sync.Mutex
+	acknowledged map[string]harness.Answer
+	stopped      bool
+}
+
+func (w *writers) run(d *harness.Deployment, instance *harness.Instance, item string) {
+	var c *harness.Client
+	for n := 0; ; n++ {
+		w.mu.Lock()
+		stopped := w.stopped
+		w.mu.Unlock()
+		if stopped {
+			return
+		}
+		if c == nil {
+			if c, _ = harness.Dial(d.Record, instance.Front, "orders", "key-a"); c == nil {
+				time.Sleep(retryPause)
+				continue
+			}
+		}
+		answer := c.Do(fmt.Sprintf("WRITE %s %d", item, n))
+		switch {
+		case answer.OK():
+			w.mu.Lock()
+			w.acknowledged[answer.ID] = answer
+			w.mu.Unlock()
+			time.Sleep(writePause)
+		case answer.Code == harness.Closed:
+			c = nil
+		default:
+			time.Sleep(retryPause)
+		}
 	}
-	sent := map[string]time.Time{}
-	do := func(text string) harness.Answer {
-		answer := c.Do(text)
-		sent[answer.ID] = answer.Sent
-		return answer
+}
+
+func check(d *harness.Deployment, trouble bool) (bool, error) {
+	group := d.Groups[0]
+	old, lost := group.Servers[0], group.Servers[2]
+	w := &writers{acknowledged: map[string]harness.Answer{}}
+	var running sync.WaitGroup
+	for n, instance := range d.Instances {
+		running.Go(func() { w.run(d, instance, fmt.Sprintf("item-%d", n)) })
 	}
-	if answer := do("WRITE item 0"); !answer.OK() {
-		return false, fmt.Errorf("the first statement was refused: %s", answer.Code)
+	time.Sleep(time.Second)
+	if trouble {
+		lost.Crash()
 	}
-	var revoked time.Time
+	time.Sleep(lossTime)
 	if trouble {
-		revoked = d.Publish(configuration(2, "key-b"))
+		old.Cut()
 	}
-	for n := 1; n < statements; n++ {
-		time.Sleep(pause)
-		if !do(fmt.Sprintf("WRITE item %d", n)).OK() {
-			break
+	time.Sleep(cutTime - crashBefore)
+	if next := group.Primary(); trouble && os.Getenv("TROUBLE") != "cut" {
+		if next == nil || next == old {
+			return false, errors.New("no other server was promoted during the cut")
 		}
+		next.Crash()
 	}
-	time.Sleep(pause)
-	do("COMMIT")
-	if !trouble {
-		return false, nil
-	}
-	refused, answer := harness.Dial(d.Record, d.Instances[0].Front, "orders", "key-a")
-	if refused != nil {
-		refused.Close()
-	}
-	if answer.Code != "AUTHFAIL" {
-		return false, errors.New("the configuration without the key is not in force")
+	time.Sleep(crashBefore)
+	healed := time.Now()
+	if trouble {
+		if err := old.Heal(); err != nil {
+			return false, err
+		}
 	}
-	late := 0
-	for _, run := range d.Groups[0].Runs() {
-		at, known := sent[run.ID]
-		if known && run.Code == "" && at.After(revoked.Add(revokeLimit)) {
-			late++
-			d.Record.Add("%s %s was sent %.3f s after the acknowledgement and ran at %s", run.ID, run.Text, at.Sub(revoked).Seconds(), run.Server.ID)
+	time.Sleep(watchTime)
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	running.Wait()
+	broken := 0
+	for _, run := range group.Runs() {
+		answer, acknowledged := w.acknowledged[run.ID]
+		if run.Code != "" || !acknowledged || run.Term == run.GroupTerm || run.Arrived.Before(healed.Add(thawTime)) {
+			continue
 		}
+		broken++
+		d.Record.Add("%s was committed at %s in term %d, %.3f s after the end of the cut, although term %d had begun, and acknowledged %.3f s later",
+			run.ID, run.Server.ID, run.Term, run.Arrived.Sub(healed).Seconds(), run.GroupTerm, answer.Received.Sub(run.Arrived).Seconds())
 	}
-	d.Record.Add("%d statements ran that were sent later than %v after the key was taken away", late, revokeLimit)
-	return late > 0, nil
+	d.Record.Add("%d writes were acknowledged, %d of them committed at an old primary", len(w.acknowledged), broken)
+	return broken > 0, nil
 }
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,149 +1,92 @@
-// Command 4 checks that a session on a route of type read_your_writes reads its own
-// acknowledged write, after the route was changed to another service and back.
+// Command 4 checks that a key that was taken away runs no more statements, for a client
+// whose transaction is open when that happens.
 package main
 
 import (
 	"errors"
 	"fmt"
-	"os"
-	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/review/harness"
 )
 
 const (
-	first  = "ledger-a"
-	second = "ledger-b"
-	// replicaLag is how late the replicas of the first service receive commits: their usual
-	// 20 ms, times the 150 of a replica_lag.
-	replicaLag = 3 * time.Second
-	// usualLag is how late replicas receive commits otherwise.
-	usualLag = 20 * time.Millisecond
-	// changeGap is the time between two configurations.
-	changeGap = 330 * time.Millisecond
-	// earlierWrites are commits at the first service before, so that the logs of the two
-	// services have different lengths.
-	earlierWrites = 5
-	// otherSessions is the number of sessions that read at the first service, on a route of
-	// type primary, as the usual traffic.
-	otherSessions = 6
-	// workTime is the work of a statement of run-sync.
-	workTime = 18 * time.Millisecond
-	// usualTraffic is for how long they read before the disruption.
-	usualTraffic = 2 * time.Second
-	// pause is the pause of a session between two statements.
-	pause = 50 * time.Millisecond
-	// reads are the reads of the session after its route has returned.
-	reads = 40
+	service = "ledger"
+	// workTime is the work of a statement: 6 ms of order-post, 30 ms of stock-look.
+	workTime = 6 * time.Millisecond
+	// revokeLimit is revoke_ms.
+	revokeLimit = 5 * time.Second
+	// statements is the number of statements of the transaction, without BEGIN and COMMIT,
+	// and pause the client's pause before each.
+	statements = 10
+	pause      = time.Second
 )
 
-func configuration(version int, service string) harness.Config {
+func configuration(version int, keys ...string) harness.Config {
 	return harness.Config{
-		Routes: []harness.Route{
-			{Host: "batches", MaxStalenessMs: 2500, Service: service, TimeoutMs: 800, Type: "read_your_writes"},
-			{Host: "orders", Service: first, TimeoutMs: 800, Type: "primary"},
-		},
-		Services: []string{first, second},
-		Tenants:  []harness.Tenant{{Burst: 134, Keys: []string{"key-a"}, Name: "tenant-a", Rate: 134}, {Burst: 134, Keys: []string{"key-b"}, Name: "tenant-b", Rate: 134}},
+		Routes:   []harness.Route{{Host: "orders", Service: service, TimeoutMs: 800, Type: "primary"}},
+		Services: []string{service},
+		Tenants:  []harness.Tenant{{Burst: 134, Keys: keys, Name: "tenant-a", Rate: 134}},
 		Version:  version,
 	}
 }
 
 func main() {
-	group := func(service string, lag time.Duration) harness.GroupConfig {
-		return harness.GroupConfig{Delays: []time.Duration{0, lag, lag}, PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3]}
-	}
-	harness.Main(configuration(1, first), []harness.GroupConfig{group(first, usualLag), group(second, usualLag)}, check)
-}
-
-// readUntil reads on a session until the channel is closed.
-func readUntil(d *harness.Deployment, instance *harness.Instance, database string, stop <-chan struct{}) {
-	c, _ := harness.Dial(d.Record, instance.Front, database, "key-b")
-	if c == nil {
-		return
-	}
-	defer c.Close()
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-			c.Do("READ other")
-			time.Sleep(pause)
-		}
+	group := harness.GroupConfig{
+		Delays:      []time.Duration{0, 20 * time.Millisecond, 20 * time.Millisecond},
+		PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3],
 	}
+	harness.Main(configuration(1, "key-a", "key-b"), []harness.GroupConfig{group}, check)
 }
 
 func check(d *harness.Deployment, trouble bool) (bool, error) {
-	instance := d.Instances[1]
-	stop := make(chan struct{})
-	var others sync.WaitGroup
-	for range otherSessions {
-		others.Go(func() { readUntil(d, instance, "orders", stop) })
-	}
-	defer others.Wait()
-	defer close(stop)
-	c, opened := harness.Dial(d.Record, instance.Front, "batches", "key-a")
+	c, opened := harness.Dial(d.Record, d.Instances[0].Front, "orders", "key-a")
 	if c == nil {
-		return false, fmt.Errorf("a session was refused: %s", opened.Code)
+		return false, fmt.Errorf("the session was refused: %s", opened.Code)
 	}
 	defer c.Close()
-	orders, opened := harness.Dial(d.Record, instance.Front, "orders", "key-a")
-	if orders == nil {
-		return false, fmt.Errorf("a session was refused: %s", opened.Code)
+	if answer := c.Do("BEGIN"); !answer.OK() {
+		return false, fmt.Errorf("BEGIN was refused: %s", answer.Code)
 	}
-	defer orders.Close()
-	for n := range earlierWrites {
-		if answer := orders.Do(fmt.Sprintf("WRITE other %d", n)); !answer.OK() {
-			return false, fmt.Errorf("a write was refused: %s", answer.Code)
-		}
+	sent := map[string]time.Time{}
+	do := func(text string) harness.Answer {
+		answer := c.Do(text)
+		sent[answer.ID] = answer.Sent
+		return answer
 	}
-	for until := time.Now().Add(usualTraffic); time.Now().Before(until); time.Sleep(pause) {
-		c.Do("READ other")
+	if answer := do("WRITE item 0"); !answer.OK() {
+		return false, fmt.Errorf("the first statement was refused: %s", answer.Code)
 	}
+	var revoked time.Time
 	if trouble {
-		for _, replica := range d.Groups[0].Servers[1:] {
-			replica.SetDelay(replicaLag)
-		}
+		revoked = d.Publish(configuration(2, "key-b"))
 	}
-	if answer := c.Do("WRITE item 1"); !answer.OK() {
-		return false, fmt.Errorf("the write was refused: %s", answer.Code)
+	for n := 1; n < statements; n++ {
+		time.Sleep(pause)
+		if !do(fmt.Sprintf("WRITE item %d", n)).OK() {
+			break
+		}
 	}
-	reroute := trouble && os.Getenv("TROUBLE") != "lag"
-	if reroute {
-		d.Publish(configuration(2, second))
+	time.Sleep(pause)
+	do("COMMIT")
+	if !trouble {
+		return false, nil
 	}
-	time.Sleep(changeGap / 2)
-	if answer := c.Do("WRITE elsewhere 1"); !answer.OK() {
-		return false, fmt.Errorf("the second write was refused: %s", answer.Code)
+	refused, answer := harness.Dial(d.Record, d.Instances[0].Front, "orders", "key-a")
+	if refused != nil {
+		refused.Close()
 	}
-	time.Sleep(changeGap / 2)
-	if reroute {
-		d.Publish(configuration(3, first))
+	if answer.Code != "AUTHFAIL" {
+		return false, errors.New("the configuration without the key is not in force")
 	}
-	time.Sleep(changeGap / 2)
-	served, stale := 0, 0
-	for range reads {
-		answer := c.Do("READ item")
-		time.Sleep(pause)
-		if !answer.OK() {
-			continue
-		}
-		for _, run := range d.Groups[0].Runs() {
-			if run.ID != answer.ID || run.Code != "" {
-				continue
-			}
-			served++
-			if answer.Rows[0] != "1" {
-				stale++
-				d.Record.Add("%s was answered with %s of %s, whose log lacks the acknowledged write of the session", answer.ID, answer.Rows[0], run.Server.ID)
-			}
+	late := 0
+	for _, run := range d.Groups[0].Runs() {
+		at, known := sent[run.ID]
+		if known && run.Code == "" && at.After(revoked.Add(revokeLimit)) {
+			late++
+			d.Record.Add("%s %s was sent %.3f s after the acknowledgement and ran at %s", run.ID, run.Text, at.Sub(revoked).Seconds(), run.Server.ID)
 		}
 	}
-	if served == 0 {
-		return false, errors.New("no read ran at the first service")
-	}
-	d.Record.Add("%d reads ran at the first service, %d of them without the session's own write", served, stale)
-	return stale > 0, nil
+	d.Record.Add("%d statements ran that were sent later than %v after the key was taken away", late, revokeLimit)
+	return late > 0, nil
 }
--- a/review/harness/case.go
+++ b/review/harness/case.go
@@ -1,15 +1,22 @@
 package harness
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
+// Check runs the events of a case and reports whether the rule was broken. Trouble is false
+// if the case is to leave out its disruption.
+type Check func(d *Deployment, trouble bool) (broken bool, err error)
+
 // Main runs a case: it writes record.txt to the folder of the case, which is the only
-// argument, and exits with the status that check returns. With TROUBLE=0 in the
-// environment, trouble is false and the case leaves out its disruption.
-func Main(config Config, groups []GroupConfig, check func(d *Deployment, trouble bool) (broken bool, err error)) {
+// argument, and exits with one of the statuses. TROUBLE=0 in the environment leaves out the
+// disruption.
+func Main(config Config, groups []GroupConfig, check Check) {
 	if len(os.Args) != 2 {
 		fmt.Println("want one argument: the folder of the case")
 		os.Exit(ExitFailed)
@@ -19,35 +26,48 @@
 		fmt.Println(err)
 		os.Exit(ExitFailed)
 	}
-	os.Exit(run(record, config, groups, check))
+	status := run(record, config, groups, check)
+	record.Close()
+	os.Exit(status)
 }
 
-func run(record *Record, config Config, groups []GroupConfig, check func(d *Deployment, trouble bool) (bool, error)) int {
-	defer record.Close()
+// run runs a case until it ends or a signal arrives, and ends all processes.
+func run(record *Record, config Config, groups []GroupConfig, check Check) int {
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	d := &Deployment{Record: record}
 	defer d.Close(os.Getenv("KEEP_LOGS"))
-	err := d.Start(config, groups)
-	broken := false
-	if err == nil {
-		broken, err = check(d, os.Getenv("TROUBLE") != "0")
-	}
-	for _, i := range d.Instances {
-		if err == nil && !i.Running() {
-			err = fmt.Errorf("%s has ended", i.Name)
+	ended := make(chan outcome, 1)
+	go func() {
+		if err := d.Start(config, groups); err != nil {
+			ended <- outcome{err: err}
+			return
+		}
+		broken, err := check(d, os.Getenv("TROUBLE") != "0")
+		ended <- outcome{broken: broken, err: err}
+	}()
+	result := outcome{err: errors.New("it was stopped")}
+	select {
+	case <-stop:
+	case result = <-ended:
+		for _, i := range d.Instances {
+			if result.err == nil && !i.Running() {
+				result.err = fmt.Errorf("%s has ended", i.Name)
+			}
 		}
 	}
+	text, status := "the rule held", ExitHeld
 	switch {
-	case err != nil:
-		record.Add("the case could not run: %v", err)
-		fmt.Println("the case could not run:", err)
-		return ExitFailed
-	case broken:
-		record.Add("the rule was broken")
-		fmt.Println("the rule was broken")
-		return ExitBroken
-	default:
-		record.Add("the rule held")
-		fmt.Println("the rule held")
-		return ExitHeld
+	case result.err != nil:
+		text, status = "the case could not run: "+result.err.Error(), ExitFailed
+	case result.broken:
+		text, status = "the rule was broken", ExitBroken
 	}
+	record.Add("%s", text)
+	fmt.Println(text)
+	return status
 }
--- a/review/harness/group.go
+++ b/review/harness/group.go
@@ -61,7 +61,7 @@
 // addRun records a statement. The caller holds mu.
 func (g *Group) addRun(run Run) {
 	g.runs = append(g.runs, run)
-	g.record.Add("server %s (%s) as tenant %s runs %s %s: code %q, log up to %d", run.Server.ID, run.Server.Zone, run.Tenant, run.ID, run.Text, run.Code, run.Log)
+	g.record.Add("server %s (%s) as tenant %s runs %s %s: code %q, log up to %d, term %d, latest term %d", run.Server.ID, run.Server.Zone, run.Tenant, run.ID, run.Text, run.Code, run.Log, run.Term, run.GroupTerm)
 }
 
 // Runs returns the statements of clients that reached the servers so far.
@@ -134,20 +134,23 @@
 	s.term, s.primary = g.term, true
 	g.record.Add("server %s leads term %d with log %s", s.ID, s.term, s.positionLocked())
 	for _, other := range g.Servers {
-		if other != s && !other.primary && !other.deaf {
+		if other != s && other.up() && !other.primary && !other.deaf {
 			other.log = append([]logEntry(nil), s.log...)
 			other.applied, other.term = len(other.log), s.term
 		}
 	}
 	s.registerLocked()
 	if old != nil {
-		time.AfterFunc(time.Second, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			if old.primary && old.up() {
-				g.demote(old)
-			}
-		})
+		time.AfterFunc(time.Second, func() { g.stepDown(old) })
+	}
+}
+
+// stepDown makes an old primary a replica if it can reach the new one.
+func (g *Group) stepDown(old *Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leader := g.leader(); old.primary && old.up() && leader != nil && leader != old {
+		g.demote(old)
 	}
 }
 
@@ -189,7 +192,7 @@
 	return append([]Order(nil), c.orders...)
 }
 
-// promote handles an order. It answers when the promotion has taken effect.
+// promote handles an order. The promotion takes effect after the answer.
 func (c *Cloud) promote(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Service string `json:"service"`
@@ -214,7 +217,6 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	time.Sleep(group.promoteTime)
-	group.promote(received.Server)
+	time.AfterFunc(group.promoteTime, func() { group.promote(received.Server) })
 	w.WriteHeader(http.StatusOK)
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -42,6 +42,10 @@
 	Text   string
 	// Log is the number of the last entry that the statement saw.
 	Log int
+	// Term is the one that the server led or followed, and GroupTerm the latest term of
+	// the group, which a promotion began.
+	Term      int
+	GroupTerm int
 }
 
 // Server is a stand-in for one database server. It keeps its log when it crashes.
@@ -142,13 +146,55 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.group.record.Add("server %s crashes with log %s", s.ID, s.positionLocked())
+	s.disconnect()
+}
+
+// Cut partitions the server from the instances, the store and the other servers. It knows
+// nothing of that and keeps its state. Connections to it are reset and refused.
+func (s *Server) Cut() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.record.Add("server %s is cut off with log %s", s.ID, s.positionLocked())
+	s.disconnect()
+}
+
+// Heal ends the partition. A primary that has been replaced goes on until a second after it
+// can reach the new one.
+func (s *Server) Heal() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.listener = listener
+	s.group.record.Add("server %s is reachable again, primary %t, term %d, log %s", s.ID, s.primary, s.term, s.positionLocked())
+	s.registerLocked()
+	go s.accept(listener)
+	go s.beat(listener)
+	if leader := s.group.leader(); s.primary && leader != s && leader != nil {
+		time.AfterFunc(time.Second, func() { s.group.stepDown(s) })
+	}
+	return nil
+}
+
+// disconnect closes the port and the connections. The entry is removed after the
+// heartbeats are missed. The caller holds mu.
+func (s *Server) disconnect() {
 	_ = s.listener.Close()
 	s.listener = nil
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
 	s.received.Broadcast()
-	time.AfterFunc(lostHeartbeats*heartbeatInterval, func() { s.group.store.Put("servers", s.ID, nil) })
+	missed := s.seq
+	time.AfterFunc(lostHeartbeats*heartbeatInterval, func() {
+		s.group.mu.Lock()
+		defer s.group.mu.Unlock()
+		if s.seq == missed {
+			s.group.store.Put("servers", s.ID, nil)
+		}
+	})
 }
 
 // SetDeaf makes the server receive nothing from the primary until it is set to false.
@@ -267,7 +313,7 @@
 	seen := s.applied
 	rows, code := s.run(c, id, text)
 	if id != "-" {
-		s.group.addRun(Run{Arrived: arrived, Code: code, ID: id, Log: seen, Server: s, Tenant: c.tenant, Text: text})
+		s.group.addRun(Run{Arrived: arrived, Code: code, ID: id, Log: seen, Server: s, Tenant: c.tenant, Text: text, Term: s.term, GroupTerm: s.group.term})
 	}
 	answer := ""
 	if code != "" {
