--- a/review/1/main.go
+++ b/review/1/main.go
@@ -4,9 +4,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/review/harness"
@@ -14,8 +12,14 @@
 
 const (
 	service = "ledger"
-	// workTime is the work of a statement: 6 ms of order-post, 30 ms of stock-look.
+	// usualLag is how late replicas receive commits, and shortLag how late the one
+	// that is released does.
+	usualLag = 20 * time.Millisecond
+	shortLag = time.Millisecond
+	// workTime is the work of a statement: 6 ms of order-post.
 	workTime = 6 * time.Millisecond
+	// firstTerm is the term of the primary before the crash.
+	firstTerm = 1
 	// releaseAt and crashAt are when the replica reports draining, and when the primary
 	// crashes, after the traffic began.
 	releaseAt = 2 * time.Second
@@ -35,84 +39,51 @@
 		Version:      1,
 	}
 	group := harness.GroupConfig{
-		Delays:      []time.Duration{0, 20 * time.Millisecond, time.Millisecond},
-		PromoteTime: time.Second, Service: service, SyncReplicas: 1, WorkTime: workTime, Zones: harness.Zones[:3],
+		PromoteTime: time.Second, Service: service, WorkTime: workTime, SyncReplicas: 1,
+		Servers: []harness.ServerConfig{{Zone: harness.Zones[0]}, {Delay: usualLag, Zone: harness.Zones[1]}, {Delay: shortLag, Zone: harness.Zones[2]}},
 	}
 	harness.Main(config, []harness.GroupConfig{group}, check)
 }
 
-// writers are sessions that write until they are stopped.
-type writers struct {
-	mu           sync.Mutex
-	acknowledged []string
-	stopped      bool
-}
-
-func (w *writers) run(d *harness.Deployment, instance *harness.Instance, item string) {
-	var c *harness.Client
-	for n := 0; ; n++ {
-		w.mu.Lock()
-		stopped := w.stopped
-		w.mu.Unlock()
-		if stopped {
-			return
-		}
-		if c == nil {
-			if c, _ = harness.Dial(d.Record, instance.Front, "orders", "key-a"); c == nil {
-				time.Sleep(100 * time.Millisecond)
-				continue
-			}
-		}
-		answer := c.Do(fmt.Sprintf("WRITE %s %d", item, n))
-		switch {
-		case answer.OK():
-			w.mu.Lock()
-			w.acknowledged = append(w.acknowledged, answer.ID)
-			w.mu.Unlock()
-		case answer.Code == harness.Closed:
-			c = nil
-		default:
-			time.Sleep(50 * time.Millisecond)
-		}
-		time.Sleep(writePause)
-	}
-}
-
 func check(d *harness.Deployment, trouble bool) (bool, error) {
 	group := d.Groups[0]
 	old := group.Primary()
-	w := &writers{}
-	var running sync.WaitGroup
-	for n, instance := range d.Instances {
-		running.Go(func() { w.run(d, instance, fmt.Sprintf("item-%d", n)) })
-	}
+	w := harness.StartWriters(d, "orders", "key-a", writePause)
 	time.Sleep(releaseAt)
 	if trouble && os.Getenv("TROUBLE") != "crash" {
-		group.Servers[2].Drain()
+		group.Servers[2].Update(func(c *harness.ServerConfig) { c.State = "draining" })
 	}
 	time.Sleep(crashAt - releaseAt)
 	if trouble {
-		old.Crash()
+		old.Disconnect()
 		for until := time.Now().Add(promotionTimeout); group.Primary() == nil && time.Now().Before(until); {
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
 	time.Sleep(2 * time.Second)
-	w.mu.Lock()
-	w.stopped = true
-	w.mu.Unlock()
-	running.Wait()
+	acknowledged := w.Stop()
 	leader := group.Primary()
 	if leader == nil {
 		return false, errors.New("no server was promoted")
 	}
+	// The log of the promoted server had all commits of the first term before its own first
+	// one, and none after.
+	next := 0
+	for _, run := range group.Runs() {
+		if run.CommitTerm > firstTerm && (next == 0 || run.CommitNumber < next) {
+			next = run.CommitNumber
+		}
+	}
+	if trouble && next == 0 {
+		return false, errors.New("nothing was committed after the promotion")
+	}
 	missing := 0
-	for _, id := range w.acknowledged {
-		if !leader.HasCommit(id) {
+	for _, run := range group.Runs() {
+		if _, found := acknowledged[run.ID]; found && run.CommitTerm == firstTerm && next != 0 && run.CommitNumber >= next {
 			missing++
-			d.Record.Add("commit %s was acknowledged, but the primary %s lacks it", id, leader.ID)
+			d.Record.Add("commit %s at position %d.%d was acknowledged, but the log of %s goes on with %d of the next term", run.ID, run.CommitTerm, run.CommitNumber, leader.ID, next)
 		}
 	}
-	d.Record.Add("%d commits were acknowledged, %d of them are not in the log of the primary %s", len(w.acknowledged), missing, leader.ID)
+	d.Record.Add("%d commits were acknowledged, %d of them are not in the log of the primary %s", len(acknowledged), missing, leader.ID)
 	return missing > 0, nil
 }
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -4,9 +4,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/review/harness"
@@ -14,6 +12,8 @@
 
 const (
 	service = "ledger"
+	// usualLag is how late replicas receive commits.
+	usualLag = 20 * time.Millisecond
 	// workTime is the work of a statement: 6 ms of order-post.
 	workTime = 6 * time.Millisecond
 	// lossTime is the time from the loss of a replica to the cut, in which its entry ends.
@@ -24,12 +24,12 @@
 	crashBefore = time.Second
 	// watchTime is the time from the end of the cut to the end of the case.
 	watchTime = 5 * time.Second
+	// firstTerm is the term of the primary before the cut.
+	firstTerm = 1
 	// thawTime is thaw_ms: what is sent so soon after the end of the cut isn't counted.
 	thawTime = 300 * time.Millisecond
 	// writePause is the pause of a session between two writes.
 	writePause = 20 * time.Millisecond
-	// retryPause is the pause of a session after a refusal.
-	retryPause = 50 * time.Millisecond
 )
 
 func main() {
@@ -40,94 +40,52 @@
 		Version:  1,
 	}
 	group := harness.GroupConfig{
-		Delays:      []time.Duration{0, 20 * time.Millisecond, 20 * time.Millisecond},
-		PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3],
+		PromoteTime: time.Second, Service: service, WorkTime: workTime,
+		Servers: []harness.ServerConfig{{Zone: harness.Zones[0]}, {Delay: usualLag, Zone: harness.Zones[1]}, {Delay: usualLag, Zone: harness.Zones[2]}},
 	}
 	harness.Main(config, []harness.GroupConfig{group}, check)
 }
 
-// writers are sessions that write until they are stopped.
-type writers struct {
-	mu           sync.Mutex
-	acknowledged map[string]harness.Answer
-	stopped      bool
-}
-
-func (w *writers) run(d *harness.Deployment, instance *harness.Instance, item string) {
-	var c *harness.Client
-	for n := 0; ; n++ {
-		w.mu.Lock()
-		stopped := w.stopped
-		w.mu.Unlock()
-		if stopped {
-			return
-		}
-		if c == nil {
-			if c, _ = harness.Dial(d.Record, instance.Front, "orders", "key-a"); c == nil {
-				time.Sleep(retryPause)
-				continue
-			}
-		}
-		answer := c.Do(fmt.Sprintf("WRITE %s %d", item, n))
-		switch {
-		case answer.OK():
-			w.mu.Lock()
-			w.acknowledged[answer.ID] = answer
-			w.mu.Unlock()
-			time.Sleep(writePause)
-		case answer.Code == harness.Closed:
-			c = nil
-		default:
-			time.Sleep(retryPause)
-		}
-	}
-}
-
 func check(d *harness.Deployment, trouble bool) (bool, error) {
 	group := d.Groups[0]
 	old, lost := group.Servers[0], group.Servers[2]
-	w := &writers{acknowledged: map[string]harness.Answer{}}
-	var running sync.WaitGroup
-	for n, instance := range d.Instances {
-		running.Go(func() { w.run(d, instance, fmt.Sprintf("item-%d", n)) })
-	}
+	w := harness.StartWriters(d, "orders", "key-a", writePause)
 	time.Sleep(time.Second)
 	if trouble {
-		lost.Crash()
+		lost.Disconnect()
 	}
 	time.Sleep(lossTime)
 	if trouble {
-		old.Cut()
+		old.Disconnect()
 	}
 	time.Sleep(cutTime - crashBefore)
-	if next := group.Primary(); trouble && os.Getenv("TROUBLE") != "cut" {
+	if next := group.Primary(); trouble {
 		if next == nil || next == old {
 			return false, errors.New("no other server was promoted during the cut")
 		}
-		next.Crash()
+		if os.Getenv("TROUBLE") != "cut" {
+			next.Disconnect()
+		}
 	}
 	time.Sleep(crashBefore)
 	healed := time.Now()
 	if trouble {
-		if err := old.Heal(); err != nil {
+		if err := old.Start(); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(watchTime)
-	w.mu.Lock()
-	w.stopped = true
-	w.mu.Unlock()
-	running.Wait()
+	acknowledged := w.Stop()
 	broken := 0
 	for _, run := range group.Runs() {
-		answer, acknowledged := w.acknowledged[run.ID]
-		if run.Code != "" || !acknowledged || run.Term == run.GroupTerm || run.Arrived.Before(healed.Add(thawTime)) {
+		answer, found := acknowledged[run.ID]
+		if !trouble || !found || run.CommitTerm != firstTerm || run.Arrived.Before(healed.Add(thawTime)) {
 			continue
 		}
 		broken++
-		d.Record.Add("%s was committed at %s in term %d, %.3f s after the end of the cut, although term %d had begun, and acknowledged %.3f s later",
-			run.ID, run.Server.ID, run.Term, run.Arrived.Sub(healed).Seconds(), run.GroupTerm, answer.Received.Sub(run.Arrived).Seconds())
+		d.Record.Add("%s was committed at %s in term %d, %.3f s after the end of the cut, although another server had been promoted, and acknowledged %.3f s later",
+			run.ID, run.Server.ID, firstTerm, run.Arrived.Sub(healed).Seconds(), answer.Received.Sub(run.Arrived).Seconds())
 	}
-	d.Record.Add("%d writes were acknowledged, %d of them committed at an old primary", len(w.acknowledged), broken)
+	d.Record.Add("%d writes were acknowledged, %d of them committed at an old primary", len(acknowledged), broken)
 	return broken > 0, nil
 }
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -12,7 +12,9 @@
 
 const (
 	service = "ledger"
-	// workTime is the work of a statement: 6 ms of order-post, 30 ms of stock-look.
+	// usualLag is how late replicas receive commits.
+	usualLag = 20 * time.Millisecond
+	// workTime is the work of a statement: 6 ms of order-post.
 	workTime = 6 * time.Millisecond
 	// revokeLimit is revoke_ms.
 	revokeLimit = 5 * time.Second
@@ -33,8 +35,8 @@
 
 func main() {
 	group := harness.GroupConfig{
-		Delays:      []time.Duration{0, 20 * time.Millisecond, 20 * time.Millisecond},
-		PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3],
+		PromoteTime: time.Second, Service: service, WorkTime: workTime,
+		Servers: []harness.ServerConfig{{Zone: harness.Zones[0]}, {Delay: usualLag, Zone: harness.Zones[1]}, {Delay: usualLag, Zone: harness.Zones[2]}},
 	}
 	harness.Main(configuration(1, "key-a", "key-b"), []harness.GroupConfig{group}, check)
 }
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -51,10 +51,12 @@
 }
 
 func main() {
-	group := func(service string, lag time.Duration) harness.GroupConfig {
-		return harness.GroupConfig{Delays: []time.Duration{0, lag, lag}, PromoteTime: time.Second, Service: service, WorkTime: workTime, Zones: harness.Zones[:3]}
+	servers := []harness.ServerConfig{{Zone: harness.Zones[0]}, {Delay: usualLag, Zone: harness.Zones[1]}, {Delay: usualLag, Zone: harness.Zones[2]}}
+	var groups []harness.GroupConfig
+	for _, service := range []string{first, second} {
+		groups = append(groups, harness.GroupConfig{PromoteTime: time.Second, Servers: servers, Service: service, WorkTime: workTime})
 	}
-	harness.Main(configuration(1, first), []harness.GroupConfig{group(first, usualLag), group(second, usualLag)}, check)
+	harness.Main(configuration(1, first), groups, check)
 }
 
 // readUntil reads on a session until the channel is closed.
@@ -104,7 +106,7 @@
 	}
 	if trouble {
 		for _, replica := range d.Groups[0].Servers[1:] {
-			replica.SetDelay(replicaLag)
+			replica.Update(func(c *harness.ServerConfig) { c.Delay = replicaLag })
 		}
 	}
 	if answer := c.Do("WRITE item 1"); !answer.OK() {
--- a/review/harness/case.go
+++ b/review/harness/case.go
@@ -9,6 +9,13 @@
 	"syscall"
 )
 
+// Exit statuses of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
 // Check runs the events of a case and reports whether the rule was broken. Trouble is false
 // if the case is to leave out its disruption.
 type Check func(d *Deployment, trouble bool) (broken bool, err error)
@@ -19,15 +26,15 @@
 func Main(config Config, groups []GroupConfig, check Check) {
 	if len(os.Args) != 2 {
 		fmt.Println("want one argument: the folder of the case")
-		os.Exit(ExitFailed)
+		os.Exit(exitFailed)
 	}
-	record, err := NewRecord(filepath.Join(os.Args[1], "record.txt"))
+	record, err := newRecord(filepath.Join(os.Args[1], "record.txt"))
 	if err != nil {
 		fmt.Println(err)
-		os.Exit(ExitFailed)
+		os.Exit(exitFailed)
 	}
 	status := run(record, config, groups, check)
-	record.Close()
+	record.close()
 	os.Exit(status)
 }
 
@@ -40,10 +47,10 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	d := &Deployment{Record: record}
-	defer d.Close(os.Getenv("KEEP_LOGS"))
+	defer d.close(os.Getenv("KEEP_LOGS"))
 	ended := make(chan outcome, 1)
 	go func() {
-		if err := d.Start(config, groups); err != nil {
+		if err := d.start(config, groups); err != nil {
 			ended <- outcome{err: err}
 			return
 		}
@@ -55,17 +62,17 @@
 	case <-stop:
 	case result = <-ended:
 		for _, i := range d.Instances {
-			if result.err == nil && !i.Running() {
-				result.err = fmt.Errorf("%s has ended", i.Name)
+			if result.err == nil && !i.running() {
+				result.err = fmt.Errorf("%s has ended", i.name)
 			}
 		}
 	}
-	text, status := "the rule held", ExitHeld
+	text, status := "the rule held", exitHeld
 	switch {
 	case result.err != nil:
-		text, status = "the case could not run: "+result.err.Error(), ExitFailed
+		text, status = "the case could not run: "+result.err.Error(), exitFailed
 	case result.broken:
-		text, status = "the rule was broken", ExitBroken
+		text, status = "the rule was broken", exitBroken
 	}
 	record.Add("%s", text)
 	fmt.Println(text)
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -17,7 +17,7 @@
 	lastRequest atomic.Uint64
 )
 
-// Answer is the answer to one request. Code is that of the error, or Closed.
+// Answer is the answer to one request. Code is that of the error, or closed.
 type Answer struct {
 	Code      string
 	ID        string
@@ -29,8 +29,8 @@
 	State     string
 }
 
-// Closed is the code of an answer that did not come, because the connection ended.
-const Closed = "CLOSED"
+// closed is the code of an answer that did not come, because the connection ended.
+const closed = "CLOSED"
 
 // OK reports whether the request succeeded.
 func (a Answer) OK() bool { return a.Code == "" }
@@ -47,7 +47,7 @@
 func Dial(record *Record, address, database, key string) (*Client, Answer) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return nil, Answer{Code: Closed}
+		return nil, Answer{Code: closed}
 	}
 	c := &Client{conn: conn, name: fmt.Sprintf("client-%d", lastSession.Add(1)), reader: bufio.NewReader(conn), record: record}
 	record.Add("%s sends STARTUP %s %s to %s", c.name, database, key, address)
@@ -79,7 +79,7 @@
 	}()
 	_ = c.conn.SetDeadline(time.Now().Add(clientTimeout))
 	if _, err := c.conn.Write([]byte(message)); err != nil {
-		a.Code, a.Received = Closed, time.Now()
+		a.Code, a.Received = closed, time.Now()
 		return a
 	}
 	for {
@@ -87,7 +87,7 @@
 		a.Received = time.Now()
 		if err != nil {
 			if a.Code == "" {
-				a.Code = Closed
+				a.Code = closed
 			}
 			return a
 		}
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -10,22 +10,15 @@
 
 // Figures of the small sites.
 const (
-	// MaxConns is the number of connections that a server takes.
-	MaxConns = 22
-	// TxIdle is tx_idle_ms of the configuration.
-	TxIdle = 3000 * time.Millisecond
+	// maxConns is the number of connections that a server takes.
+	maxConns = 22
+	// txIdle is tx_idle_ms of the configuration.
+	txIdle = 3000 * time.Millisecond
 )
 
 // leadTime is how long before the traffic the machines start.
 const leadTime = 10 * time.Second
 
-// Exit statuses of a case.
-const (
-	ExitHeld   = 0
-	ExitBroken = 1
-	ExitFailed = 2
-)
-
 // Zones are the zones of the instances.
 var Zones = []string{"mixco", "villa-nueva", "zona-doce", "amatitlan"}
 
@@ -69,7 +62,7 @@
 	}
 	for _, name := range c.Services {
 		services = append(services, map[string]any{
-			"name": name, "health_path": "/health", "max_conns": MaxConns, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+			"name": name, "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
 			"sync_replicas": c.SyncReplicas,
 		})
 	}
@@ -79,53 +72,53 @@
 	return map[string]any{
 		"version": c.Version, "routes": routes, "services": services, "tenants": tenants,
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": TxIdle.Milliseconds(),
+			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": txIdle.Milliseconds(),
 		},
 	}
 }
 
 // Deployment is a small deployment: one instance a zone, and the stand-ins.
 type Deployment struct {
-	Cloud     *Cloud
 	Groups    []*Group
 	Instances []*Instance
 	Record    *Record
-	Store     *Store
 
+	cloud  *cloud
 	folder string
+	store  *store
 }
 
-// Start starts the deployment, waits until all instances are ready, and returns when the
+// start starts the deployment, waits until all instances are ready, and returns when the
 // traffic is to start.
-func (d *Deployment) Start(config Config, groups []GroupConfig) error {
+func (d *Deployment) start(config Config, groups []GroupConfig) error {
 	var err error
 	if d.folder, err = os.MkdirTemp("", "review"); err != nil {
 		return err
 	}
-	if d.Store, err = NewStore(d.Record); err != nil {
+	if d.store, err = newStore(); err != nil {
 		return err
 	}
-	if d.Cloud, err = newCloud(d.Record); err != nil {
+	if d.cloud, err = newCloud(d.Record); err != nil {
 		return err
 	}
 	d.Publish(config)
 	for _, g := range groups {
-		group, err := newGroup(g, d.Store, d.Record)
+		group, err := newGroup(g, d.store, d.Record)
 		if err != nil {
 			return err
 		}
 		d.Groups = append(d.Groups, group)
-		d.Cloud.groups[g.Service] = group
+		d.cloud.groups[g.Service] = group
 	}
 	for i, zone := range Zones {
-		instance, err := startInstance(d.folder, fmt.Sprintf("front-%s-%d", zone, i+1), zone, d.Store.address, d.Cloud.address)
+		instance, err := startInstance(d.folder, fmt.Sprintf("front-%s-%d", zone, i+1), zone, d.store.address, d.cloud.address)
 		if err != nil {
 			return err
 		}
 		d.Instances = append(d.Instances, instance)
 	}
 	started := time.Now()
-	if err := d.WaitReady(); err != nil {
+	if err := d.waitReady(); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(started.Add(leadTime)))
@@ -133,12 +126,12 @@
 	return nil
 }
 
-// WaitReady waits until all instances answer the probe with 200.
-func (d *Deployment) WaitReady() error {
+// waitReady waits until all instances answer the probe with 200.
+func (d *Deployment) waitReady() error {
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, i := range d.Instances {
-			if i.IsReady() {
+			if i.isReady() {
 				ready++
 			}
 		}
@@ -151,25 +144,18 @@
 
 // Publish writes a configuration and returns when the store has acknowledged it.
 func (d *Deployment) Publish(config Config) time.Time {
-	acknowledged := d.Store.Put("op", "config", config.encode())
+	acknowledged := d.store.put("op", "config", config.encode())
 	d.Record.Add("store acknowledges configuration %d: %+v", config.Version, config)
 	return acknowledged
 }
 
-// Evacuate writes the evacuation of a zone and returns when the store has acknowledged it.
-func (d *Deployment) Evacuate(zone string) time.Time {
-	acknowledged := d.Store.Put("op", "evacuate/"+zone, map[string]any{})
-	d.Record.Add("store acknowledges the evacuation of %s", zone)
-	return acknowledged
-}
-
-// Close ends the processes. If keepLogs names a folder, their logs are copied there.
-func (d *Deployment) Close(keepLogs string) {
+// close ends the processes. If keepLogs names a folder, their logs are copied there.
+func (d *Deployment) close(keepLogs string) {
 	for _, i := range d.Instances {
-		i.Kill()
+		i.kill()
 		_ = i.log.Close()
 		if content, err := os.ReadFile(i.log.Name()); err == nil && keepLogs != "" {
-			_ = os.WriteFile(filepath.Join(keepLogs, i.Name+".log"), content, 0o600)
+			_ = os.WriteFile(filepath.Join(keepLogs, i.name+".log"), content, 0o600)
 		}
 	}
 	if d.folder != "" {
--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -22,15 +21,14 @@
 
 // Instance is one process of the project, started with the command of the deploy file.
 type Instance struct {
+	// Front is the address for clients.
 	Front string
-	Name  string
-	Ready string
-	Zone  string
 
-	command  *exec.Cmd
-	exited   chan struct{}
-	log      *os.File
-	settings string
+	command *exec.Cmd
+	exited  chan struct{}
+	log     *os.File
+	name    string
+	ready   string
 }
 
 // freePorts returns ports that are free for TCP and UDP.
@@ -70,14 +68,15 @@
 		return nil, err
 	}
 	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
-	i := &Instance{Front: address(0), Name: name, Ready: address(1), Zone: zone, settings: filepath.Join(folder, name+".hujson")}
+	i := &Instance{Front: address(0), exited: make(chan struct{}), name: name, ready: address(1)}
+	settings := filepath.Join(folder, name+".hujson")
 	content, err := os.ReadFile(templateFile)
 	if err != nil {
 		return nil, err
 	}
 	text := string(content)
 	for placeholder, value := range map[string]any{
-		"zone": zone, "node": name, "ip": "127.0.0.1", "listen.front": i.Front, "listen.ready": i.Ready,
+		"zone": zone, "node": name, "ip": "127.0.0.1", "listen.front": i.Front, "listen.ready": i.ready,
 		"internal_ports.0": ports[2], "internal_ports.1": ports[3], "limits.memory_mb": 284, "limits.cpu_share": 0.4,
 		"cloud.addr": cloud, "platform.addr": store, "bounds.grace_s": 6,
 	} {
@@ -91,45 +90,33 @@
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("%s has a placeholder that isn't known here", templateFile)
 	}
-	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	if i.log, err = os.Create(filepath.Join(folder, name+".log")); err != nil {
 		return nil, err
 	}
-	return i, i.Start()
-}
-
-// Start starts the process.
-func (i *Instance) Start() error {
-	command := exec.Command(program, "serve")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "NUTMEGPIER_CONFIG=" + i.settings, "GOMAXPROCS=1"}
-	command.Stdout, command.Stderr = i.log, i.log
-	if err := command.Start(); err != nil {
-		return err
+	i.command = exec.Command(program, "serve")
+	i.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "NUTMEGPIER_CONFIG=" + settings, "GOMAXPROCS=1"}
+	i.command.Stdout, i.command.Stderr = i.log, i.log
+	if err := i.command.Start(); err != nil {
+		return nil, err
 	}
-	exited := make(chan struct{})
-	i.command, i.exited = command, exited
 	go func() {
-		_ = command.Wait()
-		close(exited)
+		_ = i.command.Wait()
+		close(i.exited)
 	}()
-	return nil
-}
-
-// Signal sends a signal to the process.
-func (i *Instance) Signal(signal syscall.Signal) {
-	_ = i.command.Process.Signal(signal)
+	return i, nil
 }
 
-// Kill ends the process and waits for its end.
-func (i *Instance) Kill() {
-	i.Signal(syscall.SIGKILL)
+// kill ends the process and waits for its end.
+func (i *Instance) kill() {
+	_ = i.command.Process.Kill()
 	<-i.exited
 }
 
-// Running reports whether the process has not ended.
-func (i *Instance) Running() bool {
+// running reports whether the process has not ended.
+func (i *Instance) running() bool {
 	select {
 	case <-i.exited:
 		return false
@@ -138,10 +125,10 @@
 	}
 }
 
-// IsReady sends the platform's probe.
-func (i *Instance) IsReady() bool {
+// isReady sends the platform's probe.
+func (i *Instance) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + i.Ready + "/nutmegpier/ready")
+	response, err := client.Get("http://" + i.ready + "/nutmegpier/ready")
 	if err != nil {
 		return false
 	}
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -15,8 +15,8 @@
 	started time.Time
 }
 
-// NewRecord creates the file, or empties it.
-func NewRecord(path string) (*Record, error) {
+// newRecord creates the file, or empties it.
+func newRecord(path string) (*Record, error) {
 	file, err := os.Create(path)
 	if err != nil {
 		return nil, err
@@ -31,8 +31,8 @@
 	_, _ = fmt.Fprintf(r.file, "%9.4f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
-// Close closes the file.
-func (r *Record) Close() {
+// close closes the file.
+func (r *Record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = r.file.Close()
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"strconv"
@@ -21,8 +22,6 @@
 
 // logEntry is a committed transaction, or a single write, in a server's log.
 type logEntry struct {
-	// id is that of the request that committed.
-	id     string
 	number int
 	term   int
 	writes []write
@@ -30,28 +29,33 @@
 
 type write struct{ item, data string }
 
-// Run is one client statement that a server ran, or a request for one that it refused.
+// Run is one client statement that reached a server.
 type Run struct {
 	// Arrived is when the statement reached the server.
 	Arrived time.Time
-	Code    string
-	ID      string
-	Server  *Server
-	// Tenant is the one that the startup message named.
-	Tenant string
-	Text   string
-	// Log is the number of the last entry that the statement saw.
-	Log int
-	// Term is the one that the server led or followed, and GroupTerm the latest term of
-	// the group, which a promotion began.
-	Term      int
-	GroupTerm int
+	// Code is the error code of its answer, or empty.
+	Code string
+	// CommitTerm and CommitNumber are the position of what the statement committed in the
+	// server's log, or zero.
+	CommitTerm   int
+	CommitNumber int
+	ID           string
+	Server       *Server
+	Text         string
 }
 
-// Server is a stand-in for one database server. It keeps its log when it crashes.
+// ServerConfig is what differs between the servers of a group and may change.
+type ServerConfig struct {
+	// Delay is the time after which the server receives a commit of the primary.
+	Delay time.Duration
+	// State is that of the server's entry in the store, and ready if it is empty.
+	State string
+	Zone  string
+}
+
+// Server is a stand-in for one database server.
 type Server struct {
-	ID   string
-	Zone string
+	ID string
 
 	address string
 	group   *Group
@@ -59,31 +63,69 @@
 
 	// The group's mu guards the fields below.
 	applied  int
+	config   ServerConfig
 	conns    map[net.Conn]bool
-	deaf     bool
-	delay    time.Duration
 	listener net.Listener
 	log      []logEntry
 	primary  bool
 	received *sync.Cond
 	seq      int
-	state    string
 	term     int
 }
 
-// start listens and begins to send heartbeats.
-func (s *Server) start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Start makes the server reachable and starts its heartbeats, at first or after Disconnect.
+// A primary that was replaced meanwhile goes on until a second after it can reach the new
+// one.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", cmp.Or(s.address, "127.0.0.1:0"))
 	if err != nil {
 		return err
 	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
 	s.listener, s.address = listener, listener.Addr().String()
+	s.group.record.Add("server %s is reachable, primary %t, term %d, log %s", s.ID, s.primary, s.term, s.position())
 	s.register()
 	go s.accept(listener)
 	go s.beat(listener)
+	if leader := s.group.leader(); s.primary && leader != nil && leader != s {
+		time.AfterFunc(time.Second, func() { s.group.stepDown(s) })
+	}
 	return nil
 }
 
+// Disconnect closes the port and all connections of the server, as in a crash or when it is
+// cut off with refusals. The server keeps its log and role. Its entry is removed after the
+// heartbeats are missed.
+func (s *Server) Disconnect() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.record.Add("server %s is disconnected, with log %s", s.ID, s.position())
+	_ = s.listener.Close()
+	s.listener = nil
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.received.Broadcast()
+	missed := s.seq
+	time.AfterFunc(lostHeartbeats*heartbeatInterval, func() {
+		s.group.mu.Lock()
+		defer s.group.mu.Unlock()
+		if s.seq == missed {
+			s.group.store.put("servers", s.ID, nil)
+		}
+	})
+}
+
+// Update changes the configuration of the server.
+func (s *Server) Update(change func(*ServerConfig)) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	change(&s.config)
+	s.group.record.Add("server %s changes to %+v", s.ID, s.config)
+	s.register()
+}
+
 func (s *Server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -92,163 +134,60 @@
 		}
 		s.group.mu.Lock()
 		s.conns[conn] = true
-		full := len(s.conns) > s.group.maxConns
+		full := len(s.conns) > maxConns
 		s.group.mu.Unlock()
 		go s.serve(conn, full)
 	}
 }
 
-// beat writes the entry at intervals until the server crashes.
+// beat writes the entry at intervals until the server is disconnected.
 func (s *Server) beat(listener net.Listener) {
 	for {
 		time.Sleep(heartbeatInterval)
 		s.group.mu.Lock()
 		up := s.listener == listener
+		if up {
+			s.register()
+		}
 		s.group.mu.Unlock()
 		if !up {
 			return
 		}
-		s.register()
 	}
 }
 
-// register writes the server's entry to the store.
+// register writes the server's entry to the store. The caller holds mu.
 func (s *Server) register() {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.registerLocked()
-}
-
-func (s *Server) registerLocked() {
 	role := "replica"
 	if s.primary {
 		role = "primary"
 	}
 	s.seq++
-	s.group.store.Put("servers", s.ID, map[string]any{
-		"service": s.group.Service, "addr": s.address, "zone": s.Zone, "version": "v1", "slots": slots, "state": s.state,
-		"cold_remaining_ms": 0, "db_role": role, "seq": s.seq, "born": s.group.born,
-	})
-}
-
-// Drain reports that the server is about to leave. It goes on serving.
-func (s *Server) Drain() {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.state = "draining"
-	s.registerLocked()
-	s.group.record.Add("server %s reports draining", s.ID)
-}
-
-// Crash ends the server without a message: its connections and its port are closed, and
-// its entry is removed after the heartbeats are missed.
-func (s *Server) Crash() {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.group.record.Add("server %s crashes with log %s", s.ID, s.positionLocked())
-	s.disconnect()
-}
-
-// Cut partitions the server from the instances, the store and the other servers. It knows
-// nothing of that and keeps its state. Connections to it are reset and refused.
-func (s *Server) Cut() {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.group.record.Add("server %s is cut off with log %s", s.ID, s.positionLocked())
-	s.disconnect()
-}
-
-// Heal ends the partition. A primary that has been replaced goes on until a second after it
-// can reach the new one.
-func (s *Server) Heal() error {
-	listener, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return err
-	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.listener = listener
-	s.group.record.Add("server %s is reachable again, primary %t, term %d, log %s", s.ID, s.primary, s.term, s.positionLocked())
-	s.registerLocked()
-	go s.accept(listener)
-	go s.beat(listener)
-	if leader := s.group.leader(); s.primary && leader != s && leader != nil {
-		time.AfterFunc(time.Second, func() { s.group.stepDown(s) })
-	}
-	return nil
-}
-
-// disconnect closes the port and the connections. The entry is removed after the
-// heartbeats are missed. The caller holds mu.
-func (s *Server) disconnect() {
-	_ = s.listener.Close()
-	s.listener = nil
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.received.Broadcast()
-	missed := s.seq
-	time.AfterFunc(lostHeartbeats*heartbeatInterval, func() {
-		s.group.mu.Lock()
-		defer s.group.mu.Unlock()
-		if s.seq == missed {
-			s.group.store.Put("servers", s.ID, nil)
-		}
+	s.group.store.put("servers", s.ID, map[string]any{
+		"service": s.group.config.Service, "addr": s.address, "zone": s.config.Zone, "version": "v1", "slots": slots,
+		"state": cmp.Or(s.config.State, "ready"), "cold_remaining_ms": 0, "db_role": role, "seq": s.seq, "born": s.group.born,
 	})
 }
 
-// SetDeaf makes the server receive nothing from the primary until it is set to false.
-func (s *Server) SetDeaf(deaf bool) {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.deaf = deaf
-	s.group.record.Add("server %s receives nothing from the primary: %t", s.ID, deaf)
-	if leader := s.group.leader(); !deaf && leader != nil && leader != s {
-		s.log = append([]logEntry(nil), leader.log...)
-		s.applied = len(s.log)
-	}
-}
-
-// SetDelay sets the time after which the server receives the commits that follow.
-func (s *Server) SetDelay(delay time.Duration) {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.delay = delay
-	s.group.record.Add("server %s receives commits after %v", s.ID, delay)
-}
-
 func (s *Server) up() bool { return s.listener != nil }
 
-// positionLocked is the end of the received log.
-func (s *Server) positionLocked() string {
-	if len(s.log) == 0 {
-		return "-"
-	}
+// position is the end of the received log. The caller holds mu.
+func (s *Server) position() string {
 	last := s.log[len(s.log)-1]
 	return fmt.Sprintf("%d.%d", last.term, last.number)
 }
 
-// HasCommit reports whether the log holds the commit of a request.
-func (s *Server) HasCommit(id string) bool {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	for _, entry := range s.log {
-		if entry.id == id {
-			return true
-		}
-	}
-	return false
-}
-
 // connection is the state of one connection to a server.
 type connection struct {
-	failed   bool
-	open     bool
-	prepared map[string]string
-	readOnly bool
-	tenant   string
-	values   map[string]string
-	writes   []write
+	// committed is what the last statement committed, or the zero value.
+	committed logEntry
+	failed    bool
+	open      bool
+	prepared  map[string]string
+	readOnly  bool
+	tenant    string
+	values    map[string]string
+	writes    []write
 }
 
 // serve answers one connection until it ends, which rolls back its transaction.
@@ -265,7 +204,7 @@
 		return
 	}
 	startup := strings.Fields(line)
-	if len(startup) < 3 || startup[0] != "STARTUP" || startup[1] != s.group.Service || (len(startup) > 3 && startup[3] != s.ID) {
+	if len(startup) < 3 || startup[0] != "STARTUP" || startup[1] != s.group.config.Service || (len(startup) > 3 && startup[3] != s.ID) {
 		_, _ = fmt.Fprintf(conn, "ERROR WRONGNODE %s\r\n", s.ID)
 		return
 	}
@@ -274,7 +213,7 @@
 		return
 	}
 	s.group.mu.Lock()
-	position := s.positionLocked()
+	position := s.position()
 	s.group.mu.Unlock()
 	_, _ = fmt.Fprintf(conn, "READY I %s\r\n", position)
 	c := &connection{prepared: map[string]string{}, tenant: startup[2], values: map[string]string{}}
@@ -305,15 +244,17 @@
 	switch keyword {
 	case "READ", "WRITE", "EXECUTE", "COMMIT", "STATUS":
 		s.slots <- struct{}{}
-		time.Sleep(s.group.workTime)
+		time.Sleep(s.group.config.WorkTime)
 		defer func() { <-s.slots }()
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	seen := s.applied
-	rows, code := s.run(c, id, text)
+	c.committed = logEntry{}
+	rows, code := s.run(c, text)
 	if id != "-" {
-		s.group.addRun(Run{Arrived: arrived, Code: code, ID: id, Log: seen, Server: s, Tenant: c.tenant, Text: text, Term: s.term, GroupTerm: s.group.term})
+		s.group.runs = append(s.group.runs, Run{Arrived: arrived, Code: code, CommitTerm: c.committed.term, CommitNumber: c.committed.number, ID: id, Server: s, Text: text})
+		s.group.record.Add("server %s (%s) as tenant %s runs %s %s: code %q, log up to %d, term %d, latest term %d", s.ID, s.config.Zone, c.tenant, id, text, code, seen, s.term, s.group.term)
 	}
 	answer := ""
 	if code != "" {
@@ -336,11 +277,11 @@
 	case c.open:
 		state = "T"
 	}
-	return answer + fmt.Sprintf("READY %s %s\r\n", state, s.positionLocked())
+	return answer + fmt.Sprintf("READY %s %s\r\n", state, s.position())
 }
 
 // run runs a statement and returns its rows or its error code. The caller holds mu.
-func (s *Server) run(c *connection, id, text string) (rows []string, code string) {
+func (s *Server) run(c *connection, text string) (rows []string, code string) {
 	if rest, found := strings.CutPrefix(text, "AFTER "); found {
 		var position string
 		position, text, _ = strings.Cut(rest, " ")
@@ -378,7 +319,7 @@
 			return nil, "ABORTED"
 		}
 		if len(writes) > 0 {
-			return nil, s.commit(id, writes)
+			return nil, s.commit(c, writes)
 		}
 	case "READ":
 		return []string{s.read(c, fields[1])}, ""
@@ -391,7 +332,7 @@
 			c.writes = append(c.writes, written)
 			return nil, ""
 		}
-		return nil, s.commit(id, []write{written})
+		return nil, s.commit(c, []write{written})
 	case "SET":
 		c.values[fields[1]] = strings.Join(fields[2:], " ")
 	case "PREPARE":
@@ -419,7 +360,7 @@
 	if s.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %s 0 0 %d %d", role, s.term, s.positionLocked(), len(s.slots), len(s.conns))
+	return fmt.Sprintf("%s %d %s 0 0 %d %d", role, s.term, s.position(), len(s.slots), len(s.conns))
 }
 
 // contains reports whether the applied log holds a position. The caller holds mu.
@@ -450,19 +391,20 @@
 
 // commit appends an entry to the log, sends it to the replicas and, if the service has
 // synchronous replicas, waits until one has received it. The caller holds mu.
-func (s *Server) commit(id string, writes []write) string {
+func (s *Server) commit(c *connection, writes []write) string {
 	if !s.primary || !s.up() {
 		return "READONLY"
 	}
-	entry := logEntry{id: id, number: len(s.log) + 1, term: s.term, writes: writes}
+	entry := logEntry{number: len(s.log) + 1, term: s.term, writes: writes}
+	c.committed = entry
 	s.log = append(s.log, entry)
 	s.applied = len(s.log)
 	for _, replica := range s.group.Servers {
 		if replica != s {
-			time.AfterFunc(replica.delay, func() { s.group.receive(replica, s) })
+			time.AfterFunc(replica.config.Delay, func() { s.group.receive(replica, s) })
 		}
 	}
-	for s.group.syncReplicas > 0 && s.up() && s.primary && !s.group.replicated(s, entry.number) {
+	for s.group.config.SyncReplicas > 0 && s.up() && s.primary && !s.group.replicated(s, entry.number) {
 		s.received.Wait()
 	}
 	return ""
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -26,10 +26,9 @@
 
 func (r row) id() string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
 
-// Store is a stand-in for the platform's metadata store. It keeps its whole history.
-type Store struct {
+// store is a stand-in for the platform's metadata store. It keeps its whole history.
+type store struct {
 	address string
-	record  *Record
 	started time.Time
 
 	mu       sync.Mutex
@@ -39,13 +38,13 @@
 	rows     map[string]row
 }
 
-// NewStore starts a store on a free port.
-func NewStore(record *Record) (*Store, error) {
+// newStore starts a store on a free port.
+func newStore() (*store, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{address: listener.Addr().String(), changed: make(chan struct{}), record: record, rows: map[string]row{}, started: time.Now()}
+	s := &store{address: listener.Addr().String(), changed: make(chan struct{}), rows: map[string]row{}, started: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /nutmegpier/rows-get", s.get)
 	mux.HandleFunc("GET /nutmegpier/rows-feed", s.feed)
@@ -55,9 +54,9 @@
 	return s, nil
 }
 
-// Put writes a row as operators and servers do, and returns the time at which the store
+// put writes a row as operators and servers do, and returns the time at which the store
 // has acknowledged it. A nil value deletes the row.
-func (s *Store) Put(table, key string, value any) time.Time {
+func (s *store) put(table, key string, value any) time.Time {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -70,7 +69,7 @@
 }
 
 // apply stores a row and wakes the pending feeds. The caller holds mu.
-func (s *Store) apply(r row) {
+func (s *store) apply(r row) {
 	if r.Deleted {
 		r.Value = nil
 		delete(s.rows, r.id())
@@ -90,7 +89,7 @@
 }
 
 // answer sends rows as of now. The caller holds mu.
-func (s *Store) answer(w http.ResponseWriter, status int, rows []row) {
+func (s *store) answer(w http.ResponseWriter, status int, rows []row) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if rows == nil {
@@ -100,7 +99,7 @@
 }
 
 // get serves the rows of a partition in one page.
-func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,7 +114,7 @@
 }
 
 // feed serves a long poll for the changes of a table.
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
@@ -147,7 +146,7 @@
 }
 
 // transact applies a transaction if all of its conditions hold.
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
 	var transaction struct {
 		Expected []row `json:"expected_rev"`
 		Writes   []row `json:"writes"`
