fix: end a promotion only by evidence of its own term

Cause: the target's registration as primary ended the change. A server that was cut off while another was promoted keeps that registration, which has no term.

Evidence: 409 at 27.394 s and 407 with term 3 at 27.440 s, while the target's status said term 1. Ruled out: a long lease (all instances had the new record) and an early effect of the order (the stand-in promotes a second later).

Fix: a registration counts if the server registered as a replica after the change began and as primary after that, by the store's revisions; otherwise a status of a later term does.

TestPromotionEvidence failed before in two of its cases.

--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -41,8 +41,10 @@
 type promotionState struct {
 	// stepRunning is true while a step for the group is being executed.
 	stepRunning bool
-	// generationSeenAt is when the current generation of the record was first seen.
-	generationSeenAt time.Time
+	// generationRevision is the revision of the record when its current generation
+	// was first seen, at generationSeenAt.
+	generationRevision feed.Revision
+	generationSeenAt   time.Time
 	// lastOrderAt is when this instance last ordered a promotion in that
 	// generation, or zero.
 	lastOrderAt time.Time
@@ -226,10 +228,13 @@
 	current := g.group(group)
 	record := current.primaryLease.Record()
 	if record.Generation != state.record.Generation {
-		state.generationSeenAt, state.lastOrderAt = now, time.Time{}
+		state.generationRevision, state.generationSeenAt, state.lastOrderAt = current.revision, now, time.Time{}
 	}
 	state.record = record
-	s := primacy.Situation{GenerationSeenAt: state.generationSeenAt, LastOrderAt: state.lastOrderAt, OrderPending: record.Target != "" && record == state.unsentOrder, Record: record}
+	s := primacy.Situation{
+		GenerationRevision: state.generationRevision, GenerationSeenAt: state.generationSeenAt,
+		LastOrderAt: state.lastOrderAt, OrderPending: record.Target != "" && record == state.unsentOrder, Record: record,
+	}
 	if g.routing != nil {
 		s.SyncReplicas = g.routing.Database(group).SyncReplicas
 	}
@@ -253,6 +258,7 @@
 			ID:                  id,
 			Position:            report.status.Position,
 			Registered:          true,
+			ReplicaRevision:     server.replicaRevision,
 			Role:                report.status.Role,
 			StatusAt:            report.requestedAt,
 			Term:                report.status.Term,
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -50,7 +51,10 @@
 	RegisteredAsPrimary bool
 	// Registered is false if the server no longer has a registration entry.
 	Registered bool
-	Role       Role
+	// ReplicaRevision is the store's revision of the latest registration that
+	// named the server as a replica, or zero.
+	ReplicaRevision feed.Revision
+	Role            Role
 	// StatusAt is when the status was requested that Position, Role and Term
 	// come from. It is zero if the server has never answered.
 	StatusAt time.Time
@@ -73,6 +77,9 @@
 
 // Situation is the input of Decide for one group.
 type Situation struct {
+	// GenerationRevision is a revision of the store at which the record had its
+	// current generation.
+	GenerationRevision feed.Revision
 	// GenerationSeenAt is when the leader first saw the record's current
 	// generation.
 	GenerationSeenAt time.Time
@@ -196,10 +203,7 @@
 func (s Situation) decidePromoting(now time.Time) Step {
 	target, known := s.server(s.Record.Target)
 	isPrimary := known && target.Role == RolePrimary && target.Term > s.Record.Term && target.StatusAt.After(s.GenerationSeenAt)
-	// A server with no free connection can't be asked for its status, but its
-	// registration shows that it is primary.
-	registeredAsPrimary := known && target.RegisteredAsPrimary && !s.LastOrderAt.IsZero()
-	if isPrimary || registeredAsPrimary {
+	if isPrimary || (known && s.registeredPromotion(target)) {
 		return Step{Kind: StepWrite, Record: Record{
 			Generation: s.Record.Generation + 1, Orders: s.Record.Orders, Phase: PhaseServing,
 			Primary: target.ID, Term: max(target.Term, s.Record.Term+1),
@@ -224,6 +228,14 @@
 	return Step{Kind: StepStatus}
 }
 
+// registeredPromotion reports whether the server's registrations show that it was
+// promoted in the current generation, which is evidence for a server with no free
+// connection for a status request. A registration as primary alone is not: a server
+// that was cut off while another was promoted still names itself as primary.
+func (s Situation) registeredPromotion(server Server) bool {
+	return server.RegisteredAsPrimary && server.ReplicaRevision > s.GenerationRevision
+}
+
 // allInstancesLeft reports whether no instance uses the old primary any more:
 // each one has confirmed that, or its lease has certainly expired.
 func (s Situation) allInstancesLeft(now time.Time) bool {
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -106,3 +106,45 @@
 		t.Errorf("step %+v, want a write with target a", step)
 	}
 }
+
+// TestPromotionEvidence guards against a promotion that counts as done before it has
+// taken effect, because the target was the primary of an earlier term, was cut off when
+// it was replaced, and still names itself as primary in its registration and status.
+// Writes would then be acknowledged at the old primary.
+func TestPromotionEvidence(t *testing.T) {
+	const generationRevision = 10
+	target := replica("a", 5, 0)
+	oldTerm := target
+	oldTerm.Role, oldTerm.RegisteredAsPrimary = primacy.RolePrimary, true
+	registeredBefore := target
+	registeredBefore.RegisteredAsPrimary, registeredBefore.ReplicaRevision = true, generationRevision
+	registeredSince := registeredBefore
+	registeredSince.ReplicaRevision = generationRevision + 1
+	newTerm := oldTerm
+	newTerm.Term = 3
+	for _, test := range []struct {
+		name   string
+		target primacy.Server
+		want   primacy.StepKind
+	}{
+		{name: "replica", target: target, want: primacy.StepStatus},
+		{name: "primary of an earlier term", target: oldTerm, want: primacy.StepStatus},
+		{name: "registered as replica before the change", target: registeredBefore, want: primacy.StepStatus},
+		{name: "registered as replica and then as primary", target: registeredSince, want: primacy.StepWrite},
+		{name: "primary of a later term", target: newTerm, want: primacy.StepWrite},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := changingGroup(primacy.ReasonFailure)
+			s.GenerationRevision, s.LastOrderAt = generationRevision, now.Add(-100*time.Millisecond)
+			s.Record.Target, s.Record.Term = "a", 2
+			s.Servers = []primacy.Server{test.target}
+			step := primacy.Decide(now, s)
+			if diff := cmp.Diff(test.want, step.Kind); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+			if step.Kind == primacy.StepWrite && step.Record.Phase != primacy.PhaseServing {
+				t.Errorf("record %+v, want phase Serving", step.Record)
+			}
+		})
+	}
+}
