fix: keep synchronous commits that only a draining server has

Cause: coversAcknowledgedCommits counted the draining replica among the servers of which one has the last commit, but the choice of the target left it out. Evidence: both replicas answered, at 1.762 and 1.759, and the second one was promoted.

Fix: with synchronous replicas the server with the longest log is promoted, eligible or not, and handed over once an eligible one has its log. The same rule ends a handover whose target does not catch up, which could lose commits in the same way. The PostgreSQL side compares logs first; a new test shows it.

Two cases of TestPromotionCandidate and one of TestReplaceableByDrainingServer failed before.

--- a/group/promoter_test.go
+++ b/group/promoter_test.go
@@ -345,3 +345,31 @@
 		t.Errorf("%d calls at rank 0, want 3 fence calls", len(out.Calls))
 	}
 }
+
+// TestPromoterKeepsCommitsOfLeavingServer guards against a promotion that loses a commit
+// because the only other server which has received it is being taken out of use.
+func TestPromoterKeepsCommitsOfLeavingServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	in := group.PromoterInput{
+		Detection: group.Detection{Health: group.Failed, Reason: group.ReasonReplicasSilent}, Now: now,
+		Placement: group.Placement{Leaving: []fleet.ServerID{"c"}},
+		View:      healthyView(now, map[fleet.ServerID]fleet.LogPosition{"a": 9, "b": 5, "c": 9}),
+	}
+	promoter := group.NewPromoter("g", group.DefaultSettings())
+	out := promoter.Step(in, nil)
+	fences := out.Calls
+	for _, call := range fences {
+		if call.Kind != group.CallFence {
+			t.Fatalf("call %+v, want a fence", call)
+		}
+		log := map[fleet.ServerID]fleet.LogPosition{"b": 5, "c": 9}[call.Server]
+		if log == 0 {
+			continue
+		}
+		status := group.ServerStatus{Log: fleet.Position{Term: 1, Log: log}, PromisedTerm: call.Term, Role: group.RoleReplica, Server: call.Server, Term: 1}
+		out = promoter.Step(in, &group.CallResult{Call: call, Granted: true, Status: status})
+	}
+	if len(out.Calls) != 1 || out.Calls[0].Kind != group.CallPromote || out.Calls[0].Server != "c" {
+		t.Errorf("calls %+v, want the promotion of c", out.Calls)
+	}
+}
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -61,6 +61,14 @@
 	Term     fleet.Term
 }
 
+// eligibleRank is 1 if the server is eligible, and 0 if not.
+func (s Server) eligibleRank() int {
+	if s.Eligible {
+		return 1
+	}
+	return 0
+}
+
 // Member is the leader's view of one instance.
 type Member struct {
 	// Bystander says that the instance is not asked whether it can reach the primary,
@@ -160,13 +168,13 @@
 	// If the last promotion was ordered repeatedly, an excess order may still
 	// take effect, and would undo a further change.
 	orderInFlight := s.Record.Orders > 1 && now.Before(s.GenerationSeenAt.Add(maxOrderDelay))
-	if orderInFlight || !s.hasCandidate() {
+	if orderInFlight {
 		return Step{Kind: StepNone}
 	}
 	switch {
-	case s.primaryUnreachable():
+	case s.primaryUnreachable() && slices.ContainsFunc(s.Servers, s.promotable):
 		next.Reason = ReasonFailure
-	case known && primary.Registered && !primary.Eligible:
+	case known && primary.Registered && !primary.Eligible && slices.ContainsFunc(s.Servers, s.eligibleReplica):
 		next.Reason = ReasonHandover
 	default:
 		return Step{Kind: StepNone}
@@ -183,13 +191,15 @@
 	if !s.candidatesAnsweredSince(s.GenerationSeenAt) && now.Before(s.GenerationSeenAt.Add(statusTimeout)) {
 		return Step{Kind: StepStatus}
 	}
-	target, found := s.promotionCandidate()
-	if !found || !s.coversAcknowledgedCommits() {
-		return Step{Kind: StepStatus}
-	}
 	old, known := s.server(s.Record.Primary)
-	if known && s.Record.Reason == ReasonHandover && old.StatusAt.After(s.GenerationSeenAt) &&
-		target.Position.Compare(old.Position) < 0 && now.Before(s.GenerationSeenAt.Add(handoverCatchUpTimeout)) {
+	catchingUp := known && s.Record.Reason == ReasonHandover && old.StatusAt.After(s.GenerationSeenAt) &&
+		now.Before(s.GenerationSeenAt.Add(handoverCatchUpTimeout))
+	accepted := s.promotable
+	if catchingUp {
+		accepted = s.eligibleReplica
+	}
+	target, found := s.promotionCandidate(accepted)
+	if !found || !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0) {
 		return Step{Kind: StepStatus}
 	}
 	next := s.Record
@@ -283,28 +293,34 @@
 	return s.SyncReplicas == 0 || answered >= replicas-s.SyncReplicas+1
 }
 
-// hasCandidate reports whether another server could be promoted, whether or not
-// it answers.
-func (s Situation) hasCandidate() bool {
-	return slices.ContainsFunc(s.Servers, func(server Server) bool {
-		return server.Registered && server.Eligible && server.ID != s.Record.Primary
-	})
+// eligibleReplica reports whether a server other than the recorded primary can be
+// promoted and stay in use, whether or not it answers.
+func (s Situation) eligibleReplica(server Server) bool {
+	return server.Registered && server.Eligible && server.ID != s.Record.Primary
+}
+
+// promotable reports whether a server can be promoted, whether or not it answers. With
+// synchronous replicas, a server that is not eligible can be as well: it may be the only
+// one with the last acknowledged commits, and is replaced once another one has them.
+func (s Situation) promotable(server Server) bool {
+	return s.eligibleReplica(server) || (s.SyncReplicas > 0 && server.Registered && server.ID != s.Record.Primary)
 }
 
-// promotionCandidate returns the server with the longest log among those that
-// have answered since the change and can be promoted. A server that is already
-// primary in a later term takes precedence.
-func (s Situation) promotionCandidate() (Server, bool) {
+// promotionCandidate returns the server with the longest log among the accepted ones
+// that have answered since the change. A server that is already primary in a later term
+// takes precedence.
+func (s Situation) promotionCandidate(accepted func(Server) bool) (Server, bool) {
 	if currentPrimary, found := s.currentPrimary(); found && currentPrimary.Term > s.Record.Term && currentPrimary.StatusAt.After(s.GenerationSeenAt) {
 		return currentPrimary, true
 	}
 	return mostAdvanced(s.Servers, func(server Server) bool {
-		return server.Registered && server.Eligible && server.ID != s.Record.Primary && server.StatusAt.After(s.GenerationSeenAt)
+		return accepted(server) && server.StatusAt.After(s.GenerationSeenAt)
 	})
 }
 
 // mostAdvanced returns the accepted server with the latest term and, within it,
-// the longest log. Of equal servers it returns the one with the lowest ID.
+// the longest log. Of equal servers it returns an eligible one, and of those the one
+// with the lowest ID.
 func mostAdvanced(servers []Server, accepted func(Server) bool) (Server, bool) {
 	var candidates []Server
 	for _, server := range servers {
@@ -316,7 +332,7 @@
 		return Server{}, false
 	}
 	return slices.MaxFunc(candidates, func(a, b Server) int {
-		return cmp.Or(cmp.Compare(a.Term, b.Term), a.Position.Compare(b.Position), cmp.Compare(b.ID, a.ID))
+		return cmp.Or(cmp.Compare(a.Term, b.Term), a.Position.Compare(b.Position), cmp.Compare(a.eligibleRank(), b.eligibleRank()), cmp.Compare(b.ID, a.ID))
 	}), true
 }
 
@@ -332,8 +348,8 @@
 func (s Situation) candidatesAnsweredSince(since time.Time) bool {
 	return !slices.ContainsFunc(s.Servers, func(server Server) bool {
 		isOldPrimary := server.ID == s.Record.Primary
-		required := (server.Eligible && !isOldPrimary) || (isOldPrimary && s.Record.Reason == ReasonHandover)
-		return server.Registered && required && !server.StatusAt.After(since)
+		required := s.promotable(server) || (isOldPrimary && server.Registered && s.Record.Reason == ReasonHandover)
+		return required && !server.StatusAt.After(since)
 	})
 }
 
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -31,7 +31,8 @@
 
 // TestPromotionCandidate guards against a promotion target that lacks commits
 // of another server that has answered, that is draining, or whose position was
-// reported before the change.
+// reported before the change. With synchronous replicas, it guards against the loss of
+// an acknowledged commit that only a draining server has received.
 func TestPromotionCandidate(t *testing.T) {
 	draining := replica("c", 9, 0)
 	draining.Eligible = false
@@ -48,6 +49,9 @@
 		{name: "none answers", reason: primacy.ReasonFailure, servers: []primacy.Server{replica("a", 5, 2*time.Second)}},
 		{name: "not enough for a synchronous commit", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 2*time.Second)}},
 		{name: "enough for a synchronous commit", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{replica("a", 5, 0), replica("b", 7, 0)}, want: "b"},
+		{name: "draining server has the last synchronous commit", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{replica("a", 5, 0), draining}, want: "c"},
+		{name: "draining server has the last synchronous commit in a handover", reason: primacy.ReasonHandover, sync: 1, servers: []primacy.Server{replica("a", 5, 0), draining}, want: "c"},
+		{name: "draining server has no longer log", reason: primacy.ReasonFailure, sync: 1, servers: []primacy.Server{draining, replica("d", 9, 0)}, want: "d"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := changingGroup(test.reason)
@@ -90,14 +94,45 @@
 	}
 }
 
+// TestReplaceableByDrainingServer guards against a handover between two draining servers,
+// which would not end, and against a failed primary that is not replaced although a
+// draining server has all synchronous commits.
+func TestReplaceableByDrainingServer(t *testing.T) {
+	draining := replica("a", 5, 0)
+	draining.Eligible = false
+	for _, test := range []struct {
+		name        string
+		sync        int
+		unreachable bool
+		want        primacy.StepKind
+	}{
+		{name: "handover", sync: 1, want: primacy.StepNone},
+		{name: "failure with synchronous replicas", sync: 1, unreachable: true, want: primacy.StepWrite},
+		{name: "failure without synchronous replicas", unreachable: true, want: primacy.StepNone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			step := primacy.Decide(now, primacy.Situation{
+				Members:      []primacy.Member{{Live: true, Unreachable: test.unreachable}},
+				Record:       primacy.Record{Generation: 1, Phase: primacy.PhaseServing, Primary: "old", Term: 1},
+				Servers:      []primacy.Server{draining, {ID: "old", Registered: true}},
+				SyncReplicas: test.sync,
+			})
+			if diff := cmp.Diff(test.want, step.Kind); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestHandoverWaitsForTheLog guards against a handover that loses commits which
-// the old primary has acknowledged.
+// the old primary has acknowledged, and against one to a draining server while another
+// one catches up.
 func TestHandoverWaitsForTheLog(t *testing.T) {
 	s := changingGroup(primacy.ReasonHandover)
-	s.GenerationSeenAt = now.Add(-100 * time.Millisecond)
-	old := replica("old", 9, 0)
-	old.Role = primacy.RolePrimary
-	s.Servers = []primacy.Server{replica("a", 8, 0), old}
+	s.GenerationSeenAt, s.SyncReplicas = now.Add(-100*time.Millisecond), 1
+	old, draining := replica("old", 9, 0), replica("b", 9, 0)
+	old.Role, draining.Eligible = primacy.RolePrimary, false
+	s.Servers = []primacy.Server{replica("a", 8, 0), draining, old}
 	if step := primacy.Decide(now, s); step.Kind != primacy.StepStatus {
 		t.Errorf("step %+v, want StepStatus until the replica has all of the log", step)
 	}
