fix: keep a session's last write for each group

Cause: a session had one log position for all groups. Its route changed to another group and back, and a write there replaced the position in the first group by a lower one. Evidence: the write at the first group was at 1.7, the second group's log was shorter, and the reads that followed ran without the write.

Fix: the session keeps the position of its last commit in each group.

TestLastWriteOfEachGroup failed before.

--- a/session/router.go
+++ b/session/router.go
@@ -15,8 +15,8 @@
 	Avoid map[fleet.ServerID]bool
 	// Deadline is when the statement times out.
 	Deadline time.Time
-	// LastWrite is the log position of the session's last committed write, or
-	// zero. A read must see it.
+	// LastWrite is the log position of the session's last committed write in the
+	// group of the route, or zero. A read must see it.
 	LastWrite fleet.Position
 	Route     sheet.Route
 	// StartedAt is when the caller sent the statement or began the transaction.
--- a/session/session.go
+++ b/session/session.go
@@ -69,9 +69,11 @@
 	credentials Credentials
 	// lastServer is the server of the last attempt.
 	lastServer fleet.ServerID
-	// lastWrite is the log position of the session's last committed write.
-	lastWrite fleet.Position
-	prepared  map[string]Template
+	// lastWrites holds the log position of the session's last committed write in each
+	// group. A route can change to another group, and positions of different groups
+	// can't be compared.
+	lastWrites map[fleet.GroupID]fleet.Position
+	prepared   map[string]Template
 	// lastPosition is the log position in the last reply of a server.
 	lastPosition fleet.Position
 	state        State
@@ -96,6 +98,7 @@
 	return &Session{
 		config:      config,
 		credentials: credentials,
+		lastWrites:  map[fleet.GroupID]fleet.Position{},
 		prepared:    map[string]Template{},
 		state:       StateIdle,
 		variables:   map[string]string{},
@@ -201,7 +204,7 @@
 func (s *Session) requirements(now time.Time, access Access) Requirements {
 	return Requirements{
 		Deadline:  now.Add(access.Route.StatementTimeout.Duration()),
-		LastWrite: s.lastWrite,
+		LastWrite: s.lastWrites[access.Route.Group],
 		Route:     access.Route,
 		StartedAt: now,
 		Variables: s.variables,
@@ -329,7 +332,7 @@
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced before it answered"), Kind: KindUnknown, Op: "run"}
 	}
 	if requirements.Write {
-		s.lastWrite = reply.Position
+		s.lastWrites[requirements.Route.Group] = reply.Position
 	}
 	return reply, nil
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
@@ -284,3 +285,38 @@
 		}
 	}
 }
+
+// TestLastWriteOfEachGroup guards against a read that misses the session's own write,
+// because the route has changed to another group and back, and a write in that group
+// replaced the position to be read from.
+func TestLastWriteOfEachGroup(t *testing.T) {
+	first := newServer("a")
+	first.log = 100
+	env := newEnvironment(first)
+	sess := env.openSession()
+	sess.Do(statement(session.StatementWrite))
+
+	env.route.Group, env.servers = "other", []*server{newServer("b")}
+	sess.Do(statement(session.StatementRead))
+	sess.Do(statement(session.StatementWrite))
+	for _, kind := range []session.StatementKind{session.StatementBegin, session.StatementWrite, session.StatementCommit} {
+		sess.Do(statement(kind))
+	}
+
+	env.route.Group, env.servers = "g", []*server{first}
+	sess.Do(statement(session.StatementRead))
+
+	var got []fleet.Position
+	for _, completed := range env.completed {
+		if completed.Err != nil {
+			t.Fatalf("%s: %v", completed.Statement.Kind, completed.Err)
+		}
+		if completed.Statement.Kind == session.StatementRead {
+			got = append(got, completed.Requirements.LastWrite)
+		}
+	}
+	want := []fleet.Position{{}, {Term: 1, Log: 101}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("positions that the reads must see (-want +got):\n%s", diff)
+	}
+}
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -103,7 +103,7 @@
 		return s.errorResult(err)
 	}
 	if t.wrote {
-		s.lastWrite = reply.Position
+		s.lastWrites[t.requirements.Route.Group] = reply.Position
 	}
 	return s.replyResult(reply)
 }
