fix: keep a PostgreSQL caller's token for each group

After the route had returned, a read with a maximum age asked for no position and could miss the session's own write. Reads without a maximum age were not affected, because they wait for a read barrier.

Found by reading, shown by TestPositionsOfEachGroup, which failed before: the read after the return had an empty token instead of 1/7.

--- a/caller/routes.go
+++ b/caller/routes.go
@@ -32,14 +32,20 @@
 	return sheet.Route{Group: s.database}
 }
 
-// updateGroup switches the session to the group that now serves its database. It
-// drops the token, because log positions of another group have no meaning there.
+// updateGroup switches the session to the group that now serves its database. The
+// token is kept until that group serves the database again, because its log positions
+// have no meaning in another group. It may not cover the last read on the primary, so
+// the session waits for a read barrier in either group.
 func (s *session) updateGroup(route sheet.Route) {
 	if s.lease != nil || route.Group == s.group {
 		return
 	}
+	if s.earlierTokens == nil {
+		s.earlierTokens = map[fleet.GroupID]Token{}
+	}
+	s.earlierTokens[s.group] = s.token
 	s.group = route.Group
-	s.token, s.hasToken = Token{}, false
+	s.token, s.hasToken = s.earlierTokens[s.group], false
 	s.startedAt = s.server.config.Now()
 }
 
--- a/caller/routes_test.go
+++ b/caller/routes_test.go
@@ -104,6 +104,36 @@
 	}
 }
 
+// TestPositionsOfEachGroup guards against a read with a maximum age that misses an own
+// write, because the route has changed to another group and back meanwhile.
+func TestPositionsOfEachGroup(t *testing.T) {
+	routes := &routesByName{}
+	setGroup := func(group fleet.GroupID) {
+		routes.set(sheet.Route{Consistency: sheet.ConsistencyBoundedAge, Database: "plant1", Group: group, MaxAge: 1500, StatementTimeout: 60_000})
+	}
+	setGroup("ledger-a")
+	d := deploy(t, scriptedPrimary, oneRow("replica"), func(config *caller.Config) { config.Routes = routes })
+	conn := d.connect(t, simpleMode)
+	mustExec(t, conn, "insert into t values (1)")
+	mustExec(t, conn, "select 1")
+	setGroup("ledger-b")
+	mustExec(t, conn, "select 1")
+	setGroup("ledger-a")
+	mustExec(t, conn, "select 1")
+	var got []caller.Token
+	for _, request := range d.router.allRequests() {
+		if request.Access == caller.AccessRead {
+			got = append(got, request.Token)
+		}
+	}
+	if len(got) != 3 || got[0].Written.IsZero() {
+		t.Fatalf("tokens of reads: %+v, want three, the first with the position of the write", got)
+	}
+	if diff := cmp.Diff([]caller.Token{got[0], {}, got[0]}, got); diff != "" {
+		t.Errorf("tokens of reads (-want +got):\n%s", diff)
+	}
+}
+
 // TestStatementTimeout guards against statements that exceed the timeout of their
 // route without being cancelled.
 func TestStatementTimeout(t *testing.T) {
--- a/caller/session.go
+++ b/caller/session.go
@@ -39,10 +39,12 @@
 	ctx context.Context
 	// database is the database that the caller connected to; group is the group
 	// that serves it now.
-	database    fleet.GroupID
-	endWaitFunc func()
-	group       fleet.GroupID
-	hasToken    bool
+	database fleet.GroupID
+	// earlierTokens are the tokens for groups that served the database before.
+	earlierTokens map[fleet.GroupID]Token
+	endWaitFunc   func()
+	group         fleet.GroupID
+	hasToken      bool
 	// heldMessages are encoded messages that are held back because they may
 	// acknowledge a commit that isn't durable yet.
 	heldMessages []byte
