fix: check the key for each statement of a transaction

Cause: the key was checked when the transaction began, together with the rate limit, and not again. Evidence: new sessions with the key were refused at the same instance meanwhile. Ruled out: a late sheet and an expired key lease.

Fix: each statement and the commit check that the key still belongs to the workspace and that the sheet is proved to be the newest one. Otherwise the transaction is rolled back. The route stays as it was when the transaction began.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -63,17 +63,42 @@
 		return session.Access{}, &session.Error{Err: errors.New("no such database"), Kind: session.KindNoDatabase, Op: "check"}
 	}
 	access := session.Access{Route: route}
-	access.Workspace, known = g.routing.Owner(credentials.Key)
+	access.Workspace, _ = g.routing.Owner(credentials.Key)
 	if route.OpenToAll {
 		return access, nil
 	}
-	if !g.keyLeaseValid(now) {
-		return access, &session.Error{Err: errors.New("the sheet can't be proved to be the newest one"), Kind: session.KindBusy, Op: "check", RetryAfter: storeRetryAfter}
+	return access, g.checkKey(now, access.Workspace)
+}
+
+// Reauthorize returns an error unless the key is still valid for the workspace of the
+// access, or the access was to a database that is open to all.
+func (g *Gateway) Reauthorize(now time.Time, credentials session.Credentials, access session.Access) *session.Error {
+	if access.Route.OpenToAll {
+		return nil
 	}
-	if !known {
-		return access, &session.Error{Err: errors.New("the key is not accepted"), Kind: session.KindUnauthorized, Op: "check"}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	workspace, _ := g.routing.Owner(credentials.Key)
+	if err := g.checkKey(now, workspace); err != nil {
+		return err
+	}
+	if workspace != access.Workspace {
+		return &session.Error{Err: errors.New("the key now belongs to another workspace"), Kind: session.KindUnauthorized, Op: "check"}
+	}
+	return nil
+}
+
+// checkKey returns an error if the sheet was not verified within the key lease, or if
+// the workspace of the key is empty. The caller holds g.mu.
+func (g *Gateway) checkKey(now time.Time, workspace fleet.WorkspaceID) *session.Error {
+	switch {
+	case !g.keyLeaseValid(now):
+		return &session.Error{Err: errors.New("the sheet can't be proved to be the newest one"), Kind: session.KindBusy, Op: "check", RetryAfter: storeRetryAfter}
+	case workspace == "":
+		return &session.Error{Err: errors.New("the key is not accepted"), Kind: session.KindUnauthorized, Op: "check"}
+	default:
+		return nil
 	}
-	return access, nil
 }
 
 // Observe counts a completed statement, and logs it if it failed or exceeded the
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -24,6 +24,9 @@
 	route        sheet.Route
 	servers      []*server
 	keyWithdrawn bool
+	// unproved makes Reauthorize fail because the sheet can't be proved to be the
+	// newest one.
+	unproved bool
 }
 
 func newEnvironment(servers ...*server) *environment {
@@ -67,6 +70,16 @@
 	return session.Access{Route: e.route, Workspace: "w"}, nil
 }
 
+func (e *environment) Reauthorize(time.Time, session.Credentials, session.Access) *session.Error {
+	if e.unproved {
+		return &session.Error{Kind: session.KindBusy}
+	}
+	if e.keyWithdrawn {
+		return &session.Error{Kind: session.KindUnauthorized}
+	}
+	return nil
+}
+
 func (e *environment) Observe(_ time.Time, completed session.Completion) {
 	e.completed = append(e.completed, completed)
 }
--- a/session/router.go
+++ b/session/router.go
@@ -43,6 +43,10 @@
 	Admit(now time.Time, workspace fleet.WorkspaceID) *Error
 	// Authorize returns the access that the credentials give at time now.
 	Authorize(now time.Time, credentials Credentials) (Access, *Error)
+	// Reauthorize returns an error if the credentials no longer give the workspace of
+	// an access that Authorize returned. The route of the access stays in force until
+	// the end of the transaction.
+	Reauthorize(now time.Time, credentials Credentials, access Access) *Error
 }
 
 // Router selects backend servers and provides connections to them.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -320,3 +320,37 @@
 		t.Errorf("positions that the reads must see (-want +got):\n%s", diff)
 	}
 }
+
+// TestKeyWithdrawnInTransaction guards against statements and commits of an open
+// transaction that run although the key was withdrawn, or can't be proved to be valid.
+func TestKeyWithdrawnInTransaction(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*environment)
+		want   session.Kind
+	}{
+		{name: "withdrawn", change: func(e *environment) { e.keyWithdrawn = true }, want: session.KindUnauthorized},
+		{name: "unproved", change: func(e *environment) { e.unproved = true }, want: session.KindAborted},
+	} {
+		for _, kind := range []session.StatementKind{session.StatementRead, session.StatementWrite, session.StatementCommit} {
+			t.Run(test.name+"/"+string(kind), func(t *testing.T) {
+				s := newServer("a")
+				env := newEnvironment(s)
+				sess := env.openSession()
+				sess.Do(statement(session.StatementBegin))
+				sess.Do(statement(session.StatementWrite))
+				ran := len(s.ran)
+				test.change(env)
+				if diff := cmp.Diff(test.want, errorKind(sess.Do(statement(kind)))); diff != "" {
+					t.Errorf("error (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff([]session.StatementKind{session.StatementRollback}, s.ran[ran:]); diff != "" {
+					t.Errorf("statements on the server after the change (-want +got):\n%s", diff)
+				}
+				if env.released != 1 {
+					t.Errorf("%d connections released, want 1", env.released)
+				}
+			})
+		}
+	}
+}
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -16,6 +16,9 @@
 	if isWrite(statement, template) && !t.requirements.Write {
 		return s.failStatement(start, statement, &Error{Err: errors.New("the transaction only reads"), Kind: KindReadOnly, Op: "run"})
 	}
+	if err := s.reauthorize(start, t); err != nil {
+		return s.failStatement(start, statement, err)
+	}
 	deadline := start.Add(t.access.Route.StatementTimeout.Duration())
 	attempts := 1
 	if t.lease == nil {
@@ -39,6 +42,16 @@
 	return s.replyResult(reply)
 }
 
+// reauthorize returns an error if the caller may not continue its transaction, which is
+// then rolled back.
+func (s *Session) reauthorize(now time.Time, t *transaction) *Error {
+	err := s.config.AccessController.Reauthorize(now, s.credentials, t.access)
+	if err != nil && err.Kind.NotRun() {
+		return &Error{Err: err.Err, Kind: KindAborted, Op: err.Op, RetryAfter: err.RetryAfter}
+	}
+	return err
+}
+
 // openTransaction acquires a connection and begins the transaction on it.
 func (s *Session) openTransaction(t *transaction, template *Template, attempts *int) *Error {
 	kind := StatementBeginRead
@@ -111,6 +124,9 @@
 // commitOn sends the commit to the server. If the transaction has run no statement
 // yet, it begins it there first.
 func (s *Session) commitOn(t *transaction, start time.Time, statement Statement) (Reply, *Error) {
+	if err := s.reauthorize(start, t); err != nil {
+		return Reply{}, err
+	}
 	deadline := start.Add(t.access.Route.StatementTimeout.Duration())
 	if t.lease == nil {
 		t.requirements.Deadline = deadline
