fix: end transactions whose key can't be proved within 3 s

A session that was stopping for another reason kept its time after its key was withdrawn.

Cause: StopIdle used StopBound for both reasons, and session.stop ignored a second reason, also with an earlier time.

Found by reading, shown by TestUnprovenKeyInTransaction; each of its three cases failed without one of the two changes.

--- a/caller/server.go
+++ b/caller/server.go
@@ -93,7 +93,8 @@
 	// this long, because they hold a backend connection. Zero means one minute.
 	TransactionTimeout time.Duration
 	// WithdrawalTimeout limits how long a session may take to finish its
-	// transaction after its key was withdrawn. Zero means 3 s.
+	// transaction after its key was withdrawn, or can't be proved to be valid any
+	// more. Zero means 3 s.
 	WithdrawalTimeout time.Duration
 	// WriteTimeout limits each write to a caller. Zero means 30 s.
 	WriteTimeout time.Duration
@@ -150,7 +151,7 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	s.stopSessions("the server is shutting down")
+	s.stopSessions("the server is shutting down", s.config.StopBound)
 	err := s.awaitSessions(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,7 +223,14 @@
 // transaction ends or StopBound expires. It is used when the instance must stop
 // serving. New sessions are still accepted.
 func (s *Server) StopIdle(reason string) {
-	s.stopSessions(reason)
+	s.stopSessions(reason, s.config.StopBound)
+}
+
+// StopUnproven closes all idle sessions with 57P01, and the others when their
+// transaction ends or WithdrawalTimeout expires. It is used when the instance can't
+// prove that its keys are current, because any of them may have been withdrawn.
+func (s *Server) StopUnproven(reason string) {
+	s.stopSessions(reason, s.config.WithdrawalTimeout)
 }
 
 // addSession assigns the session its ID and its cancel key, and registers it.
@@ -311,10 +319,10 @@
 	return sessions
 }
 
-// stopSessions asks all sessions to stop, within StopBound.
-func (s *Server) stopSessions(reason string) {
+// stopSessions asks all sessions to stop, within the timeout.
+func (s *Server) stopSessions(reason string, timeout time.Duration) {
 	for _, session := range s.listSessions() {
-		session.stop(reason, s.config.Now().Add(s.config.StopBound))
+		session.stop(reason, s.config.Now().Add(timeout))
 	}
 }
 
--- a/caller/session.go
+++ b/caller/session.go
@@ -175,13 +175,17 @@
 }
 
 // stop ends the session as soon as it is safe: at once if it is idle, otherwise
-// after its statement or transaction. At the given time it is aborted.
+// after its statement or transaction. At the given time it is aborted. If the session
+// is stopping already, the earlier time counts.
 func (s *session) stop(reason string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopReason != "" {
+	if s.stopReason != "" && !at.Before(s.stopAt) {
 		return
 	}
+	if s.stopTimer != nil {
+		s.stopTimer.Stop()
+	}
 	s.stopReason, s.stopAt = reason, at
 	s.stopTimer = time.AfterFunc(at.Sub(s.server.config.Now()), s.abort)
 	if s.idle {
--- a/caller/session_test.go
+++ b/caller/session_test.go
@@ -81,6 +81,37 @@
 	mustExec(t, otherKey, "select 1")
 }
 
+// TestUnprovenKeyInTransaction guards against a transaction that goes on although its
+// instance can't know any more whether the key was withdrawn, also if the session was
+// asked to stop for another reason before.
+func TestUnprovenKeyInTransaction(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		stop func(d *deployment)
+	}{
+		{name: "unproven", stop: func(d *deployment) { d.server.StopUnproven("unproven") }},
+		{name: "stopping before", stop: func(d *deployment) { d.server.StopIdle("out of service"); d.server.StopUnproven("unproven") }},
+		{name: "withdrawn while stopping", stop: func(d *deployment) {
+			d.server.StopIdle("out of service")
+			d.policy.revoke("k2")
+			d.server.RecheckKeys()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := deploy(t, scriptedPrimary, nil, func(config *caller.Config) {
+				config.StopBound, config.WithdrawalTimeout = time.Hour, time.Millisecond
+			})
+			conn := d.connect(t)
+			mustExec(t, conn, "begin")
+			mustExec(t, conn, "insert into t values (1)")
+			test.stop(d)
+			if diff := cmp.Diff("57P01", awaitFatal(t, conn)); diff != "" {
+				t.Errorf("session in a transaction (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestDrain guards against a shutdown that interrupts a transaction or accepts new
 // sessions.
 func TestDrain(t *testing.T) {
--- a/instance/service.go
+++ b/instance/service.go
@@ -59,15 +59,15 @@
 	}
 }
 
-// handleValidityChange records that the validity lease was gained or lost, and
-// closes idle sessions when it was lost.
+// handleValidityChange records that the validity lease was gained or lost, and stops
+// the sessions when it was lost.
 func (i *Instance) handleValidityChange(valid bool) {
 	if valid {
 		i.config.Events.Record(event.ValidityGained, event.Fields{})
 		return
 	}
 	i.config.Events.Record(event.ValidityLost, event.Fields{})
-	i.callers.StopIdle("the instance cannot prove that its configuration is in force")
+	i.callers.StopUnproven("the instance cannot prove that its configuration is in force")
 }
 
 // updateDataCentreState applies the state of the local data centre from the sheet in
--- a/settings/table.go
+++ b/settings/table.go
@@ -77,7 +77,7 @@
 		{"Time after which an idle caller session outside a transaction is closed. 0s means never.", false, durationRule("Timeouts.Idle", "0s", 0, 7*24*time.Hour), UnitDuration},
 		{"Time after which a caller session that sends nothing inside a transaction is closed and the transaction is rolled back. Currently ignored: the time is always `1m`, or `Timeouts.Idle` if that is shorter.", false, durationRule("Timeouts.IdleInTransaction", "1m", 100*time.Millisecond, 24*time.Hour), UnitDuration},
 		{"Maximum time for the connection start-up and authentication of a caller.", false, durationRule("Timeouts.Startup", "10s", 10*time.Millisecond, 10*time.Minute), UnitDuration},
-		{"Maximum time that running transactions have to finish at a planned stop, after the validity lease has expired, and while the data centre is out of service. A reload applies only to planned stops and can only shorten the time.", true, durationRule("Timeouts.StopBound", "30s", 0, time.Hour), UnitDuration},
+		{"Maximum time that running transactions have to finish at a planned stop, and while the data centre is out of service. A reload applies only to planned stops and can only shorten the time.", true, durationRule("Timeouts.StopBound", "30s", 0, time.Hour), UnitDuration},
 		{"Duration of the validity lease: how long the instance may serve after it last confirmed that it holds the newest sheet and roster.", false, durationRule("Timeouts.ValidityLease", "3s", 100*time.Millisecond, time.Minute), UnitDuration},
 	}
 }
