fix: end transactions on servers that are out of service

Cause: the sheet was looked at when a transaction chose its server and not again, as for keys.

Fix: a lease refuses statements 3 s after the instance learned that the data centre of its server is out of service, and the transaction is rolled back.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -83,6 +83,7 @@
 		return
 	}
 	g.routing = sheet.NewRouting(update.Version, update.Sheet)
+	g.updateOutOfService(g.config.Clock())
 	g.notifyStateChange()
 	g.mu.Unlock()
 	g.config.Log.Record(event.SheetInForce, event.Fields{Text: versionText(update.Version)})
@@ -90,6 +91,19 @@
 	g.updatePoolServers()
 }
 
+// updateOutOfService records since when each data centre that the sheet takes out of
+// service is out. The caller holds g.mu.
+func (g *Gateway) updateOutOfService(now time.Time) {
+	since := map[fleet.DataCentre]time.Time{}
+	for _, dataCentre := range g.routing.OutOfService() {
+		since[dataCentre] = now
+		if earlier, known := g.outOfServiceSince[dataCentre]; known {
+			since[dataCentre] = earlier
+		}
+	}
+	g.outOfServiceSince = since
+}
+
 // followServers keeps the registered backend servers up to date.
 func (g *Gateway) followServers(ctx context.Context) error {
 	if !waitUntilClosed(ctx, g.discovered) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,9 @@
 	// servers holds the registered backend servers. It is written by
 	// followServers.
 	servers map[fleet.ServerID]*backendServer
+	// outOfServiceSince is when this instance learned that a data centre is out of
+	// service, for those that are.
+	outOfServiceSince map[fleet.DataCentre]time.Time
 	// followers holds the table copies that other instances may request.
 	followers map[Table]*tableFollower
 	// relayBackoffUntil is the time until which an instance is not used as relay
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -66,6 +66,12 @@
 func (l *lease) Run(deadline time.Time, batch session.Batch) (session.Reply, *session.RunError) {
 	g := l.gateway
 	sent := g.config.Clock()
+	g.mu.Lock()
+	mayContinue := g.mayContinue(sent, l.server)
+	g.mu.Unlock()
+	if !mayContinue && !batch.IsRollback() {
+		return session.Reply{}, &session.RunError{Kind: session.KindBusy, Text: "the data centre of the server is out of service"}
+	}
 	if l.requestedAt.IsZero() {
 		l.requestedAt = sent
 	}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -22,6 +22,10 @@
 	// it can run. It stays below the 7 s that are allowed for new work on such a
 	// server.
 	drainingUseTime = 5 * time.Second
+	// outOfServiceUseTime is how long open transactions may go on after the data
+	// centre of their server was taken out of service. The rest of the 5 s after which
+	// nothing may be sent there is for the sheet to arrive.
+	outOfServiceUseTime = 3 * time.Second
 )
 
 // Acquire returns a lease that meets the requirements: on a connection of the group's
@@ -123,6 +127,17 @@
 	return !server.Draining || now.Sub(server.drainingSince) < drainingUseTime
 }
 
+// mayContinue reports whether statements of a lease on the server may still be sent. The
+// caller holds g.mu.
+func (g *Gateway) mayContinue(now time.Time, server fleet.ServerID) bool {
+	known := g.servers[server]
+	if known == nil {
+		return true
+	}
+	since, isOut := g.outOfServiceSince[known.DataCentre]
+	return !isOut || now.Before(since.Add(outOfServiceUseTime))
+}
+
 // chooseReplica returns the server with the lowest cost for a read that may miss
 // recent commits, and the log position that it must have applied. The result
 // primary is true if the read goes to the primary, and found is false if that
--- a/session/router.go
+++ b/session/router.go
@@ -82,6 +82,11 @@
 	Variables map[string]string
 }
 
+// IsRollback reports whether the batch only rolls back a transaction.
+func (b Batch) IsRollback() bool {
+	return len(b.Commands) == 1 && b.Commands[0].Kind == StatementRollback
+}
+
 // Lease is a backend connection that is reserved for one session.
 type Lease interface {
 	// Exclusive reports whether the server has certainly been the only primary
--- a/sheet/routing.go
+++ b/sheet/routing.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -104,6 +105,18 @@
 	return r.limits
 }
 
+// OutOfService returns the data centres that get no new work.
+func (r *Routing) OutOfService() []fleet.DataCentre {
+	var out []fleet.DataCentre
+	for dataCentre, isOut := range r.dataCentresOut {
+		if isOut {
+			out = append(out, dataCentre)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Owner returns the workspace of the key with the SHA-256 digest. The result is
 // false if the key is unknown or several workspaces list it.
 func (r *Routing) Owner(digest [sha256.Size]byte) (fleet.WorkspaceID, bool) {
