fix: end a promotion only by the target's status

Now a status ends a change: of a later term, or of the record's term under another ID. The record's term is the reported one.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -157,9 +157,6 @@
 	}
 	known.entryMissingSince = time.Time{}
 	known.BackendServer = server
-	if !server.Primary {
-		known.replicaRevision = row.Revision
-	}
 	known.coldUntil = now.Add(server.ColdRemaining)
 	known.coldLimiter = nil
 	if rate := g.coldRate(server.Group); rate > 0 && server.ColdRemaining > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,9 +263,6 @@
 	// entryMissingSince is when the server's entry disappeared from the store, or
 	// zero.
 	entryMissingSince time.Time
-	// replicaRevision is the revision of the latest entry that named the server as a
-	// replica, or zero.
-	replicaRevision feed.Revision
 }
 
 // groupState is the state of one group's primary as this instance knows it.
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -41,10 +41,8 @@
 type promotionState struct {
 	// stepRunning is true while a step for the group is being executed.
 	stepRunning bool
-	// generationRevision is the revision of the record when its current generation
-	// was first seen, at generationSeenAt.
-	generationRevision feed.Revision
-	generationSeenAt   time.Time
+	// generationSeenAt is when the current generation of the record was first seen.
+	generationSeenAt time.Time
 	// lastOrderAt is when this instance last ordered a promotion in that
 	// generation, or zero.
 	lastOrderAt time.Time
@@ -228,12 +226,12 @@
 	current := g.group(group)
 	record := current.primaryLease.Record()
 	if record.Generation != state.record.Generation {
-		state.generationRevision, state.generationSeenAt, state.lastOrderAt = current.revision, now, time.Time{}
+		state.generationSeenAt, state.lastOrderAt = now, time.Time{}
 	}
 	state.record = record
 	s := primacy.Situation{
-		GenerationRevision: state.generationRevision, GenerationSeenAt: state.generationSeenAt,
-		LastOrderAt: state.lastOrderAt, OrderPending: record.Target != "" && record == state.unsentOrder, Record: record,
+		GenerationSeenAt: state.generationSeenAt, LastOrderAt: state.lastOrderAt,
+		OrderPending: record.Target != "" && record == state.unsentOrder, Record: record,
 	}
 	if g.routing != nil {
 		s.SyncReplicas = g.routing.Database(group).SyncReplicas
@@ -253,15 +251,13 @@
 		}
 		report := state.statuses[id]
 		s.Servers = append(s.Servers, primacy.Server{
-			RegisteredAsPrimary: server.Primary,
-			Eligible:            !server.Draining && g.routing != nil && g.routing.IsInService(server.DataCentre),
-			ID:                  id,
-			Position:            report.status.Position,
-			Registered:          true,
-			ReplicaRevision:     server.replicaRevision,
-			Role:                report.status.Role,
-			StatusAt:            report.requestedAt,
-			Term:                report.status.Term,
+			Eligible:   !server.Draining && g.routing != nil && g.routing.IsInService(server.DataCentre),
+			ID:         id,
+			Position:   report.status.Position,
+			Registered: true,
+			Role:       report.status.Role,
+			StatusAt:   report.requestedAt,
+			Term:       report.status.Term,
 		})
 		if !g.isUnreachable(id) {
 			// A round of status calls must not wait for an unreachable server.
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -46,14 +45,8 @@
 	ID       fleet.ServerID
 	// Position is the end of the log that the server has received.
 	Position fleet.Position
-	// RegisteredAsPrimary says that the server's registration names it as
-	// primary. The registration doesn't contain the term.
-	RegisteredAsPrimary bool
 	// Registered is false if the server no longer has a registration entry.
 	Registered bool
-	// ReplicaRevision is the store's revision of the latest registration that
-	// named the server as a replica, or zero.
-	ReplicaRevision feed.Revision
 	Role            Role
 	// StatusAt is when the status was requested that Position, Role and Term
 	// come from. It is zero if the server has never answered.
@@ -85,9 +78,6 @@
 
 // Situation is the input of Decide for one group.
 type Situation struct {
-	// GenerationRevision is a revision of the store at which the record had its
-	// current generation.
-	GenerationRevision feed.Revision
 	// GenerationSeenAt is when the leader first saw the record's current
 	// generation.
 	GenerationSeenAt time.Time
@@ -199,7 +189,8 @@
 		accepted = s.eligibleReplica
 	}
 	target, found := s.promotionCandidate(accepted)
-	if !found || !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0) {
+	behind := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
+	if !found || (behind && !s.leadsLatestTerm(target)) {
 		return Step{Kind: StepStatus}
 	}
 	next := s.Record
@@ -212,11 +203,11 @@
 // it is primary. It gives up a target that stays unresponsive.
 func (s Situation) decidePromoting(now time.Time) Step {
 	target, known := s.server(s.Record.Target)
-	isPrimary := known && target.Role == RolePrimary && target.Term > s.Record.Term && target.StatusAt.After(s.GenerationSeenAt)
-	if isPrimary || (known && s.registeredPromotion(target)) {
+	// The registration of a server may name it as primary too, but of any earlier term.
+	if known && target.StatusAt.After(s.GenerationSeenAt) && s.leadsLatestTerm(target) {
 		return Step{Kind: StepWrite, Record: Record{
 			Generation: s.Record.Generation + 1, Orders: s.Record.Orders, Phase: PhaseServing,
-			Primary: target.ID, Term: max(target.Term, s.Record.Term+1),
+			Primary: target.ID, Term: target.Term,
 		}}
 	}
 	removed := !known || !target.Registered
@@ -238,14 +229,6 @@
 	return Step{Kind: StepStatus}
 }
 
-// registeredPromotion reports whether the server's registrations show that it was
-// promoted in the current generation, which is evidence for a server with no free
-// connection for a status request. A registration as primary alone is not: a server
-// that was cut off while another was promoted still names itself as primary.
-func (s Situation) registeredPromotion(server Server) bool {
-	return server.RegisteredAsPrimary && server.ReplicaRevision > s.GenerationRevision
-}
-
 // allInstancesLeft reports whether no instance uses the old primary any more:
 // each one has confirmed that, or its lease has certainly expired.
 func (s Situation) allInstancesLeft(now time.Time) bool {
@@ -307,10 +290,10 @@
 }
 
 // promotionCandidate returns the server with the longest log among the accepted ones
-// that have answered since the change. A server that is already primary in a later term
-// takes precedence.
+// that have answered since the change. A server that leads the latest term already takes
+// precedence.
 func (s Situation) promotionCandidate(accepted func(Server) bool) (Server, bool) {
-	if currentPrimary, found := s.currentPrimary(); found && currentPrimary.Term > s.Record.Term && currentPrimary.StatusAt.After(s.GenerationSeenAt) {
+	if currentPrimary, found := s.currentPrimary(); found && s.leadsLatestTerm(currentPrimary) && currentPrimary.StatusAt.After(s.GenerationSeenAt) {
 		return currentPrimary, true
 	}
 	return mostAdvanced(s.Servers, func(server Server) bool {
@@ -318,6 +301,12 @@
 	})
 }
 
+// leadsLatestTerm reports whether a server is the primary of a later term than the
+// record's, or is the recorded primary, which has returned under another ID.
+func (s Situation) leadsLatestTerm(server Server) bool {
+	return server.Role == RolePrimary && (server.Term > s.Record.Term || (server.Term == s.Record.Term && server.ID != s.Record.Primary))
+}
+
 // mostAdvanced returns the accepted server with the latest term and, within it,
 // the longest log. Of equal servers it returns an eligible one, and of those the one
 // with the lowest ID.
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -143,42 +143,41 @@
 }
 
 // TestPromotionEvidence guards against a promotion that counts as done before it has
-// taken effect, because the target was the primary of an earlier term, was cut off when
-// it was replaced, and still names itself as primary in its registration and status.
-// Writes would then be acknowledged at the old primary.
+// taken effect, because the target still reports to be the primary of an earlier term. It
+// also guards against one that never counts as done, because the target is the recorded
+// primary, which has returned under another ID.
 func TestPromotionEvidence(t *testing.T) {
-	const generationRevision = 10
 	target := replica("a", 5, 0)
-	oldTerm := target
-	oldTerm.Role, oldTerm.RegisteredAsPrimary = primacy.RolePrimary, true
-	registeredBefore := target
-	registeredBefore.RegisteredAsPrimary, registeredBefore.ReplicaRevision = true, generationRevision
-	registeredSince := registeredBefore
-	registeredSince.ReplicaRevision = generationRevision + 1
-	newTerm := oldTerm
-	newTerm.Term = 3
+	earlierTerm := target
+	earlierTerm.Role = primacy.RolePrimary
+	sameTerm, laterTerm, outdated := earlierTerm, earlierTerm, earlierTerm
+	sameTerm.Term, laterTerm.Term, outdated.Term = 2, 3, 3
+	outdated.StatusAt = now.Add(-2 * time.Second)
 	for _, test := range []struct {
 		name   string
 		target primacy.Server
-		want   primacy.StepKind
+		want   fleet.Term
 	}{
-		{name: "replica", target: target, want: primacy.StepStatus},
-		{name: "primary of an earlier term", target: oldTerm, want: primacy.StepStatus},
-		{name: "registered as replica before the change", target: registeredBefore, want: primacy.StepStatus},
-		{name: "registered as replica and then as primary", target: registeredSince, want: primacy.StepWrite},
-		{name: "primary of a later term", target: newTerm, want: primacy.StepWrite},
+		{name: "replica", target: target},
+		{name: "primary of an earlier term", target: earlierTerm},
+		{name: "status from before the change", target: outdated},
+		{name: "recorded primary under another ID", target: sameTerm, want: 2},
+		{name: "primary of a later term", target: laterTerm, want: 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := changingGroup(primacy.ReasonFailure)
-			s.GenerationRevision, s.LastOrderAt = generationRevision, now.Add(-100*time.Millisecond)
+			s.LastOrderAt = now.Add(-100 * time.Millisecond)
 			s.Record.Target, s.Record.Term = "a", 2
 			s.Servers = []primacy.Server{test.target}
 			step := primacy.Decide(now, s)
-			if diff := cmp.Diff(test.want, step.Kind); diff != "" {
-				t.Errorf("step (-want +got):\n%s", diff)
+			if test.want == 0 {
+				if diff := cmp.Diff(primacy.Step{Kind: primacy.StepStatus}, step); diff != "" {
+					t.Errorf("step (-want +got):\n%s", diff)
+				}
+				return
 			}
-			if step.Kind == primacy.StepWrite && step.Record.Phase != primacy.PhaseServing {
-				t.Errorf("record %+v, want phase Serving", step.Record)
+			if step.Record.Phase != primacy.PhaseServing || step.Record.Primary != "a" || step.Record.Term != test.want {
+				t.Errorf("step %+v, want a record that serves with a in term %d", step, test.want)
 			}
 		})
 	}
