fix: promote no server with a diverged log

Cause: a server that was cut off while another led the record's term, and whose log has commits beyond the start of that term, was promoted because it was the only one that answered.

Ruled out: the split or the crash alone (held in the review), and the freshness of single reads, each answered by the primary of its term.

Fix: the record keeps where the last 16 terms of the primary's log begin. A server of an earlier term is promoted only if its log ends inside that history; otherwise the change waits (new event 412), and the recorded primary is used again if it returns.

Four of the cases of TestDivergedServer failed without the check.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -61,6 +61,7 @@
 	PromotionOrdered     Number = 409
 	ServerUnreachable    Number = 410
 	ServerReachable      Number = 411
+	PromotionBlocked     Number = 412
 	SessionOpened        Number = 501
 	SessionClosed        Number = 502
 	AuthenticationFailed Number = 503
@@ -133,6 +134,7 @@
 		entry(PromotionOrdered, "PromotionOrdered", LevelWarning, "This instance asks the platform to promote a backend server.", "Database", "Server", "Text"),
 		entry(ServerUnreachable, "ServerUnreachable", LevelWarning, "A backend server does not answer this instance.", "Database", "Server", "Text"),
 		entry(ServerReachable, "ServerReachable", LevelInfo, "An unreachable backend server answers again.", "Database", "Server"),
+		entry(PromotionBlocked, "PromotionBlocked", LevelError, "No backend server that answers has followed the last term, and their logs may contradict what was read in it. The change of primary waits for the recorded primary, or for a server with its log.", "Database", "Server", "Term", "Text"),
 		entry(SessionOpened, "SessionOpened", LevelDebug, "A caller's session was authenticated and opened. Currently not recorded.", "Database", "Session", "Workspace"),
 		entry(SessionClosed, "SessionClosed", LevelDebug, "The proxy ended a caller's session. Text holds the reason.", "Database", "Session", "Text", "Workspace"),
 		entry(AuthenticationFailed, "AuthenticationFailed", LevelWarning, "A caller's connection failed during authentication, for example because its key was not accepted.", "Database", "Session", "Text", "Workspace"),
--- a/fleet/history.go
+++ b/fleet/history.go
@@ -64,6 +64,25 @@
 	return 0, false
 }
 
+// Continue returns the history of a server's log once the server leads a new term, given
+// the position at which its log ended before. Later terms than that of the position are
+// not part of the log and are left out. The result lists only the new term if the history
+// doesn't list the term of the position, or if the position is already of the new term.
+func (h History) Continue(term Term, end Position) History {
+	if end.Term >= term {
+		return History{{First: 1, Term: term}}
+	}
+	var continued History
+	if _, known := h.ForkPoint(end.Term); known {
+		for _, start := range h {
+			if start.Term <= end.Term {
+				continued = append(continued, start)
+			}
+		}
+	}
+	return append(continued, TermStart{First: end.Log + 1, Term: term})
+}
+
 // LastTerm returns the latest term, or zero for an empty history.
 func (h History) LastTerm() Term {
 	if len(h) == 0 {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -260,7 +260,7 @@
 	}
 	g.notifyStateChange()
 	g.mu.Unlock()
-	if known == record {
+	if known.Equal(record) {
 		return
 	}
 	number := event.PrimaryChanged
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -49,6 +49,9 @@
 	// unsentOrder is the record that this instance has written and whose latest
 	// promotion order it has not sent yet.
 	unsentOrder primacy.Record
+	// blockedLogged is true once it was logged that no server can be promoted in the
+	// current generation.
+	blockedLogged bool
 	// polledAt is when the servers were last asked for their status.
 	polledAt time.Time
 	record   primacy.Record
@@ -179,6 +182,10 @@
 	now := p.gateway.config.Clock()
 	situation, revision, servers := p.situation(now, group, state)
 	step := primacy.Decide(now, situation)
+	if step.Blocked && !state.blockedLogged {
+		state.blockedLogged = true
+		p.gateway.config.Log.Record(event.PromotionBlocked, event.Fields{Database: group, Server: situation.Record.Primary, Term: situation.Record.Term, Text: "history " + situation.Record.History.String()})
+	}
 	steady := situation.Record.Phase != primacy.PhaseChanging
 	if step.Kind == primacy.StepNone {
 		step = p.statusStepForClaimant(situation)
@@ -227,11 +234,12 @@
 	record := current.primaryLease.Record()
 	if record.Generation != state.record.Generation {
 		state.generationSeenAt, state.lastOrderAt = now, time.Time{}
+		state.blockedLogged = false
 	}
 	state.record = record
 	s := primacy.Situation{
 		GenerationSeenAt: state.generationSeenAt, LastOrderAt: state.lastOrderAt,
-		OrderPending: record.Target != "" && record == state.unsentOrder, Record: record,
+		OrderPending: record.Target != "" && record.Equal(state.unsentOrder), Record: record,
 	}
 	if g.routing != nil {
 		s.SyncReplicas = g.routing.Database(group).SyncReplicas
--- a/primacy/model_test.go
+++ b/primacy/model_test.go
@@ -214,7 +214,7 @@
 // step takes the step that Decide returns for the instance's view, and records
 // a promotion order with a random delay.
 func (m *model) step(i *modelInstance, token primacy.Token) {
-	situation := primacy.Situation{GenerationSeenAt: i.generationSeenAt, LastOrderAt: i.lastOrderAt, OrderPending: m.record.Target != "" && m.record == i.orderableRecord, Record: m.record}
+	situation := primacy.Situation{GenerationSeenAt: i.generationSeenAt, LastOrderAt: i.lastOrderAt, OrderPending: m.record.Target != "" && m.record.Equal(i.orderableRecord), Record: m.record}
 	if m.faults.shortLeaseWait {
 		situation.GenerationSeenAt = situation.GenerationSeenAt.Add(-2 * time.Second)
 	}
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -26,6 +26,9 @@
 	// targetTimeout is how long a target may stay unresponsive before another
 	// one is chosen. A lost order takes effect within seconds or never.
 	targetTimeout = 8 * time.Second
+	// maxHistoryTerms limits the size of a record. A server that is so many terms
+	// behind has long been replaced.
+	maxHistoryTerms = 16
 )
 
 // Role is the replication role that a server reports.
@@ -47,7 +50,7 @@
 	Position fleet.Position
 	// Registered is false if the server no longer has a registration entry.
 	Registered bool
-	Role            Role
+	Role       Role
 	// StatusAt is when the status was requested that Position, Role and Term
 	// come from. It is zero if the server has never answered.
 	StatusAt time.Time
@@ -116,9 +119,12 @@
 // Step is what the leader does next for a group. Record is set for StepWrite,
 // and Target for StepPromote.
 type Step struct {
-	Kind   StepKind
-	Record Record
-	Target fleet.ServerID
+	// Blocked is set if servers have answered, but none of them has a log that is part
+	// of the recorded history.
+	Blocked bool
+	Kind    StepKind
+	Record  Record
+	Target  fleet.ServerID
 }
 
 // Decide returns the leader's next step for one group.
@@ -144,13 +150,13 @@
 	if !found {
 		return Step{Kind: StepStatus}
 	}
-	return Step{Kind: StepWrite, Record: Record{Generation: 1, Phase: PhaseServing, Primary: primary.ID, Term: primary.Term}}
+	return Step{Kind: StepWrite, Record: Record{Generation: 1, History: s.historyOf(primary), Phase: PhaseServing, Primary: primary.ID, Term: primary.Term}}
 }
 
 // decideServing starts a change if the primary must be replaced.
 func (s Situation) decideServing(now time.Time) Step {
 	primary, known := s.server(s.Record.Primary)
-	next := Record{Generation: s.Record.Generation + 1, Phase: PhaseChanging, Primary: s.Record.Primary, Term: s.Record.Term}
+	next := Record{Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseChanging, Primary: s.Record.Primary, Term: s.Record.Term}
 	if newer, found := s.currentPrimary(); found && newer.ID != s.Record.Primary && newer.Term > s.Record.Term {
 		next.Reason = ReasonReplaced
 		return Step{Kind: StepWrite, Record: next}
@@ -189,8 +195,19 @@
 		accepted = s.eligibleReplica
 	}
 	target, found := s.promotionCandidate(accepted)
+	if !found && known && s.returned(old) {
+		if old.Role == RolePrimary {
+			return Step{Kind: StepWrite, Record: Record{
+				Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing, Primary: old.ID, Term: old.Term,
+			}}
+		}
+		target, found = old, true
+	}
+	if !found {
+		return Step{Blocked: slices.ContainsFunc(s.Servers, s.diverged), Kind: StepStatus}
+	}
 	behind := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
-	if !found || (behind && !s.leadsLatestTerm(target)) {
+	if behind && !s.leadsLatestTerm(target) {
 		return Step{Kind: StepStatus}
 	}
 	next := s.Record
@@ -206,7 +223,7 @@
 	// The registration of a server may name it as primary too, but of any earlier term.
 	if known && target.StatusAt.After(s.GenerationSeenAt) && s.leadsLatestTerm(target) {
 		return Step{Kind: StepWrite, Record: Record{
-			Generation: s.Record.Generation + 1, Orders: s.Record.Orders, Phase: PhaseServing,
+			Generation: s.Record.Generation + 1, History: s.historyOf(target), Orders: s.Record.Orders, Phase: PhaseServing,
 			Primary: target.ID, Term: target.Term,
 		}}
 	}
@@ -297,7 +314,7 @@
 		return currentPrimary, true
 	}
 	return mostAdvanced(s.Servers, func(server Server) bool {
-		return accepted(server) && server.StatusAt.After(s.GenerationSeenAt)
+		return accepted(server) && server.StatusAt.After(s.GenerationSeenAt) && !s.diverged(server)
 	})
 }
 
@@ -307,6 +324,28 @@
 	return server.Role == RolePrimary && (server.Term > s.Record.Term || (server.Term == s.Record.Term && server.ID != s.Record.Primary))
 }
 
+// diverged reports whether the server has answered, and its log is no part of the
+// recorded history: it has not followed the term of the record, and may have commits that
+// this term lacks. Reads were served without them, so the server can't be promoted.
+func (s Situation) diverged(server Server) bool {
+	return !server.StatusAt.IsZero() && server.Term < s.Record.Term && !s.Record.History.Contains(server.Position)
+}
+
+// returned reports whether the recorded primary has answered since the change began with
+// the log of its term, and can be used by most instances.
+func (s Situation) returned(primary Server) bool {
+	return primary.StatusAt.After(s.GenerationSeenAt) && primary.Term == s.Record.Term && !s.primaryUnreachable()
+}
+
+// historyOf returns the history of a primary's log.
+func (s Situation) historyOf(primary Server) fleet.History {
+	if primary.Term == s.Record.Term {
+		return s.Record.History
+	}
+	history := s.Record.History.Continue(primary.Term, primary.Position)
+	return history[max(0, len(history)-maxHistoryTerms):]
+}
+
 // mostAdvanced returns the accepted server with the latest term and, within it,
 // the longest log. Of equal servers it returns an eligible one, and of those the one
 // with the lowest ID.
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -182,3 +182,83 @@
 		})
 	}
 }
+
+// TestDivergedServer guards against the promotion of a server that was cut off while
+// another one led the record's term. Its log may have commits that were rolled back then,
+// and reads of that term would turn out to have been stale. The recorded primary is used
+// again if it returns instead.
+func TestDivergedServer(t *testing.T) {
+	history := fleet.History{{First: 1, Term: 1}, {First: 6, Term: 2}}
+	returned := replica("old", 9, 0)
+	returned.Position.Term, returned.Role, returned.Term = 2, primacy.RolePrimary, 2
+	steppedDown := returned
+	steppedDown.Role = primacy.RoleReplica
+	following := replica("b", 5, 0)
+	following.Term = 2
+	changing := primacy.Record{Generation: 2, History: history, Phase: primacy.PhaseChanging, Primary: "old", Reason: primacy.ReasonFailure, Term: 2}
+	renamed := returned
+	renamed.ID = "c"
+	promoted := replica("a", 6, 0)
+	promoted.Role, promoted.Term = primacy.RolePrimary, 3
+	targetA, targetB, targetC, targetOld := changing, changing, changing, changing
+	targetA.Target, targetA.Orders = "a", 1
+	targetB.Target, targetB.Orders = "b", 1
+	targetC.Target, targetC.Orders = "c", 1
+	targetOld.Target, targetOld.Orders = "old", 1
+	serving := primacy.Record{Generation: 3, History: history, Phase: primacy.PhaseServing, Primary: "old", Term: 2}
+	blocked := primacy.Step{Blocked: true, Kind: primacy.StepStatus}
+	for _, test := range []struct {
+		name        string
+		servers     []primacy.Server
+		unreachable bool
+		want        primacy.Step
+	}{
+		{name: "log goes on beyond the fork point", servers: []primacy.Server{replica("a", 6, 0)}, want: blocked},
+		{name: "log ends at the fork point", servers: []primacy.Server{replica("a", 5, 0)}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetA}},
+		{name: "another one follows the term", servers: []primacy.Server{replica("a", 6, 0), following}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetB}},
+		{name: "primary has returned", servers: []primacy.Server{replica("a", 6, 0), returned}, want: primacy.Step{Kind: primacy.StepWrite, Record: serving}},
+		{name: "primary has returned under another ID", servers: []primacy.Server{replica("a", 6, 0), following, renamed}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetC}},
+		{name: "promoted by an operator", servers: []primacy.Server{promoted}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetA}},
+		{name: "primary has returned for few instances", servers: []primacy.Server{replica("a", 6, 0), returned}, unreachable: true, want: blocked},
+		{name: "primary has returned as a replica", servers: []primacy.Server{replica("a", 6, 0), steppedDown}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetOld}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := changingGroup(primacy.ReasonFailure)
+			s.Members[0].Unreachable = test.unreachable
+			s.Record, s.Servers = changing, test.servers
+			if diff := cmp.Diff(test.want, primacy.Decide(now, s)); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestHistory guards against a record whose history has commits that the primary lacks,
+// because it is taken over from the record before.
+func TestHistory(t *testing.T) {
+	before := fleet.History{{First: 1, Term: 1}, {First: 6, Term: 2}}
+	for _, test := range []struct {
+		name     string
+		position fleet.Position
+		term     fleet.Term
+		want     fleet.History
+	}{
+		{name: "log of the last term", position: fleet.Position{Term: 2, Log: 9}, term: 3, want: fleet.History{{First: 1, Term: 1}, {First: 6, Term: 2}, {First: 10, Term: 3}}},
+		{name: "log of an earlier term", position: fleet.Position{Term: 1, Log: 4}, term: 3, want: fleet.History{{First: 1, Term: 1}, {First: 5, Term: 3}}},
+		{name: "log of an unknown term", position: fleet.Position{Term: 3, Log: 9}, term: 4, want: fleet.History{{First: 10, Term: 4}}},
+		{name: "recorded primary under another ID", position: fleet.Position{Term: 2, Log: 9}, term: 2, want: before},
+		{name: "commits in the new term", position: fleet.Position{Term: 3, Log: 9}, term: 3, want: fleet.History{{First: 1, Term: 3}}},
+		{name: "empty log", term: 3, want: fleet.History{{First: 1, Term: 3}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := changingGroup(primacy.ReasonFailure)
+			s.Record.History, s.Record.Target, s.Record.Term = before, "a", 2
+			target := replica("a", 0, 0)
+			target.Position, target.Role, target.Term = test.position, primacy.RolePrimary, test.term
+			s.Servers = []primacy.Server{target}
+			if diff := cmp.Diff(test.want, primacy.Decide(now, s).Record.History); diff != "" {
+				t.Errorf("history (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -59,6 +60,9 @@
 type Record struct {
 	Generation Generation
 	Group      fleet.GroupID
+	// History lists the latest terms of the primary's log, up to Term. A server whose
+	// log ends elsewhere has commits that were never part of it.
+	History fleet.History `json:",omitempty"`
 	// Orders is the number of promotion orders that may have been given in the
 	// last change. Each order is counted here before it is given.
 	Orders  int `json:",omitempty"`
@@ -73,6 +77,11 @@
 	Term   fleet.Term
 }
 
+// Equal reports whether the records are the same.
+func (r Record) Equal(other Record) bool {
+	return reflect.DeepEqual(r, other)
+}
+
 // Encode returns the JSON form of the record.
 func (r Record) Encode() ([]byte, error) {
 	return json.Marshal(r)
