fix: refuse requests at once in a long change of primary

Consequence of: while no server can be promoted, requests for the primary were held until they timed out, one after the other.

Cause: a request waits for the end of a change until its own deadline, however long the change has lasted. Ruled out: the refusals of an unreachable primary, which are at once.

Fix: 2.5 s after the start of a change, twice the usual time, requests are refused at once with the usual delay for a retry.

TestLongChangeOfPrimary failed without the limit.

--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -27,6 +27,7 @@
 var (
 	errNoRecord           = errors.New("the primary is not known to this instance")
 	errNotProved          = errors.New("this instance can't prove which server is primary")
+	errPrimaryChanging    = errors.New("the primary is being replaced")
 	errPrimaryUnreachable = errors.New("the primary does not answer this instance")
 	errStopping           = errors.New("the instance is stopping")
 )
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -22,6 +22,10 @@
 	// it can run. It stays below the 7 s that are allowed for new work on such a
 	// server.
 	drainingUseTime = 5 * time.Second
+	// maxChangeWait is how long after the start of a change of primary requests still
+	// wait for its end: twice the usual time. A longer change waits for a server or an
+	// instance to return, or for a lease to expire.
+	maxChangeWait = 2500 * time.Millisecond
 	// outOfServiceUseTime is how long open transactions may go on after the data
 	// centre of their server was taken out of service. The rest of the 5 s after which
 	// nothing may be sent there is for the sheet to arrive.
@@ -75,7 +79,7 @@
 		}
 		remaining := requirements.Deadline.Add(-executionReserve).Sub(now)
 		if remaining <= 0 || !waitForChange(changed, remaining) {
-			return nil, &session.Error{Err: errors.New("the primary is being replaced"), Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
+			return nil, &session.Error{Err: errPrimaryChanging, Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
 		}
 	}
 }
@@ -93,6 +97,9 @@
 		return nil, g.stateChanged, nil
 	}
 	id, generation, usable := state.primaryLease.Acquire(now)
+	if !usable && state.primaryLease.ChangingFor(now) > maxChangeWait {
+		return nil, nil, &session.Error{Err: errPrimaryChanging, Kind: session.KindBusy, Op: "route", RetryAfter: primaryRetryAfter}
+	}
 	if !usable {
 		return nil, g.stateChanged, nil
 	}
--- a/primacy/lease.go
+++ b/primacy/lease.go
@@ -54,6 +54,15 @@
 	return l.record
 }
 
+// ChangingFor returns how long ago the start of the current change of primary was
+// observed, or zero if none is under way.
+func (l *PrimaryLease) ChangingFor(now time.Time) time.Duration {
+	if l.record.Phase != PhaseChanging {
+		return 0
+	}
+	return now.Sub(l.changeSeenAt)
+}
+
 // Acquire starts a use of the primary. It reports false if the primary may not
 // be used now. Each use must be ended by Release.
 func (l *PrimaryLease) Acquire(now time.Time) (server fleet.ServerID, generation Generation, usable bool) {
