fix: ignore older copies of a primary record

Cause: a record of the known generation replaced the known one whatever its revision, and the higher revision was kept. A leader whose feed is behind its own writes could forget its target, choose a second one and write that successfully.

Fix: the lease keeps the revision of its record and ignores older ones.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -254,13 +254,11 @@
 	g.mu.Lock()
 	state := g.group(record.Group)
 	known := state.primaryLease.Record()
-	state.primaryLease.Observe(now, record, g.presence.LeaseStart(verifiedAt))
-	if revision > state.revision {
-		state.revision = revision
-	}
+	state.primaryLease.Observe(now, record, revision, g.presence.LeaseStart(verifiedAt))
+	changed := !known.Equal(state.primaryLease.Record())
 	g.notifyStateChange()
 	g.mu.Unlock()
-	if known.Equal(record) {
+	if !changed {
 		return
 	}
 	number := event.PrimaryChanged
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,8 +267,6 @@
 
 // groupState is the state of one group's primary as this instance knows it.
 type groupState struct {
-	// revision is the store's revision of the group's primary record.
-	revision feed.Revision
 	// positionSamples are recent log positions of the primary.
 	positionSamples primacy.PositionSamples
 	// primaryLease holds the primary record and whether this instance may use the
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -272,7 +272,7 @@
 			servers = append(servers, pool.Server{Address: server.Address, Group: group, ID: id})
 		}
 	}
-	return s, current.revision, servers
+	return s, current.primaryLease.Revision(), servers
 }
 
 // memberStatus returns whether an instance is live, can't reach the primary, and has
--- a/primacy/lease.go
+++ b/primacy/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -25,15 +26,18 @@
 	// leaseStart is the time from which the lease runs for LeaseTime.
 	leaseStart time.Time
 	record     Record
+	// revision is the store's revision of record.
+	revision feed.Revision
 }
 
-// Observe processes a record that was current at leaseStart. A record of an
-// earlier generation than the known one is ignored. A zero leaseStart doesn't
-// extend the lease.
-func (l *PrimaryLease) Observe(now time.Time, record Record, leaseStart time.Time) {
-	if record.Generation < l.record.Generation {
+// Observe processes a record that was current at leaseStart, with its revision in the
+// store. One that is older than the known record is ignored: it comes from a copy of the
+// table that is behind. A zero leaseStart doesn't extend the lease.
+func (l *PrimaryLease) Observe(now time.Time, record Record, revision feed.Revision, leaseStart time.Time) {
+	if record.Generation < l.record.Generation || revision < l.revision {
 		return
 	}
+	l.revision = revision
 	if record.Generation > l.record.Generation && record.Phase == PhaseChanging {
 		l.changeSeenAt = now
 	}
@@ -54,6 +58,11 @@
 	return l.record
 }
 
+// Revision returns the store's revision of the known record, or zero.
+func (l *PrimaryLease) Revision() feed.Revision {
+	return l.revision
+}
+
 // ChangingFor returns how long ago the start of the current change of primary was
 // observed, or zero if none is under way.
 func (l *PrimaryLease) ChangingFor(now time.Time) time.Duration {
--- a/primacy/model_test.go
+++ b/primacy/model_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
 )
@@ -28,6 +29,8 @@
 	countOneOrder bool
 	// shortLeaseWait waits two seconds less than leases last.
 	shortLeaseWait bool
+	// trustOlderCopies takes an older copy of the record for the latest one.
+	trustOlderCopies bool
 }
 
 // model simulates a store, servers and instances. Calls are delayed, lost or
@@ -38,9 +41,10 @@
 	now    time.Time
 	rng    *rand.Rand
 
-	record primacy.Record
-	rows   map[int]rowState
-	leader primacy.Leader
+	// records are all versions of the record. The revision of each is its index plus one.
+	records []primacy.Record
+	rows    map[int]rowState
+	leader  primacy.Leader
 
 	// primary is the server that is the primary now, in term.
 	primary       fleet.ServerID
@@ -101,8 +105,8 @@
 	m := &model{
 		faults: faults, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 0)),
 		primary: "s0", term: 1,
-		record: primacy.Record{Generation: 1, Group: "g", Phase: primacy.PhaseServing, Primary: "s0", Term: 1},
-		rows:   map[int]rowState{}, tokenHolders: map[primacy.Token]int{},
+		records: []primacy.Record{{Generation: 1, Group: "g", Phase: primacy.PhaseServing, Primary: "s0", Term: 1}},
+		rows:    map[int]rowState{}, tokenHolders: map[primacy.Token]int{},
 	}
 	for id := range 3 {
 		m.instances = append(m.instances, m.newInstance(id))
@@ -116,6 +120,9 @@
 	return &modelInstance{id: id, leadership: primacy.NewLeadership(name, epoch), members: map[int]modelMember{}}
 }
 
+// revision is the revision of the latest record.
+func (m *model) revision() feed.Revision { return feed.Revision(len(m.records)) }
+
 // randomBetween returns a number from low to high, both included.
 func (m *model) randomBetween(low, high int) int {
 	return low + m.rng.IntN(high-low+1)
@@ -155,19 +162,30 @@
 }
 
 // readRecord reads the group's record and confirms that the instance left the
-// primary, if it can.
+// primary, if it can. At times, the copy that it reads is one version behind.
 func (m *model) readRecord(i *modelInstance) {
 	sent := m.now
-	record := m.record
+	revision := m.revision()
 	if m.answerLost() || m.now.Before(i.readsBlockedUntil) {
 		return
 	}
+	if revision > 1 && m.randomBetween(0, 9) == 0 {
+		older := revision - 1
+		if m.faults.trustOlderCopies {
+			revision = max(i.lease.Revision(), older)
+		} else {
+			revision = older
+		}
+		i.lease.Observe(m.now, m.records[older-1], revision, time.Time{})
+		return
+	}
+	record := m.records[revision-1]
 	i.lastReadAt = sent
 	leaseStart := i.presence.LeaseStart(sent)
 	if m.faults.trustEarlyReads {
 		leaseStart = sent
 	}
-	i.lease.Observe(m.now, record, leaseStart)
+	i.lease.Observe(m.now, record, revision, leaseStart)
 	m.extendLease(i)
 	if generation, confirmed := i.lease.ConfirmLeave(m.now); confirmed {
 		i.leftGeneration = generation
@@ -197,10 +215,14 @@
 	}
 	m.tokenHolders[token] = i.id
 	m.readMembers(i)
-	if i.knownRecord.Generation != m.record.Generation {
+	record := i.lease.Record()
+	if record.Generation == 0 {
+		return
+	}
+	if i.knownRecord.Generation != record.Generation {
 		i.generationSeenAt, i.lastOrderAt = m.now, time.Time{}
 	}
-	i.knownRecord = m.record
+	i.knownRecord = record
 	m.step(i, token)
 }
 
@@ -214,7 +236,7 @@
 // step takes the step that Decide returns for the instance's view, and records
 // a promotion order with a random delay.
 func (m *model) step(i *modelInstance, token primacy.Token) {
-	situation := primacy.Situation{GenerationSeenAt: i.generationSeenAt, LastOrderAt: i.lastOrderAt, OrderPending: m.record.Target != "" && m.record.Equal(i.orderableRecord), Record: m.record}
+	situation := primacy.Situation{GenerationSeenAt: i.generationSeenAt, LastOrderAt: i.lastOrderAt, OrderPending: i.knownRecord.Target != "" && i.knownRecord.Equal(i.orderableRecord), Record: i.knownRecord}
 	if m.faults.shortLeaseWait {
 		situation.GenerationSeenAt = situation.GenerationSeenAt.Add(-2 * time.Second)
 	}
@@ -245,8 +267,13 @@
 			step.Record.Orders = min(step.Record.Orders, 1)
 			i.lastOrderAt = time.Time{}
 		}
-		m.record = step.Record
+		if i.lease.Revision() != m.revision() {
+			i.lease.Observe(m.now, m.records[m.revision()-1], m.revision(), time.Time{})
+			return
+		}
+		m.records = append(m.records, step.Record)
 		i.orderableRecord = step.Record
+		i.lease.Observe(m.now, step.Record, m.revision(), time.Time{})
 	case primacy.StepPromote:
 		if token < m.lastToken {
 			m.fail("promotion order with token %d was given after one with token %d", token, m.lastToken)
@@ -357,6 +384,7 @@
 		"lease wait too short":                {shortLeaseWait: true},
 		"reads before the row was visible":    {trustEarlyReads: true},
 		"only one order counted":              {countOneOrder: true},
+		"older copies trusted":                {trustOlderCopies: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(seeds) {
