fix: keep an instance's row that an older copy lacks

Cause: the row of an instance that was missing from a complete copy was removed, also if the leader had read a newer row of it from the store. A change of primary did not wait for that instance until its next row was read.

Fix: a missing row counts as deleted at the revision of the copy.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -130,6 +130,16 @@
 	return deleted
 }
 
+// IsNewer reports whether a row that Apply has returned is newer than a known revision of
+// it. A deletion counts as of the revision of the copy, because a complete answer doesn't
+// say when a missing row was deleted.
+func (m *Mirror) IsNewer(row Row, known Revision) bool {
+	if row.Deleted {
+		return m.revision >= known
+	}
+	return row.Revision > known
+}
+
 // ChangesSince returns the changes after a revision, in the form of the store's
 // answers. If not all deletions since then are known, it returns all rows.
 func (m *Mirror) ChangesSince(after Revision) Snapshot {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -42,6 +42,24 @@
 	}
 }
 
+// TestNewerRow guards against a row that is removed because it is missing from an older
+// copy than the one that showed it.
+func TestNewerRow(t *testing.T) {
+	m := feed.NewMirror()
+	m.Apply(feed.Snapshot{Complete: true, Revision: 5, Rows: []feed.Row{{Key: "a", Revision: 4}}}, begin)
+	deleted := m.Apply(feed.Snapshot{Complete: true, Revision: 9}, begin)[0]
+	written := m.Apply(feed.Snapshot{Revision: 11, Rows: []feed.Row{{Key: "b", Revision: 10}}}, begin)[0]
+	got := map[string][]bool{}
+	for known := feed.Revision(8); known <= 12; known++ {
+		got["deleted"] = append(got["deleted"], m.IsNewer(deleted, known))
+		got["written"] = append(got["written"], m.IsNewer(written, known))
+	}
+	want := map[string][]bool{"deleted": {true, true, true, true, false}, "written": {true, true, false, false, false}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("newer than the revisions 8 to 12 (-want +got):\n%s", diff)
+	}
+}
+
 // TestObserveIsNotAfterAnswer guards against a lease that runs too long because
 // an answer is taken as given later than it was, whatever the delays of the
 // calls.
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -552,6 +552,10 @@
 			}
 			continue
 		}
+		if known := g.members.members[fleet.InstanceID(row.Key)]; row.Deleted && known != nil && !f.mirror.IsNewer(row, known.revision) {
+			// The row was written after this copy was read.
+			continue
+		}
 		membersChanged = g.observeMember(now, row) || membersChanged
 	}
 	if !leaderSeen {
