fix: name prepared statements by a cryptographic hash

Found by reading in the review. Cause: the name of a prepared statement on a shared connection was a 64-bit FNV-1a sum of its text, for which colliding texts are published. A second caller with such a text would run the statement of the first one.

TestStatementNames failed before: two texts had the same name.

--- a/session/connstate.go
+++ b/session/connstate.go
@@ -1,13 +1,16 @@
 package session
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 )
 
+// statementNameBytes is the length of the hash in a statement name.
+const statementNameBytes = 16
+
 // ConnState tracks the session variables and prepared statements that are
 // currently set on one backend connection. Prepared statements have names
 // derived from their template, so sessions that prepare the same template share
@@ -99,14 +102,13 @@
 }
 
 // statementName returns the name under which the template is prepared on backend
-// connections. It is a hash of the template, because the names that callers
-// choose can collide on a shared connection.
+// connections. It is a cryptographic hash of the template, because sessions share the
+// connection and the names and texts that callers choose may collide.
 func (t Template) statementName() string {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(t.Body))
 	mode := "r"
 	if t.Write {
 		mode = "w"
 	}
-	return mode + strconv.FormatUint(sum.Sum64(), 36)
+	sum := sha256.Sum256([]byte(t.Body))
+	return mode + hex.EncodeToString(sum[:statementNameBytes])
 }
--- a/session/connstate_test.go
+++ b/session/connstate_test.go
@@ -31,3 +31,21 @@
 		})
 	}
 }
+
+// TestStatementNames guards against two callers that share a prepared statement although
+// they prepared different ones, because their texts were chosen to have the same hash. The
+// texts have the same 64-bit FNV-1a sum.
+func TestStatementNames(t *testing.T) {
+	state := session.NewConnState()
+	names := map[string]bool{}
+	for _, template := range []session.Template{
+		{Body: "8yn0iYCKYHlIj4-BwPqk"}, {Body: "GReLUrM4wMqfg9yzV3KQ"}, {Body: "GReLUrM4wMqfg9yzV3KQ", Write: true},
+	} {
+		for _, command := range state.Sync(nil, &template) {
+			names[command.Name] = true
+		}
+	}
+	if len(names) != 3 {
+		t.Errorf("names %v, want 3", names)
+	}
+}
