fix: promote a returned primary again after an unrecorded promotion

Follow-up of: a recorded primary that returned was used again without an order, also if the leader had seen another server lead a later term, which is silent now. Writes would be acknowledged at an old primary. By reading; a case of TestDivergedServer failed before.

Now it is promoted once more in that case, and its own log is proof enough with synchronous replicas.

--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -195,19 +195,21 @@
 		accepted = s.eligibleReplica
 	}
 	target, found := s.promotionCandidate(accepted)
-	if !found && known && s.returned(old) {
-		if old.Role == RolePrimary {
-			return Step{Kind: StepWrite, Record: Record{
-				Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing, Primary: old.ID, Term: old.Term,
-			}}
-		}
-		target, found = old, true
-	}
-	if !found {
+	returned := known && s.returned(old)
+	switch {
+	case found:
+	case returned && s.leadsAlone(old):
+		return Step{Kind: StepWrite, Record: Record{
+			Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing, Primary: old.ID, Term: old.Term,
+		}}
+	case returned:
+		target = old
+	default:
 		return Step{Blocked: slices.ContainsFunc(s.Servers, s.diverged), Kind: StepStatus}
 	}
+	leads := s.leadsLatestTerm(target) || target.ID == s.Record.Primary
 	behind := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
-	if behind && !s.leadsLatestTerm(target) {
+	if behind && !leads {
 		return Step{Kind: StepStatus}
 	}
 	next := s.Record
@@ -337,6 +339,13 @@
 	return primary.StatusAt.After(s.GenerationSeenAt) && primary.Term == s.Record.Term && !s.primaryUnreachable()
 }
 
+// leadsAlone reports whether the recorded primary still leads its term, and no server is
+// known to have led a later one.
+func (s Situation) leadsAlone(primary Server) bool {
+	current, found := s.currentPrimary()
+	return primary.Role == RolePrimary && found && current.Term <= s.Record.Term
+}
+
 // historyOf returns the history of a primary's log.
 func (s Situation) historyOf(primary Server) fleet.History {
 	if primary.Term == s.Record.Term {
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -198,6 +198,8 @@
 	changing := primacy.Record{Generation: 2, History: history, Phase: primacy.PhaseChanging, Primary: "old", Reason: primacy.ReasonFailure, Term: 2}
 	renamed := returned
 	renamed.ID = "c"
+	silentLeader := renamed
+	silentLeader.StatusAt, silentLeader.Term = now.Add(-2*time.Second), 3
 	promoted := replica("a", 6, 0)
 	promoted.Role, promoted.Term = primacy.RolePrimary, 3
 	targetA, targetB, targetC, targetOld := changing, changing, changing, changing
@@ -218,6 +220,8 @@
 		{name: "another one follows the term", servers: []primacy.Server{replica("a", 6, 0), following}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetB}},
 		{name: "primary has returned", servers: []primacy.Server{replica("a", 6, 0), returned}, want: primacy.Step{Kind: primacy.StepWrite, Record: serving}},
 		{name: "primary has returned under another ID", servers: []primacy.Server{replica("a", 6, 0), following, renamed}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetC}},
+		{name: "primary has returned after another promotion", servers: []primacy.Server{promoted, returned}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetA}},
+		{name: "primary has returned after a promotion of a server that is silent", servers: []primacy.Server{replica("a", 6, 0), silentLeader, returned}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetOld}},
 		{name: "promoted by an operator", servers: []primacy.Server{promoted}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetA}},
 		{name: "primary has returned for few instances", servers: []primacy.Server{replica("a", 6, 0), returned}, unreachable: true, want: blocked},
 		{name: "primary has returned as a replica", servers: []primacy.Server{replica("a", 6, 0), steppedDown}, want: primacy.Step{Kind: primacy.StepWrite, Record: targetOld}},
