fix: count the time of a draining server from its last other state

Cause: the 5 s for which a draining server is still used began when the instance first saw the state, which is late after a start or a freeze.

Fix: they begin when the instance last knew that the server was not draining.

TestLongDrainingPrimary failed before: an instance that had just started wrote at the draining primary.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -110,10 +110,12 @@
 		return nil
 	}
 	f := g.newFollower(g.config.Source.ServerTable(), serverLongPollWait, "")
+	unchangedUntil := time.Time{}
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
 		for _, row := range changed {
-			g.applyServerRow(now, row)
+			g.applyServerRow(now, unchangedUntil, row)
 		}
+		unchangedUntil = f.mirror.VerifiedAt()
 		if len(changed) > 0 {
 			g.updatePoolServers()
 			sleep(ctx, serverUpdateSpacing)
@@ -123,8 +125,9 @@
 
 // applyServerRow adds or updates the server of a changed row. A server whose row was
 // deleted is only marked, and removed by removeMissingServers. A server with a
-// malformed entry is removed at once.
-func (g *Gateway) applyServerRow(now time.Time, row feed.Row) {
+// malformed entry is removed at once. The row has changed after unchangedUntil, which is
+// zero if that isn't known.
+func (g *Gateway) applyServerRow(now, unchangedUntil time.Time, row feed.Row) {
 	id := fleet.ServerID(row.Key)
 	server, err := BackendServer{}, error(nil)
 	if !row.Deleted {
@@ -153,7 +156,7 @@
 		delete(g.health, id)
 	}
 	if server.Draining && !known.Draining {
-		known.drainingSince = now
+		known.drainingSince = unchangedUntil
 	}
 	known.entryMissingSince = time.Time{}
 	known.BackendServer = server
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,7 +253,8 @@
 	coldLimiter *coldRateLimiter
 	// inFlight is the number of leases on the server.
 	inFlight int
-	// drainingSince is when the server was first seen draining.
+	// drainingSince is a time before the server began to drain: when it was last known
+	// not to, or zero if this instance has never seen it otherwise.
 	drainingSince time.Time
 	// lagBackoff is how long a replica gets no reads because it lacked a required
 	// log position, and lagBackoffUntil is when that ends.
