--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -70,6 +70,7 @@
 	mayContinue := g.mayContinue(sent, l.server)
 	g.mu.Unlock()
 	if !mayContinue && !batch.IsRollback() {
+		// A transaction fails by this, and is rolled back on the same connection.
 		return session.Reply{}, &session.RunError{Kind: session.KindBusy, Text: "the data centre of the server is out of service"}
 	}
 	if l.requestedAt.IsZero() {
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -198,6 +198,7 @@
 	returned := known && s.returned(old)
 	switch {
 	case found:
+		// The log of the target is checked below.
 	case returned && s.leadsAlone(old):
 		return Step{Kind: StepWrite, Record: Record{
 			Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing, Primary: old.ID, Term: old.Term,
@@ -207,9 +208,9 @@
 	default:
 		return Step{Blocked: slices.ContainsFunc(s.Servers, s.diverged), Kind: StepStatus}
 	}
-	leads := s.leadsLatestTerm(target) || target.ID == s.Record.Primary
-	behind := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
-	if behind && !leads {
+	hasAllCommits := s.leadsLatestTerm(target) || target.ID == s.Record.Primary
+	mayLackCommits := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
+	if mayLackCommits && !hasAllCommits {
 		return Step{Kind: StepStatus}
 	}
 	next := s.Record
@@ -222,7 +223,8 @@
 // it is primary. It gives up a target that stays unresponsive.
 func (s Situation) decidePromoting(now time.Time) Step {
 	target, known := s.server(s.Record.Target)
-	// The registration of a server may name it as primary too, but of any earlier term.
+	// The target's registration is no evidence: it has no term, and a server that was cut
+	// off while another one was promoted still registers as primary.
 	if known && target.StatusAt.After(s.GenerationSeenAt) && s.leadsLatestTerm(target) {
 		return Step{Kind: StepWrite, Record: Record{
 			Generation: s.Record.Generation + 1, History: s.historyOf(target), Orders: s.Record.Orders, Phase: PhaseServing,
