fix: check a caller's key just before its statement is sent to a server

A key was checked when a statement was admitted and not again. A statement that then waited for a connection, for a retry or in the queue of its group's owner was sent although its key had been withdrawn in the meantime.

The access controller now returns until when the key is proved to be valid, and the version of the sheet that lists it. Each attempt obtains a fresh proof after its wait. The instance that sends the bytes compares the proof with its clock before each write to the connection, and refuses the batch as not run. A proof that has ended still holds where the same version of the sheet is proved to be the newest one, so that a valid key is never refused because of a wait. The proof travels in two new fields of RunRequest and costs no message.

A commit that was refused as busy is now reported as aborted, because its transaction is rolled back.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -67,25 +67,26 @@
 	if route.OpenToAll {
 		return access, nil
 	}
+	access.Authorization = g.authorization()
 	return access, g.checkKey(now, access.Workspace)
 }
 
 // Reauthorize returns an error unless the key is still valid for the workspace of the
 // access, or the access was to a database that is open to all.
-func (g *Gateway) Reauthorize(now time.Time, credentials session.Credentials, access session.Access) *session.Error {
+func (g *Gateway) Reauthorize(now time.Time, credentials session.Credentials, access session.Access) (session.Authorization, *session.Error) {
 	if access.Route.OpenToAll {
-		return nil
+		return session.Authorization{}, nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	workspace, _ := g.routing.Owner(credentials.Key)
 	if err := g.checkKey(now, workspace); err != nil {
-		return err
+		return session.Authorization{}, err
 	}
 	if workspace != access.Workspace {
-		return &session.Error{Err: errors.New("the key now belongs to another workspace"), Kind: session.KindUnauthorized, Op: "check"}
+		return session.Authorization{}, &session.Error{Err: errors.New("the key now belongs to another workspace"), Kind: session.KindUnauthorized, Op: "check"}
 	}
-	return nil
+	return g.authorization(), nil
 }
 
 // checkKey returns an error if the sheet was not verified within the key lease, or if
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -80,7 +80,7 @@
 		batch.Commands[0].MinPosition = l.minPosition
 		l.minPosition = fleet.Position{}
 	}
-	reply, failure := l.conn.State.Run(l.conn, deadline, batch)
+	reply, failure := l.conn.State.Run(&authorizedConn{authorization: batch.Authorization, conn: l.conn, gateway: g}, deadline, batch)
 	now := g.config.Clock()
 	if failure != nil && (failure.Kind == session.KindUnknown || failure.Kind == session.KindTimeout) {
 		l.conn.MarkBroken()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 var (
 	requestsByOutcome = expvar.NewMap("RequestsByOutcome")
 	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
+	keyProofsExpired  = expvar.NewInt("KeyProofsExpired")
 	ownerCalls        = expvar.NewMap("OwnerCalls")
 	peerCalls         = expvar.NewMap("PeerCalls")
 	relayCalls        = expvar.NewMap("RelayCalls")
@@ -110,6 +111,12 @@
 	storeCalls.Add(call, 1)
 }
 
+// countKeyProofExpired counts a batch that was not sent to a server because the proof of
+// its key had ended.
+func countKeyProofExpired() {
+	keyProofsExpired.Add(1)
+}
+
 // countPeerCall counts a request to another instance by its outcome.
 func countPeerCall(err error) {
 	peerCalls.Add(callOutcome(err), 1)
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -94,6 +94,7 @@
 	g.mu.Lock()
 	deadline, calibrated := g.storeClock.DeadlineTime(request.Deadline)
 	requirementsDeadline, _ := g.storeClock.DeadlineTime(request.RequirementsDeadline)
+	request.Batch.Authorization = g.peerAuthorization(now, request)
 	g.mu.Unlock()
 	if !calibrated {
 		return refusedBatch(errNotProved)
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -140,6 +140,9 @@
 	g.mu.Lock()
 	request.Deadline = g.storeClock.StoreTime(deadline)
 	request.RequirementsDeadline = g.storeClock.StoreTime(l.requirements.Deadline)
+	if until := request.Batch.AuthorizedUntil; !until.IsZero() {
+		request.AuthorizedUntil = g.storeClock.StoreTime(until)
+	}
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now)+ownerResponseGrace)
 	defer cancel()
--- a/owner/client.go
+++ b/owner/client.go
@@ -50,7 +50,8 @@
 
 func encodeRequest(request Request) *nutmegpierv1.RunRequest {
 	message := &nutmegpierv1.RunRequest{
-		DeadlineNs: int64(request.Deadline), Final: request.Batch.Final, Lease: string(request.Lease), Variables: request.Batch.Variables,
+		AuthorizedUntilNs: int64(request.AuthorizedUntil), DeadlineNs: int64(request.Deadline), Final: request.Batch.Final,
+		Lease: string(request.Lease), SheetVersion: uint64(request.Batch.SheetVersion), Variables: request.Batch.Variables,
 	}
 	if template := request.Batch.Template; template != nil {
 		message.Template = &nutmegpierv1.StatementTemplate{Body: template.Body, Write: template.Write}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -16,7 +16,10 @@
 
 // Request asks an instance to run one batch of a lease.
 type Request struct {
-	Batch session.Batch
+	// AuthorizedUntil is Batch.AuthorizedUntil as the store's monotonic time. It is
+	// zero if the batch needs no key. Batch.AuthorizedUntil itself is not sent.
+	AuthorizedUntil time.Duration
+	Batch           session.Batch
 	// Deadline is the store's monotonic time after which the caller no longer waits
 	// for the response.
 	Deadline time.Duration
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -43,9 +43,11 @@
 func TestRun(t *testing.T) {
 	variables := map[string]string{"a": "1"}
 	request := owner.Request{
+		AuthorizedUntil: 3 * time.Hour,
 		Batch: session.Batch{
-			Commands: []session.Command{{Statement: session.Statement{Arguments: "x 1", ID: "5c", Kind: session.StatementExecute, Name: "s1", Text: "EXECUTE s1 x 1"}}},
-			Final:    true, Template: &session.Template{Body: "q", Write: true}, Variables: variables,
+			Authorization: session.Authorization{SheetVersion: 9},
+			Commands:      []session.Command{{Statement: session.Statement{Arguments: "x 1", ID: "5c", Kind: session.StatementExecute, Name: "s1", Text: "EXECUTE s1 x 1"}}},
+			Final:         true, Template: &session.Template{Body: "q", Write: true}, Variables: variables,
 		},
 		Deadline: time.Hour, Lease: "i-1-2",
 		Requirements: &session.Requirements{
--- a/owner/server.go
+++ b/owner/server.go
@@ -55,10 +55,12 @@
 
 func decodeRequest(message *nutmegpierv1.RunRequest) Request {
 	request := Request{
-		Batch:    session.Batch{Final: message.GetFinal(), Variables: message.GetVariables()},
-		Deadline: time.Duration(message.GetDeadlineNs()),
-		Lease:    LeaseID(message.GetLease()),
+		AuthorizedUntil: time.Duration(message.GetAuthorizedUntilNs()),
+		Batch:           session.Batch{Final: message.GetFinal(), Variables: message.GetVariables()},
+		Deadline:        time.Duration(message.GetDeadlineNs()),
+		Lease:           LeaseID(message.GetLease()),
 	}
+	request.Batch.SheetVersion = fleet.SheetVersion(message.GetSheetVersion())
 	if template := message.GetTemplate(); template != nil {
 		request.Batch.Template = &session.Template{Body: template.GetBody(), Write: template.GetWrite()}
 	}
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -8,6 +8,9 @@
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
+// keyLease is how long a proof of a key is valid.
+const keyLease = 4500 * time.Millisecond
+
 // testStart is the initial time of the fake clock.
 var testStart = time.Unix(1_000_000, 0)
 
@@ -17,8 +20,10 @@
 	admitted  int
 	completed []session.Completion
 	now       time.Time
-	// onAdmit, if set, is called at the start of each admission.
+	// onAdmit and onAcquire, if set, are called at the start of each admission and of
+	// each wait for a connection.
 	onAdmit      func()
+	onAcquire    func()
 	overRate     bool
 	released     int
 	route        sheet.Route
@@ -70,14 +75,14 @@
 	return session.Access{Route: e.route, Workspace: "w"}, nil
 }
 
-func (e *environment) Reauthorize(time.Time, session.Credentials, session.Access) *session.Error {
+func (e *environment) Reauthorize(time.Time, session.Credentials, session.Access) (session.Authorization, *session.Error) {
 	if e.unproved {
-		return &session.Error{Kind: session.KindBusy}
+		return session.Authorization{}, &session.Error{Kind: session.KindBusy}
 	}
 	if e.keyWithdrawn {
-		return &session.Error{Kind: session.KindUnauthorized}
+		return session.Authorization{}, &session.Error{Kind: session.KindUnauthorized}
 	}
-	return nil
+	return session.Authorization{AuthorizedUntil: e.now.Add(keyLease)}, nil
 }
 
 func (e *environment) Observe(_ time.Time, completed session.Completion) {
@@ -85,6 +90,9 @@
 }
 
 func (e *environment) Acquire(requirements session.Requirements) (session.Lease, *session.Error) {
+	if e.onAcquire != nil {
+		e.onAcquire()
+	}
 	for _, s := range e.servers {
 		if !requirements.Avoid[s.id] {
 			return &lease{server: s, environment: e}, nil
@@ -110,10 +118,13 @@
 	// inTransaction is true from a begin to its commit or rollback.
 	inTransaction bool
 	log           fleet.LogPosition
-	onRun         func(command session.Command)
-	ran           []session.StatementKind
-	state         *session.ConnState
-	values        map[string]string
+	// proofs say until when the keys of the batches were proved to be valid when these
+	// arrived.
+	proofs []time.Duration
+	onRun  func(command session.Command)
+	ran    []session.StatementKind
+	state  *session.ConnState
+	values map[string]string
 }
 
 func newServer(id fleet.ServerID) *server {
@@ -130,6 +141,9 @@
 func (l *lease) Server() fleet.ServerID   { return l.server.id }
 
 func (l *lease) Run(deadline time.Time, batch session.Batch) (session.Reply, *session.RunError) {
+	if !batch.IsRollback() {
+		l.server.proofs = append(l.server.proofs, batch.AuthorizedUntil.Sub(l.environment.now))
+	}
 	return l.server.state.Run(l.server, deadline, batch)
 }
 
--- a/session/router.go
+++ b/session/router.go
@@ -32,8 +32,19 @@
 
 // Access is the route and workspace that a caller is authorized to use.
 type Access struct {
-	Route     sheet.Route
-	Workspace fleet.WorkspaceID
+	Authorization Authorization
+	Route         sheet.Route
+	Workspace     fleet.WorkspaceID
+}
+
+// Authorization is the proof that a caller's key is valid. It is zero for a route that
+// is open to all.
+type Authorization struct {
+	// AuthorizedUntil is when the proof ends. The key may have been withdrawn by then.
+	AuthorizedUntil time.Time
+	// SheetVersion is the version of the sheet that lists the key. The key is still
+	// valid after AuthorizedUntil while this is proved to be the newest version.
+	SheetVersion fleet.SheetVersion
 }
 
 // AccessController authorizes callers and enforces rate limits.
@@ -43,10 +54,10 @@
 	Admit(now time.Time, workspace fleet.WorkspaceID) *Error
 	// Authorize returns the access that the credentials give at time now.
 	Authorize(now time.Time, credentials Credentials) (Access, *Error)
-	// Reauthorize returns an error if the credentials no longer give the workspace of
-	// an access that Authorize returned. The route of the access stays in force until
-	// the end of the transaction.
-	Reauthorize(now time.Time, credentials Credentials, access Access) *Error
+	// Reauthorize returns the present authorization for an access that Authorize
+	// returned, or an error if the credentials no longer give its workspace. The route
+	// of the access stays in force until the end of the statement or transaction.
+	Reauthorize(now time.Time, credentials Credentials, access Access) (Authorization, *Error)
 }
 
 // Router selects backend servers and provides connections to them.
@@ -69,6 +80,9 @@
 
 // Batch is what Lease.Run runs in one call.
 type Batch struct {
+	// Authorization is compared with the time just before the commands are sent to the
+	// server, and they are refused as not run if it has ended. Rollbacks have none.
+	Authorization
 	// Commands run in order. Commands after a failed one may run as well.
 	Commands []Command
 	// Final says that the lease will run nothing else, so that the connection can
--- a/session/session.go
+++ b/session/session.go
@@ -65,6 +65,9 @@
 
 // Session is one caller's session. It isn't safe for concurrent use.
 type Session struct {
+	// authorization is the result of the last check of the key.
+	authorization Authorization
+
 	config      Config
 	credentials Credentials
 	// lastServer is the server of the last attempt.
@@ -198,7 +201,30 @@
 	}
 	// Authorize again: admission may have waited for another instance, or the
 	// process may have been suspended, and the key may be withdrawn by now.
-	return s.config.AccessController.Authorize(s.config.Clock(), s.credentials)
+	access, err = s.config.AccessController.Authorize(s.config.Clock(), s.credentials)
+	s.authorization = access.Authorization
+	return access, err
+}
+
+// acquire returns a connection for an attempt, and checks the key again after the wait
+// for it.
+func (s *Session) acquire(requirements Requirements) (Lease, *Error) {
+	lease, err := s.config.Router.Acquire(requirements)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.checkKey(Access{Route: requirements.Route, Workspace: requirements.Workspace}); err != nil {
+		lease.Release()
+		return nil, err
+	}
+	return lease, nil
+}
+
+// checkKey returns an error unless the key still gives an access.
+func (s *Session) checkKey(access Access) *Error {
+	authorization, err := s.config.AccessController.Reauthorize(s.config.Clock(), s.credentials, access)
+	s.authorization = authorization
+	return err
 }
 
 func (s *Session) requirements(now time.Time, access Access) Requirements {
@@ -271,7 +297,7 @@
 // error that proves that the request did not run.
 func (s *Session) runWithRetries(requirements *Requirements, attempts *int, write bool, run func(Lease) (Reply, *Error)) (Reply, *Error) {
 	for {
-		lease, err := s.config.Router.Acquire(*requirements)
+		lease, err := s.acquire(*requirements)
 		if err != nil {
 			return Reply{}, err
 		}
@@ -324,7 +350,9 @@
 	if requirements.Write && !lease.Exclusive(s.config.Clock()) {
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "run"}
 	}
-	reply, failure := lease.Run(deadline, Batch{Commands: []Command{newCommand(statement, template)}, Final: true, Template: template, Variables: s.variables})
+	reply, failure := lease.Run(deadline, Batch{
+		Authorization: s.authorization, Commands: []Command{newCommand(statement, template)}, Final: true, Template: template, Variables: s.variables,
+	})
 	if failure != nil {
 		return Reply{}, wrapRunError("run", failure)
 	}
--- a/session/transaction.go
+++ b/session/transaction.go
@@ -16,7 +16,7 @@
 	if isWrite(statement, template) && !t.requirements.Write {
 		return s.failStatement(start, statement, &Error{Err: errors.New("the transaction only reads"), Kind: KindReadOnly, Op: "run"})
 	}
-	if err := s.reauthorize(start, t); err != nil {
+	if err := s.reauthorize(t); err != nil {
 		return s.failStatement(start, statement, err)
 	}
 	deadline := start.Add(t.access.Route.StatementTimeout.Duration())
@@ -28,7 +28,9 @@
 			return s.failStatement(start, statement, err)
 		}
 	}
-	reply, failure := t.lease.Run(deadline, Batch{Commands: []Command{newCommand(statement, template)}, Template: template, Variables: s.variables})
+	reply, failure := t.lease.Run(deadline, Batch{
+		Authorization: s.authorization, Commands: []Command{newCommand(statement, template)}, Template: template, Variables: s.variables,
+	})
 	if failure != nil {
 		err := wrapRunError("run in transaction", failure)
 		if err.Kind != KindFailed && err.Kind != KindNoStatement {
@@ -44,8 +46,8 @@
 
 // reauthorize returns an error if the caller may not continue its transaction, which is
 // then rolled back.
-func (s *Session) reauthorize(now time.Time, t *transaction) *Error {
-	err := s.config.AccessController.Reauthorize(now, s.credentials, t.access)
+func (s *Session) reauthorize(t *transaction) *Error {
+	err := s.checkKey(t.access)
 	if err != nil && err.Kind.NotRun() {
 		return &Error{Err: err.Err, Kind: KindAborted, Op: err.Op, RetryAfter: err.RetryAfter}
 	}
@@ -63,7 +65,7 @@
 			lease.Release()
 			return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindReadOnly, Op: "begin"}
 		}
-		begin := Batch{Commands: []Command{{Statement: Statement{Kind: kind}}}, Template: template, Variables: s.variables}
+		begin := Batch{Authorization: s.authorization, Commands: []Command{{Statement: Statement{Kind: kind}}}, Template: template, Variables: s.variables}
 		if _, failure := lease.Run(t.requirements.Deadline, begin); failure != nil {
 			s.rollback(lease)
 			lease.Release()
@@ -77,6 +79,13 @@
 		t.lease = lease
 		return Reply{}, nil
 	})
+	if err == nil {
+		// The begin may have waited in the queue of another instance.
+		err = s.checkKey(t.access)
+	}
+	if err != nil && err.Kind == KindUnauthorized {
+		err.Kind = KindAborted
+	}
 	return err
 }
 
@@ -124,7 +133,7 @@
 // commitOn sends the commit to the server. If the transaction has run no statement
 // yet, it begins it there first.
 func (s *Session) commitOn(t *transaction, start time.Time, statement Statement) (Reply, *Error) {
-	if err := s.reauthorize(start, t); err != nil {
+	if err := s.reauthorize(t); err != nil {
 		return Reply{}, err
 	}
 	deadline := start.Add(t.access.Route.StatementTimeout.Duration())
@@ -139,11 +148,11 @@
 	if t.wrote && !t.lease.Exclusive(start) {
 		return Reply{}, &Error{Err: errors.New("the primary may have been replaced"), Kind: KindAborted, Op: "commit"}
 	}
-	reply, failure := t.lease.Run(deadline, Batch{Commands: []Command{{Statement: statement}}, Final: true, Variables: s.variables})
+	reply, failure := t.lease.Run(deadline, Batch{Authorization: s.authorization, Commands: []Command{{Statement: statement}}, Final: true, Variables: s.variables})
 	if failure != nil {
 		err := wrapRunError("commit", failure)
 		lost := err.Kind == KindUnknown || err.Kind == KindTimeout
-		if lost && (LostRequest{Commits: true, InTransaction: true, Writes: t.wrote}).Outcome() == OutcomeNotRun {
+		if err.Kind == KindBusy || lost && (LostRequest{Commits: true, InTransaction: true, Writes: t.wrote}).Outcome() == OutcomeNotRun {
 			err.Kind = KindAborted
 		}
 		return Reply{}, err
