fix: bound the polls of the relay before the next call to the store

waitForStore waits a random half to whole of the remaining time before each poll of the relay. Near the end the waits became ever shorter, so that an instance sent a burst of polls before each call to a store that is down. In a test with virtual time the loop never ended. The polls now end 20 ms before the call.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -25,6 +25,9 @@
 	// else.
 	maxRetryDelayWithRelay = 2500 * time.Millisecond
 	relayPollInterval      = 250 * time.Millisecond
+	// minRelayPollWait ends the polls of the relay when the store is to be called so
+	// soon. The jittered waits would otherwise become ever shorter until then.
+	minRelayPollWait = 20 * time.Millisecond
 )
 
 // tableFollower keeps a local copy of one table of the store, and reports its
@@ -131,7 +134,7 @@
 	startedAt := f.gateway.config.Clock()
 	for {
 		remaining := maxWait - f.gateway.config.Clock().Sub(startedAt)
-		if remaining <= 0 || !f.gateway.jitteredSleep(ctx, min(remaining, relayPollInterval)) || f.isInterrupted() {
+		if remaining < minRelayPollWait || !f.gateway.jitteredSleep(ctx, min(remaining, relayPollInterval)) || f.isInterrupted() {
 			return nil, false
 		}
 		peer, found := f.gateway.currentRelay(time.Time{})
