fix: a key that moves to another workspace is not refused as invalid

A transaction whose key moved to another workspace was ended as unauthorized, although the key is valid. It is now aborted, and a single statement that was waiting is refused as busy, so that a retry gets the access of the new workspace.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -84,7 +84,8 @@
 		return session.Authorization{}, err
 	}
 	if workspace != access.Workspace {
-		return session.Authorization{}, &session.Error{Err: errors.New("the key now belongs to another workspace"), Kind: session.KindUnauthorized, Op: "check"}
+		// The key is valid, and a retry gets the access of its new workspace.
+		return session.Authorization{}, &session.Error{Err: errors.New("the key now belongs to another workspace"), Kind: session.KindBusy, Op: "check"}
 	}
 	return g.authorization(), nil
 }
--- /dev/null
+++ b/gateway/testservers_test.go
@@ -0,0 +1,144 @@
+//go:build !race
+
+package gateway_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/pool"
+	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+// testServers are the servers of one group in memory. Their logs are always equal.
+type testServers struct {
+	mu sync.Mutex
+	// dialTime is the time to open a connection, workTime that of a statement, and
+	// setupTime that of setting the state of a connection.
+	dialTime, setupTime, workTime time.Duration
+	// onStatus, if set, is called at each request for a status.
+	onStatus func()
+	position fleet.Position
+	primary  fleet.ServerID
+	// ran lists the statements of callers in the order of their arrival.
+	ran []ranStatement
+}
+
+// ranStatement is a statement that a server has run.
+type ranStatement struct {
+	at     time.Time
+	id     session.StatementID
+	kind   session.StatementKind
+	server fleet.ServerID
+}
+
+var (
+	_ pool.Dialer      = &testServers{}
+	_ gateway.Control  = &testServers{}
+	_ gateway.Promoter = &testServers{}
+)
+
+func newTestServers() *testServers {
+	return &testServers{dialTime: 12 * time.Millisecond, position: fleet.Position{Log: 1, Term: 1}, primary: "s-1", workTime: 3 * time.Millisecond}
+}
+
+// set changes the state of the servers.
+func (s *testServers) set(change func(*testServers)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// runs returns the statements that ran with an ID.
+func (s *testServers) runs(id session.StatementID) []ranStatement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var runs []ranStatement
+	for _, ran := range s.ran {
+		if ran.id == id {
+			runs = append(runs, ran)
+		}
+	}
+	return runs
+}
+
+// Dial implements pool.Dialer.
+func (s *testServers) Dial(_ time.Time, server pool.Server, _ fleet.WorkspaceID) (pool.Conn, *session.RunError) {
+	s.mu.Lock()
+	dialTime := s.dialTime
+	s.mu.Unlock()
+	time.Sleep(dialTime)
+	return &testConn{server: server.ID, servers: s}, nil
+}
+
+// Healthy, Status and StepDown implement gateway.Control.
+func (s *testServers) Healthy(context.Context, pool.Server) bool { return true }
+
+func (s *testServers) Status(_ time.Time, conn pool.Conn) (gateway.ServerStatus, error) {
+	pooled := conn.(*pool.PooledConn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onStatus != nil {
+		s.onStatus()
+	}
+	status := gateway.ServerStatus{Position: s.position, Role: primacy.RoleReplica, Term: s.position.Term}
+	if pooled.Conn.(*testConn).server == s.primary {
+		status.Role = primacy.RolePrimary
+	}
+	return status, nil
+}
+
+func (s *testServers) StepDown(time.Time, pool.Conn, fleet.Term) error { return nil }
+
+// Promote implements gateway.Promoter.
+func (s *testServers) Promote(_ context.Context, _ fleet.GroupID, server fleet.ServerID, _ fleet.InstanceID, _ primacy.Token) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.primary != server {
+		s.primary = server
+		s.position.Term++
+	}
+	return nil
+}
+
+// testConn is a connection to one server.
+type testConn struct {
+	inTransaction bool
+	server        fleet.ServerID
+	servers       *testServers
+}
+
+func (c *testConn) Alive() bool    { return true }
+func (c *testConn) Close()         {}
+func (c *testConn) Reusable() bool { return !c.inTransaction }
+
+func (c *testConn) Run(_ time.Time, commands []session.Command) (session.Reply, *session.RunError) {
+	s := c.servers
+	for _, command := range commands {
+		s.mu.Lock()
+		duration := s.workTime
+		switch command.Kind {
+		case session.StatementBegin, session.StatementBeginRead:
+			c.inTransaction = true
+		case session.StatementCommit, session.StatementRollback:
+			c.inTransaction = false
+		case session.StatementPrepare, session.StatementReset, session.StatementSet:
+			duration = s.setupTime
+		}
+		if command.ID != "" {
+			s.ran = append(s.ran, ranStatement{at: time.Now(), id: command.ID, kind: command.Kind, server: c.server})
+		}
+		if command.Kind == session.StatementWrite {
+			s.position.Log++
+		}
+		s.mu.Unlock()
+		time.Sleep(duration)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return session.Reply{Position: s.position}, nil
+}
