feat: serve batches of a workspace on a connection to a saturated server

On a saturated server, a released connection was given to the request at the head of the queue, which mostly belongs to another workspace: the connection was closed and another one opened, 12 ms in a slot for 3 to 9 ms of work. All connections of the pool had a statement or handshake at the server at once, so none was idle for a request of its own workspace. Such a queue persisted after its cause had gone.

The workspaces now share a server by start-time fair queueing in which the handshake is charged to the workspace for which it is made. An idle connection whose workspace waits is replaced only after a batch of statements. Statements and handshakes at the server are bounded by twice its slots, so that the order is decided here and the other connections stay idle for their workspaces. Without known slots there is no bound. Statements of an open transaction never wait. Requests that wait for a server whose address changed wait for the new one within its limit.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -198,7 +198,7 @@
 	var servers []pool.Server
 	for id, server := range g.servers {
 		limit, idle := g.connectionLimits(share, live, server)
-		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Idle: idle, Limit: limit})
+		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Idle: idle, Limit: limit, Slots: server.Slots})
 	}
 	g.mu.Unlock()
 	g.pool.SetServers(g.config.Clock(), servers)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -186,7 +186,8 @@
 func (g *Gateway) lease(requirements session.Requirements, l *lease) (session.Lease, *session.Error) {
 	l.requestedAt = g.config.Clock()
 	conn, failure := g.pool.Acquire(l.server, pool.Request{
-		Deadline: requirements.Deadline.Add(-executionReserve), Priority: requirements.Route.Priority, Variables: requirements.Variables, Workspace: requirements.Workspace,
+		Deadline: requirements.Deadline.Add(-executionReserve), Priority: requirements.Route.Priority, Variables: requirements.Variables,
+		Weight: g.workspaceWeight(requirements.Workspace), Workspace: requirements.Workspace,
 	})
 	if failure == nil {
 		l.conn = conn
@@ -200,6 +201,16 @@
 	return nil, &session.Error{Err: errors.New(failure.Text), Kind: session.KindBusy, Op: "connect", RetryAfter: primaryRetryAfter}
 }
 
+// workspaceWeight returns the relative share of a workspace when requests wait.
+func (g *Gateway) workspaceWeight(workspace fleet.WorkspaceID) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.routing == nil {
+		return 1
+	}
+	return g.routing.Limits()[workspace].Weight
+}
+
 // waitForChange waits until the channel is closed. It reports false if that takes
 // longer than the timeout.
 func waitForChange(changed <-chan struct{}, timeout time.Duration) bool {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,10 +25,6 @@
 	// client closes it, and after some seconds if the client is disconnected.
 	initialDialBackoff = 40 * time.Millisecond
 	maxDialBackoff     = 500 * time.Millisecond
-	// reusePreferencePeriod is how long the first waiting request can be passed
-	// over in favour of requests of the workspace for which the released connection
-	// was opened. They can reuse it; another workspace needs a new connection.
-	reusePreferencePeriod = 60 * time.Millisecond
 )
 
 // Conn is an open connection to a backend server.
@@ -53,6 +49,9 @@
 	Idle int
 	// Limit is the maximum number of connections that this instance may open.
 	Limit int
+	// Slots is the number of statements that the server runs concurrently, or zero if
+	// unknown. Statements above inServicePerSlot times this number wait in the pool.
+	Slots int
 }
 
 // Dialer opens connections to servers. The error has session.KindBusy if the
@@ -61,22 +60,6 @@
 	Dial(deadline time.Time, server Server, workspace fleet.WorkspaceID) (Conn, *session.RunError)
 }
 
-// PooledConn is a connection that belongs to a pool, in use or idle.
-type PooledConn struct {
-	Conn
-	State *session.ConnState
-
-	broken     bool
-	owner      *serverState
-	releasedAt time.Time
-	workspace  fleet.WorkspaceID
-}
-
-// MarkBroken makes Release close the connection instead of reusing it.
-func (c *PooledConn) MarkBroken() {
-	c.broken = true
-}
-
 // Counts are the numbers of connections and waiting requests of one server.
 type Counts struct {
 	Idle int
@@ -95,39 +78,6 @@
 	servers map[fleet.ServerID]*serverState
 }
 
-// serverState holds the connections to one server and the requests that wait for
-// one.
-type serverState struct {
-	// refusedUntil is when the server may be dialed again after it refused a
-	// connection, and dialBackoff is the backoff that led to it.
-	refusedUntil time.Time
-	dialBackoff  time.Duration
-
-	limitChangedAt time.Time
-	idle           []*PooledConn
-	// limit is the current limit, which is lowered after the server refused a
-	// connection.
-	limit int
-	// open counts all connections, including idle ones and those that waiters
-	// are about to open.
-	open    int
-	server  Server
-	waiting []*waiter
-}
-
-// waiter is a request that waits for a connection to a server.
-type waiter struct {
-	// anyWorkspace means that the connection of any workspace will do.
-	anyWorkspace bool
-	// retryAt is when to try again if nothing was granted by then, or zero.
-	retryAt time.Time
-	// granted receives a connection, or nil if the waiter may open one itself.
-	granted    chan *PooledConn
-	priority   int
-	enqueuedAt time.Time
-	workspace  fleet.WorkspaceID
-}
-
 // New returns a pool without servers.
 func New(dialer Dialer, clock session.Clock) *Pool {
 	return &Pool{clock: clock, dialer: dialer, servers: map[fleet.ServerID]*serverState{}}
@@ -135,7 +85,7 @@
 
 // SetServers replaces the set of servers. Connections to servers that were removed
 // or whose address changed are closed: idle ones at once, others when they are
-// released.
+// released. Requests that wait for a server whose address changed wait for the new one.
 func (p *Pool) SetServers(now time.Time, servers []Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,11 +95,14 @@
 		s := p.servers[server.ID]
 		if s == nil || s.server.Address != server.Address {
 			replaced := s
-			s = &serverState{limitChangedAt: now, limit: server.Limit}
+			s = newServerState(now, server)
 			p.servers[server.ID] = s
 			if replaced != nil {
 				replaced.closeIdle()
-				replaced.moveWaiters(s)
+				for _, w := range replaced.queue.takeAll() {
+					s.queue.add(w)
+				}
+				s.control, replaced.control = replaced.control, nil
 			}
 		}
 		if server.Limit != s.server.Limit {
@@ -157,12 +110,13 @@
 		}
 		s.server = server
 		s.trimIdle()
+		s.dispatch(now)
 	}
 	for id, s := range p.servers {
 		if !known[id] {
 			s.closeIdle()
 			delete(p.servers, id)
-			s.moveWaiters(nil)
+			s.failWaiters("the server is gone")
 		}
 	}
 }
@@ -175,7 +129,7 @@
 	if s == nil {
 		return Counts{}
 	}
-	return Counts{Idle: len(s.idle), Open: s.open, Waiting: len(s.waiting)}
+	return Counts{Idle: len(s.idle), Open: s.open, Waiting: s.waiting()}
 }
 
 // HasIdle reports whether there is an idle connection of the workspace.
@@ -195,6 +149,9 @@
 	// Variables are the session variables. A connection on which exactly these
 	// are set is preferred.
 	Variables map[string]string
+	// Weight is the relative share of the workspace while requests of several ones
+	// wait. Values below 1 count as 1.
+	Weight    int
 	Workspace fleet.WorkspaceID
 }
 
@@ -204,33 +161,49 @@
 	for {
 		now := p.clock()
 		if !now.Before(request.Deadline) {
-			return nil, &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+			return nil, errAllInUse()
 		}
-		conn, w, failure := p.reserve(now, server, request)
+		w, failure := p.enqueue(now, server, request)
 		if failure != nil {
 			return nil, failure
 		}
-		if conn != nil {
-			return conn, nil
+		granted, found := p.wait(now, request.Deadline, server, w)
+		if !found {
+			return nil, errAllInUse()
 		}
-		if w != nil {
-			granted := false
-			if conn, granted = p.wait(now, request.Deadline, server, w); conn != nil {
-				return conn, nil
-			}
-			if !granted {
-				continue
-			}
+		if granted.failure != nil {
+			return nil, granted.failure
+		}
+		if granted.conn != nil {
+			return granted.conn, nil
 		}
-		conn, failure, retry := p.open(request.Deadline, server, request.Workspace)
+		conn, failure, retry := p.open(request.Deadline, granted.server, request)
 		if !retry {
 			return conn, failure
 		}
 	}
 }
 
-// controlPriority is before the priorities of all requests of callers.
-const controlPriority = -1
+func errAllInUse() *session.RunError {
+	return &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+}
+
+// enqueue adds a request to the queue of a server and serves it at once if possible.
+func (p *Pool) enqueue(now time.Time, server fleet.ServerID, request Request) (*waiter, *session.RunError) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
+	}
+	w := &waiter{
+		deadline: request.Deadline, enqueuedAt: now, granted: make(chan grant, 1), priority: request.Priority,
+		variables: request.Variables, weight: max(1, request.Weight), workspace: request.Workspace,
+	}
+	s.queue.add(w)
+	s.dispatch(now)
+	return w, nil
+}
 
 // controlWorkspace is the workspace of connections that AcquireAny opens.
 const controlWorkspace fleet.WorkspaceID = "nutmegpier"
@@ -247,129 +220,96 @@
 		p.mu.Unlock()
 		return nil, busy
 	}
-	var w *waiter
-	if len(s.idle) > 0 {
-		conn := s.idle[0]
-		s.idle = s.idle[1:]
-		p.mu.Unlock()
-		return conn, nil
-	}
-	if s.open < s.limit || s.open == 0 {
-		s.open++
-	} else {
-		w = &waiter{anyWorkspace: true, granted: make(chan *PooledConn, 1), priority: controlPriority, enqueuedAt: now}
-		s.enqueue(w)
-	}
+	w := &waiter{enqueuedAt: now, granted: make(chan grant, 1)}
+	s.control = append(s.control, w)
+	s.dispatch(now)
 	p.mu.Unlock()
-	if w != nil {
-		conn, granted := p.wait(now, deadline, server, w)
-		if conn != nil {
-			return conn, nil
-		}
-		if !granted {
-			return nil, busy
-		}
-	}
-	conn, failure, _ := p.open(deadline, server, controlWorkspace)
-	return conn, failure
-}
-
-// reserve returns an idle connection, or a waiter that was added to the queue. If
-// both are nil, it has reserved a place for a new connection that the caller must
-// open.
-func (p *Pool) reserve(now time.Time, server fleet.ServerID, request Request) (*PooledConn, *waiter, *session.RunError) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.servers[server]
-	if s == nil {
-		return nil, nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
-	}
-	s.raiseLimit(now)
-	if conn := s.takeIdle(request.Workspace, request.Variables); conn != nil {
-		return conn, nil, nil
-	}
-	refused := now.Before(s.refusedUntil)
-	if s.open < s.limit && !refused {
-		s.open++
-		return nil, nil, nil
-	}
-	if len(s.idle) > 0 {
-		// All idle connections are of other workspaces. Replace one of them.
-		s.closeOldest()
-		return nil, nil, nil
+	granted, found := p.wait(now, deadline, server, w)
+	if !found || granted.failure != nil {
+		return nil, busy
 	}
-	w := &waiter{granted: make(chan *PooledConn, 1), priority: request.Priority, enqueuedAt: now, workspace: request.Workspace}
-	if refused && s.open < s.limit {
-		w.retryAt = s.refusedUntil
+	if granted.conn != nil {
+		return granted.conn, nil
 	}
-	s.enqueue(w)
-	return nil, w, nil
+	conn, failure, _ := p.open(deadline, granted.server, Request{Workspace: controlWorkspace})
+	return conn, failure
 }
 
-// wait waits until the waiter is granted a connection or, if the returned one is nil,
-// the right to open one. It gives up at the deadline or at the waiter's retryAt.
-func (p *Pool) wait(now, deadline time.Time, server fleet.ServerID, w *waiter) (conn *PooledConn, granted bool) {
-	waitUntil := deadline
-	if !w.retryAt.IsZero() && w.retryAt.Before(deadline) {
-		waitUntil = w.retryAt
+// wait waits until the waiter is granted something. It reports false at the deadline.
+func (p *Pool) wait(now, deadline time.Time, server fleet.ServerID, w *waiter) (granted grant, found bool) {
+	select {
+	case granted := <-w.granted:
+		return granted, true
+	default:
 	}
-	timer := time.NewTimer(waitUntil.Sub(now))
+	timer := time.NewTimer(deadline.Sub(now))
 	defer timer.Stop()
 	select {
-	case conn := <-w.granted:
-		return conn, true
+	case granted := <-w.granted:
+		return granted, true
 	case <-timer.C:
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
-		if i := slices.Index(s.waiting, w); i >= 0 {
-			s.waiting = slices.Delete(s.waiting, i, i+1)
-			return nil, false
+		if s.queue.remove(w) {
+			return grant{}, false
+		}
+		if i := slices.Index(s.control, w); i >= 0 {
+			s.control = slices.Delete(s.control, i, i+1)
+			return grant{}, false
 		}
 	}
 	select {
-	case conn := <-w.granted:
-		return conn, true
+	case granted := <-w.granted:
+		return granted, true
 	default:
-		return nil, false
+		return grant{}, false
 	}
 }
 
 // open opens a connection for which a place is already counted. Retry is true if
-// the server refused it because it accepts no further connection for now.
-func (p *Pool) open(deadline time.Time, server fleet.ServerID, workspace fleet.WorkspaceID) (pooledConn *PooledConn, failure *session.RunError, retry bool) {
+// the server refused it because it accepts no further connection for now, or if its
+// address has changed.
+func (p *Pool) open(deadline time.Time, s *serverState, request Request) (pooledConn *PooledConn, failure *session.RunError, retry bool) {
 	p.mu.Lock()
-	s := p.servers[server]
-	var target Server
-	if s != nil {
-		target = s.server
+	target := s.server
+	if p.servers[target.ID] != s {
+		p.mu.Unlock()
+		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}, true
 	}
 	p.mu.Unlock()
-	if s == nil {
-		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is gone"}, false
-	}
-	conn, failure := p.dialer.Dial(deadline, target, workspace)
+	began := p.clock()
+	conn, failure := p.dialer.Dial(deadline, target, request.Workspace)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
 	if failure == nil {
-		p.mu.Lock()
 		s.dialBackoff = 0
-		p.mu.Unlock()
-		return &PooledConn{Conn: conn, State: session.NewConnState(), owner: s, workspace: workspace}, nil, false
+		s.handshake.add(now.Sub(began))
+		return &PooledConn{
+			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
+			weight: request.Weight, workspace: request.Workspace,
+		}, nil, false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	s.open--
+	s.endService(request.Workspace)
 	refused := failure.Kind == session.KindBusy
 	if refused {
-		s.limit = max(1, s.open)
-		s.limitChangedAt = p.clock()
-		s.dialBackoff = min(maxDialBackoff, max(initialDialBackoff, 2*s.dialBackoff))
-		s.refusedUntil = s.limitChangedAt.Add(s.dialBackoff)
+		s.refuse(now)
+		time.AfterFunc(s.dialBackoff, func() { p.dispatch(s) })
 	}
-	s.wakeWaiters(p.clock())
+	s.dispatch(now)
 	return nil, failure, refused
 }
 
+// dispatch serves the waiters of a server after its backoff has ended.
+func (p *Pool) dispatch(s *serverState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.dispatch(p.clock())
+}
+
 // Release returns a connection to the pool.
 func (p *Pool) Release(server fleet.ServerID, conn *PooledConn) {
 	p.mu.Lock()
@@ -380,29 +320,21 @@
 		conn.Close()
 		return
 	}
+	if conn.inService {
+		conn.inService = false
+		s.endService(conn.workspace)
+	}
 	if conn.broken || !conn.Reusable() || conn.State.Uncertain() || s.open > s.limit {
 		conn.Close()
 		s.open--
-		s.wakeWaiters(now)
+		s.dispatch(now)
 		return
 	}
 	conn.releasedAt = now
-	if w := s.nextWaiter(now, conn.workspace); w != nil {
-		if w.anyWorkspace || w.workspace == conn.workspace {
-			w.granted <- conn
-			return
-		}
-		conn.Close()
-		w.granted <- nil
-		return
-	}
-	if len(s.idle) >= s.server.Idle {
-		// Close it, so that other instances can open a connection.
-		conn.Close()
-		s.open--
-		return
-	}
 	s.idle = append(s.idle, conn)
+	s.dispatch(now)
+	// Close connections above the limit, so that other instances can open some.
+	s.trimIdle()
 }
 
 // Sweep closes connections that were idle for longer than maxIdleTime.
@@ -412,7 +344,6 @@
 	for _, s := range p.servers {
 		for len(s.idle) > 0 && now.Sub(s.idle[0].releasedAt) > maxIdleTime {
 			s.closeOldest()
-			s.open--
 		}
 	}
 }
@@ -423,7 +354,7 @@
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
 		s.closeIdle()
-		s.wakeWaiters(p.clock())
+		s.dispatch(p.clock())
 	}
 }
 
@@ -435,112 +366,3 @@
 		s.closeIdle()
 	}
 }
-
-// trimIdle closes idle connections until their number is within the limit, the
-// least recently used ones first.
-func (s *serverState) trimIdle() {
-	for len(s.idle) > s.server.Idle {
-		s.closeOldest()
-		s.open--
-	}
-}
-
-// closeOldest closes the least recently used idle connection. It stays counted in
-// open, so that the caller can open another one in its place.
-func (s *serverState) closeOldest() {
-	s.idle[0].Close()
-	s.idle = s.idle[1:]
-}
-
-// closeIdle closes all idle connections.
-func (s *serverState) closeIdle() {
-	for _, conn := range s.idle {
-		conn.Close()
-	}
-	s.open -= len(s.idle)
-	s.idle = nil
-}
-
-// raiseLimit raises a limit that was lowered after a refusal, by one each
-// limitRaiseInterval.
-func (s *serverState) raiseLimit(now time.Time) {
-	if s.limit < s.server.Limit && now.Sub(s.limitChangedAt) >= limitRaiseInterval {
-		s.limit++
-		s.limitChangedAt = now
-	}
-}
-
-// takeIdle removes and returns an idle connection of the workspace, or nil. It
-// prefers one on which exactly the session variables are set, and then the most
-// recently used one.
-func (s *serverState) takeIdle(workspace fleet.WorkspaceID, variables map[string]string) *PooledConn {
-	chosen := -1
-	for i := len(s.idle) - 1; i >= 0; i-- {
-		if s.idle[i].workspace != workspace {
-			continue
-		}
-		if s.idle[i].State.HasVariables(variables) {
-			chosen = i
-			break
-		}
-		if chosen < 0 {
-			chosen = i
-		}
-	}
-	if chosen < 0 {
-		return nil
-	}
-	conn := s.idle[chosen]
-	s.idle = slices.Delete(s.idle, chosen, chosen+1)
-	if !conn.Alive() {
-		conn.Close()
-		s.open--
-		return s.takeIdle(workspace, variables)
-	}
-	return conn
-}
-
-// enqueue adds a waiter behind the others of its priority.
-func (s *serverState) enqueue(w *waiter) {
-	index := len(s.waiting)
-	for index > 0 && s.waiting[index-1].priority > w.priority {
-		index--
-	}
-	s.waiting = slices.Insert(s.waiting, index, w)
-}
-
-// nextWaiter removes and returns the next waiter, or nil. This is the first one of
-// the given workspace with the priority of the queue's head, unless there is none
-// or the head has waited for reusePreferencePeriod or accepts any workspace.
-func (s *serverState) nextWaiter(now time.Time, workspace fleet.WorkspaceID) *waiter {
-	if len(s.waiting) == 0 {
-		return nil
-	}
-	chosen := 0
-	if first := s.waiting[0]; !first.anyWorkspace && now.Sub(first.enqueuedAt) < reusePreferencePeriod {
-		chosen = max(0, slices.IndexFunc(s.waiting, func(w *waiter) bool { return w.priority == first.priority && w.workspace == workspace }))
-	}
-	w := s.waiting[chosen]
-	s.waiting = slices.Delete(s.waiting, chosen, chosen+1)
-	return w
-}
-
-// moveWaiters lets all waiters go on with the state that replaced this one, or fail if
-// the server was removed.
-func (s *serverState) moveWaiters(replacement *serverState) {
-	for _, w := range s.waiting {
-		if replacement != nil {
-			replacement.open++
-		}
-		w.granted <- nil
-	}
-	s.waiting = nil
-}
-
-// wakeWaiters lets waiters open connections while the limit allows it.
-func (s *serverState) wakeWaiters(now time.Time) {
-	for len(s.waiting) > 0 && s.open < s.limit && !now.Before(s.refusedUntil) {
-		s.open++
-		s.nextWaiter(now, "").granted <- nil
-	}
-}
--- /dev/null
+++ b/pool/queue.go
@@ -0,0 +1,183 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+// grant is what a waiter receives: a connection, a failure, or if both are nil the right
+// to open a connection to the server.
+type grant struct {
+	conn    *PooledConn
+	failure *session.RunError
+	server  *serverState
+}
+
+// waiter is a request that waits for a connection to a server.
+type waiter struct {
+	deadline   time.Time
+	enqueuedAt time.Time
+	granted    chan grant
+	priority   int
+	// variables are the session variables of the request.
+	variables map[string]string
+	weight    int
+	workspace fleet.WorkspaceID
+}
+
+// flow is the queue of one workspace.
+type flow struct {
+	// charged is the service that the workspace has received, divided by its weight.
+	charged time.Duration
+	// inService is the number of connections that the workspace uses or opens.
+	inService int
+	// waiters are in order of priority, and of deadline within a priority.
+	waiters []*waiter
+}
+
+// queue holds the requests that wait for a connection to one server. The workspaces share
+// the server by start-time fair queueing: the one that has received the least service goes
+// first, and a handshake counts as service to the workspace for which it is made, so that
+// a workspace with many requests waits behind itself. It isn't safe for concurrent use.
+type queue struct {
+	flows map[fleet.WorkspaceID]*flow
+	// size is the number of waiters in the flows.
+	size int
+	// virtual is the charge with which a workspace starts that had no requests.
+	virtual time.Duration
+}
+
+func newQueue() *queue {
+	return &queue{flows: map[fleet.WorkspaceID]*flow{}}
+}
+
+// flow returns the flow of a workspace and creates it if needed.
+func (q *queue) flow(workspace fleet.WorkspaceID) *flow {
+	f := q.flows[workspace]
+	if f == nil {
+		f = &flow{charged: q.virtual}
+		q.flows[workspace] = f
+	}
+	return f
+}
+
+// add adds a waiter behind those of its workspace with a higher priority, or with the
+// same priority and an earlier deadline.
+func (q *queue) add(w *waiter) {
+	f := q.flow(w.workspace)
+	if len(f.waiters) == 0 {
+		f.charged = max(f.charged, q.virtual)
+	}
+	index, _ := slices.BinarySearchFunc(f.waiters, w, func(queued, added *waiter) int {
+		if order := cmp.Or(cmp.Compare(queued.priority, added.priority), queued.deadline.Compare(added.deadline)); order != 0 {
+			return order
+		}
+		return -1
+	})
+	f.waiters = slices.Insert(f.waiters, index, w)
+	q.size++
+}
+
+// remove removes a waiter. It reports false if the waiter is not queued.
+func (q *queue) remove(w *waiter) bool {
+	f := q.flows[w.workspace]
+	if f == nil {
+		return false
+	}
+	index := slices.Index(f.waiters, w)
+	if index < 0 {
+		return false
+	}
+	f.waiters = slices.Delete(f.waiters, index, index+1)
+	q.size--
+	q.prune(w.workspace)
+	return true
+}
+
+// prune forgets a workspace that neither waits nor is in service and whose charge no
+// longer delays it.
+func (q *queue) prune(workspace fleet.WorkspaceID) {
+	if f := q.flows[workspace]; f != nil && len(f.waiters) == 0 && f.inService == 0 && f.charged <= q.virtual {
+		delete(q.flows, workspace)
+	}
+}
+
+// waits reports whether a request of the workspace is queued.
+func (q *queue) waits(workspace fleet.WorkspaceID) bool {
+	f := q.flows[workspace]
+	return f != nil && len(f.waiters) > 0
+}
+
+// chargedTo returns the charge of a workspace.
+func (q *queue) chargedTo(workspace fleet.WorkspaceID) time.Duration {
+	if f := q.flows[workspace]; f != nil {
+		return max(f.charged, q.virtual)
+	}
+	return q.virtual
+}
+
+// next returns the waiter to serve next, or nil. The function cost returns the handshake
+// time that serving the waiter takes, and false if it can't be served now.
+func (q *queue) next(cost func(*waiter, *flow) (handshake time.Duration, ok bool)) *waiter {
+	var best *waiter
+	var bestTag time.Duration
+	for _, f := range q.flows {
+		if len(f.waiters) == 0 {
+			continue
+		}
+		w := f.waiters[0]
+		if best != nil && w.priority > best.priority {
+			continue
+		}
+		handshake, ok := cost(w, f)
+		if !ok {
+			continue
+		}
+		tag := f.charged + handshake/time.Duration(w.weight)
+		if best == nil || w.priority < best.priority || tag < bestTag ||
+			(tag == bestTag && cmp.Or(w.deadline.Compare(best.deadline), cmp.Compare(w.workspace, best.workspace)) < 0) {
+			best, bestTag = w, tag
+		}
+	}
+	return best
+}
+
+// charge counts service that a workspace of the given weight receives.
+func (q *queue) charge(workspace fleet.WorkspaceID, weight int, service time.Duration) {
+	f := q.flow(workspace)
+	f.charged = max(f.charged, q.virtual) + service/time.Duration(weight)
+}
+
+// advance raises the charge with which a workspace starts to the least charge of the
+// workspaces that wait, or that of the one that was served last.
+func (q *queue) advance(served time.Duration) {
+	least := served
+	for _, f := range q.flows {
+		if len(f.waiters) > 0 {
+			least = min(least, f.charged)
+		}
+	}
+	q.virtual = max(q.virtual, least)
+	if q.size > 0 {
+		return
+	}
+	for workspace := range q.flows {
+		q.prune(workspace)
+	}
+}
+
+// takeAll removes and returns all waiters.
+func (q *queue) takeAll() []*waiter {
+	var all []*waiter
+	for workspace, f := range q.flows {
+		all = append(all, f.waiters...)
+		f.waiters = nil
+		q.prune(workspace)
+	}
+	q.size = 0
+	return all
+}
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,280 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+const (
+	// initialHandshake and initialService are the times of a handshake and of a
+	// statement that are assumed until some were measured.
+	initialHandshake = 12 * time.Millisecond
+	initialService   = 8 * time.Millisecond
+	// batchHandshakes is how many times the handshake's duration a connection serves its
+	// workspace before another one may take it over while requests of its workspace
+	// wait. Handshakes then take at most a fifth of the server's time.
+	batchHandshakes = 4
+	// inServicePerSlot bounds the statements and handshakes in service at a server by its
+	// slots. More than one for each slot keeps the slots busy while answers and next
+	// statements are on the way; more than needed would queue at the server in order of
+	// arrival instead of here.
+	inServicePerSlot = 2
+)
+
+// serverState holds the connections to one server and the requests that wait for
+// one.
+type serverState struct {
+	// control are the waiting queries of the instance itself. They go before the queue,
+	// and any connection will do for them.
+	control []*waiter
+	queue   *queue
+
+	// refusedUntil is when the server may be dialed again after it refused a
+	// connection, and dialBackoff is the backoff that led to it.
+	refusedUntil time.Time
+	dialBackoff  time.Duration
+
+	// inService is the number of statements and handshakes that occupy the server.
+	inService int
+	handshake average
+	service   average
+
+	limitChangedAt time.Time
+	// idle are the connections that are not in use, in the order of their last use.
+	idle []*PooledConn
+	// limit is the current limit, which is lowered after the server refused a
+	// connection.
+	limit int
+	// open counts all connections, including idle ones and those that waiters
+	// are about to open.
+	open   int
+	server Server
+}
+
+func newServerState(now time.Time, server Server) *serverState {
+	return &serverState{
+		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, queue: newQueue(),
+		server: server, service: average{initial: initialService},
+	}
+}
+
+// dispatch grants connections, and the right to open connections, to waiters while that
+// is possible.
+func (s *serverState) dispatch(now time.Time) {
+	s.raiseLimit(now)
+	for len(s.control) > 0 && s.grantControl() {
+	}
+	for s.queue.size > 0 && s.mayServe() {
+		w := s.queue.next(func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
+		if w == nil {
+			return
+		}
+		s.grantTo(now, w)
+	}
+}
+
+// mayServe reports whether another statement may be sent to the server.
+func (s *serverState) mayServe() bool {
+	return s.server.Slots <= 0 || s.inService < inServicePerSlot*s.server.Slots
+}
+
+// grantControl serves the first query of the instance itself. It reports false if no
+// connection is free.
+func (s *serverState) grantControl() bool {
+	w := s.control[0]
+	switch {
+	case len(s.idle) > 0:
+		conn := s.idle[0]
+		s.idle = s.idle[1:]
+		w.granted <- grant{conn: conn, server: s}
+	case s.open < s.limit || s.open == 0:
+		s.open++
+		w.granted <- grant{server: s}
+	default:
+		return false
+	}
+	s.control = s.control[1:]
+	return true
+}
+
+// handshakeFor returns the handshake time that serving a waiter takes now. It reports
+// false if the waiter needs a connection and none can be opened.
+func (s *serverState) handshakeFor(now time.Time, w *waiter, f *flow) (time.Duration, bool) {
+	if slices.ContainsFunc(s.idle, func(conn *PooledConn) bool { return conn.workspace == w.workspace }) {
+		return 0, true
+	}
+	if s.mayOpen(now) {
+		return s.handshake.get(), true
+	}
+	if f.inService > 0 && now.Sub(w.enqueuedAt) < s.handshake.get() {
+		// A connection of the workspace will be free sooner.
+		return 0, false
+	}
+	return s.handshake.get(), s.replaceable() >= 0
+}
+
+// mayOpen reports whether a connection may be opened in addition to the open ones.
+func (s *serverState) mayOpen(now time.Time) bool {
+	return s.open < s.limit && !now.Before(s.refusedUntil)
+}
+
+// replaceable returns the index of the idle connection that a connection of another
+// workspace may replace: the least recently used one of a workspace that doesn't wait,
+// or else the one of the workspace with the most service whose batch is complete. It
+// returns -1 if there is none.
+func (s *serverState) replaceable() int {
+	chosen, mostCharged := -1, time.Duration(0)
+	batch := batchHandshakes * s.handshake.get()
+	for i, conn := range s.idle {
+		if !s.queue.waits(conn.workspace) {
+			return i
+		}
+		if charged := s.queue.chargedTo(conn.workspace); conn.served >= batch && (chosen < 0 || charged > mostCharged) {
+			chosen, mostCharged = i, charged
+		}
+	}
+	return chosen
+}
+
+// grantTo removes a waiter that can be served from the queue and serves it.
+func (s *serverState) grantTo(now time.Time, w *waiter) {
+	s.queue.remove(w)
+	f := s.queue.flow(w.workspace)
+	cost := s.service.get()
+	conn := s.takeIdle(now, w.workspace, w.variables)
+	if conn == nil {
+		cost += s.handshake.get()
+		if s.mayOpen(now) {
+			s.open++
+		} else {
+			// The connection stays counted in open, for the one in its place.
+			i := s.replaceable()
+			if i < 0 {
+				// The idle connection of the workspace was dead, and none may be opened.
+				s.queue.add(w)
+				return
+			}
+			s.idle[i].Close()
+			s.idle = slices.Delete(s.idle, i, i+1)
+		}
+	}
+	f.inService++
+	s.inService++
+	served := f.charged
+	s.queue.charge(w.workspace, w.weight, cost)
+	s.queue.advance(served)
+	if conn != nil {
+		conn.inService, conn.weight = true, w.weight
+	}
+	w.granted <- grant{conn: conn, server: s}
+}
+
+// beginService counts a statement on a connection that is not in service: one of a
+// transaction, which doesn't wait in the queue.
+func (s *serverState) beginService(conn *PooledConn) {
+	if conn.inService || conn.workspace == controlWorkspace {
+		return
+	}
+	conn.inService = true
+	s.queue.charge(conn.workspace, max(1, conn.weight), s.service.get())
+	s.queue.flow(conn.workspace).inService++
+	s.inService++
+}
+
+// endService counts that a connection of a workspace is no longer in service.
+func (s *serverState) endService(workspace fleet.WorkspaceID) {
+	if f := s.queue.flows[workspace]; f != nil && f.inService > 0 {
+		f.inService--
+		s.inService--
+		s.queue.prune(workspace)
+	}
+}
+
+// takeIdle removes and returns an idle connection of the workspace, or nil. It
+// prefers one on which exactly the session variables are set, and then the most
+// recently used one.
+func (s *serverState) takeIdle(now time.Time, workspace fleet.WorkspaceID, variables map[string]string) *PooledConn {
+	chosen := -1
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if s.idle[i].workspace != workspace {
+			continue
+		}
+		if s.idle[i].State.HasVariables(variables) {
+			chosen = i
+			break
+		}
+		if chosen < 0 {
+			chosen = i
+		}
+	}
+	if chosen < 0 {
+		return nil
+	}
+	conn := s.idle[chosen]
+	s.idle = slices.Delete(s.idle, chosen, chosen+1)
+	// A connection that was released just now has answered just now.
+	if !conn.releasedAt.Equal(now) && !conn.Alive() {
+		conn.Close()
+		s.open--
+		return s.takeIdle(now, workspace, variables)
+	}
+	return conn
+}
+
+// refuse lowers the limit after the server refused a connection, and sets the time until
+// which it isn't dialed.
+func (s *serverState) refuse(now time.Time) {
+	s.limit = max(1, s.open)
+	s.limitChangedAt = now
+	s.dialBackoff = min(maxDialBackoff, max(initialDialBackoff, 2*s.dialBackoff))
+	s.refusedUntil = now.Add(s.dialBackoff)
+}
+
+// raiseLimit raises a limit that was lowered after a refusal, by one each
+// limitRaiseInterval.
+func (s *serverState) raiseLimit(now time.Time) {
+	if s.limit < s.server.Limit && now.Sub(s.limitChangedAt) >= limitRaiseInterval {
+		s.limit++
+		s.limitChangedAt = now
+	}
+}
+
+// trimIdle closes idle connections until their number is within the limit, the
+// least recently used ones first.
+func (s *serverState) trimIdle() {
+	for len(s.idle) > s.server.Idle {
+		s.closeOldest()
+	}
+}
+
+// closeOldest closes the least recently used idle connection.
+func (s *serverState) closeOldest() {
+	s.idle[0].Close()
+	s.idle = s.idle[1:]
+	s.open--
+}
+
+// closeIdle closes all idle connections.
+func (s *serverState) closeIdle() {
+	for _, conn := range s.idle {
+		conn.Close()
+	}
+	s.open -= len(s.idle)
+	s.idle = nil
+}
+
+// failWaiters makes all waiters fail.
+func (s *serverState) failWaiters(text string) {
+	for _, w := range append(s.queue.takeAll(), s.control...) {
+		w.granted <- grant{failure: &session.RunError{Kind: session.KindBusy, Text: text}}
+	}
+	s.control = nil
+}
+
+// waiting returns the number of waiters.
+func (s *serverState) waiting() int {
+	return s.queue.size + len(s.control)
+}
