feat: refuse at once what a saturated server can't serve in time

Requests that could not be served in time waited until their deadline and were refused then; at an owner, the caller's instance sent them up to four times to the same queue ("4 attempts, took 748 ms"). The refusal named a fixed retry delay.

The pool estimates the wait of a request from the measured occupation of the server by each request, its concurrency and the requests that go before, and compares estimates with the actual waits. A request is refused on arrival if its expected wait exceeds the time it has, and later in the queue. Estimates are used only while the server answers, and samples of a frozen server are bounded. RetryAfter is the time until the queue would accept the request; each refused request gets a later one than the one before, with jitter. A refusal for saturation is not retried, and a retry budget bounds other retries. A read that a server refuses goes to another one. Requests that wait for a server which becomes unreachable fail at once. The wait for a connection of an owner no longer counts towards the deadline of the first attempt of a read, after which the read was sent again while the first one still waited.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -142,7 +142,8 @@
 
 	gw, peerHandler := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
 	callers := platform.NewCallerServer(session.Config{
-		Clock: bootTime, AccessController: gw, Jitter: rand.Float64, Observer: gw, Sleep: time.Sleep, Router: gw,
+		Clock: bootTime, AccessController: gw, Jitter: rand.Float64, Observer: gw, Retries: session.NewRetryBudget(),
+		Sleep: time.Sleep, Router: gw,
 	}, gw.TransactionIdle)
 	gw.PublishState()
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -95,7 +95,7 @@
 }
 
 // probeServer checks one server. If the server becomes unreachable, its idle
-// connections are closed. A change in either direction is logged and reported to
+// connections are closed and the requests that wait for it fail. A change in either direction is logged and reported to
 // the other instances.
 func (g *Gateway) probeServer(ctx context.Context, server pool.Server) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -108,7 +108,7 @@
 		number := event.ServerReachable
 		if unreachable {
 			number = event.ServerUnreachable
-			g.pool.CloseIdle(server.ID)
+			g.pool.Abandon(server.ID)
 			g.notifyWitnesses(server)
 		}
 		g.config.Log.Record(number, event.Fields{Database: server.Group, Server: server.ID})
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -109,15 +109,17 @@
 	return reply, failure
 }
 
-// recordFailedWait adds the time waited for a connection that was not granted to
-// the server's latency estimate.
-func (l *lease) recordFailedWait() {
+// recordFailedWait adds a connection that was not granted to the server's latency
+// estimate, with the time until which the request could have waited. A refusal at once
+// would otherwise make the server seem fast.
+func (l *lease) recordFailedWait(waitable time.Time) {
 	g := l.gateway
 	now := g.config.Clock()
+	wait := max(now.Sub(l.requestedAt), waitable.Sub(l.requestedAt))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if server := g.servers[l.server]; server != nil {
-		server.latency.Record(now, now.Sub(l.requestedAt))
+		server.latency.Record(now, wait)
 	}
 }
 
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -124,7 +124,14 @@
 	if g.stoppedOwning(g.config.Clock()) {
 		return refusedBatch(errStopping)
 	}
+	began := g.config.Clock()
 	acquired, err := g.acquire(requirements, true)
+	// The wait for a connection doesn't count towards the deadline of an attempt, which
+	// detects lost answers.
+	deadline = deadline.Add(g.config.Clock().Sub(began))
+	if deadline.After(requirements.Deadline) {
+		deadline = requirements.Deadline
+	}
 	if err != nil {
 		return owner.Response{
 			Failure:     &session.RunError{Kind: err.Kind, RetryAfter: err.RetryAfter, Text: err.Err.Error()},
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -99,7 +99,8 @@
 	l.ended = true
 	rollback := session.Batch{Commands: []session.Command{{Statement: session.Statement{Kind: session.StatementRollback}}}, Final: true}
 	go func() {
-		_, _ = l.call(l.gateway.config.Clock().Add(ownerSilenceThreshold), owner.Request{Batch: rollback, Lease: l.id})
+		deadline := l.gateway.config.Clock().Add(ownerSilenceThreshold)
+		_, _ = l.call(deadline, deadline, owner.Request{Batch: rollback, Lease: l.id})
 	}()
 }
 
@@ -117,7 +118,12 @@
 		}
 	}
 	l.started = true
-	response, err := l.call(deadline, request)
+	waitUntil := deadline
+	if opens && l.requirements.Deadline.After(deadline) {
+		// The wait for a connection doesn't count towards the deadline of an attempt.
+		waitUntil = l.requirements.Deadline
+	}
+	response, err := l.call(deadline, waitUntil, request)
 	l.ended = batch.Final || err != nil || (opens && response.Failure != nil)
 	if err != nil {
 		return session.Reply{}, l.lostResponse(deadline, err)
@@ -126,22 +132,33 @@
 	if response.Server != "" {
 		l.server = response.Server
 	}
+	if opens && isSaturated(response) {
+		response.Failure.Saturated = true
+	}
 	if response.Unavailable {
 		l.gateway.recordOwnerUnavailable(l.requirements.Route.Group, l.peer.instance, response.Failure)
 	}
 	return response.Reply, response.Failure
 }
 
-// call sends one request. While the response takes long, the instance is probed, and
-// the call fails if it doesn't answer.
-func (l *remoteLease) call(deadline time.Time, request owner.Request) (owner.Response, error) {
+// isSaturated reports whether the other instance has refused to acquire a connection, and
+// said when the request may return. It has tried all servers that can run the request, so
+// another attempt would wait in the same queues.
+func isSaturated(response owner.Response) bool {
+	failure := response.Failure
+	return failure != nil && failure.Kind == session.KindBusy && failure.RetryAfter > 0 && response.Server == "" && !response.Unavailable
+}
+
+// call sends one request with a deadline, and waits for the response until waitUntil.
+// While that takes long, the instance is probed, and the call fails if it doesn't answer.
+func (l *remoteLease) call(deadline, waitUntil time.Time, request owner.Request) (owner.Response, error) {
 	g := l.gateway
 	now := g.config.Clock()
 	g.mu.Lock()
 	request.Deadline = g.storeClock.StoreTime(deadline)
 	request.RequirementsDeadline = g.storeClock.StoreTime(l.requirements.Deadline)
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now)+ownerResponseGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), waitUntil.Sub(now)+ownerResponseGrace)
 	defer cancel()
 	probing := time.AfterFunc(ownerSilenceThreshold, func() { l.probe(ctx, cancel) })
 	defer probing.Stop()
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -18,6 +19,9 @@
 	// primaryRetryAfter is the retry delay sent to a caller that was refused for
 	// lack of a usable server, most often because the primary is being replaced.
 	primaryRetryAfter = 300 * time.Millisecond
+	// minRetryAfter is the least retry delay sent to a caller that was refused because a
+	// server has too many requests. A shorter one costs more than the wait.
+	minRetryAfter = 10 * time.Millisecond
 	// drainingUseTime is how long a draining server still gets requests that only
 	// it can run. It stays below the 7 s that are allowed for new work on such a
 	// server.
@@ -49,14 +53,52 @@
 	if requirements.Write || requirements.Route.Consistency == sheet.ConsistencyPrimary {
 		return g.acquirePrimary(requirements, forPeer)
 	}
-	server, minPosition, primary, found := g.chooseReplica(requirements)
-	if !found {
-		return nil, &session.Error{Err: errors.New("no server with a recent enough log can be reached"), Kind: session.KindLagging, Op: "route", RetryAfter: primaryRetryAfter}
+	var refusal *session.Error
+	for {
+		server, minPosition, primary, found := g.chooseReplica(requirements)
+		if !found {
+			return nil, earlierRefusal(refusal, errNoRecentServer())
+		}
+		var l session.Lease
+		var err *session.Error
+		if primary {
+			l, err = g.acquirePrimary(requirements, forPeer)
+		} else {
+			l, err = g.lease(requirements, &lease{minPosition: minPosition, gateway: g, group: requirements.Route.Group, server: server})
+		}
+		if err == nil {
+			return l, nil
+		}
+		refusal = earlierRefusal(refusal, err)
+		if server == "" || err.Op != opConnect {
+			return nil, refusal
+		}
+		// Another server may be less loaded.
+		requirements.Avoid = withServer(requirements.Avoid, server)
 	}
-	if primary {
-		return g.acquirePrimary(requirements, forPeer)
+}
+
+// opConnect is the operation of errors of a connection that was not granted or opened.
+const opConnect = "connect"
+
+func errNoRecentServer() *session.Error {
+	return &session.Error{Err: errors.New("no server with a recent enough log can be reached"), Kind: session.KindLagging, Op: "route", RetryAfter: primaryRetryAfter}
+}
+
+// earlierRefusal returns the one of two refusals of a request after which it may return
+// earlier. The first one may be nil.
+func earlierRefusal(first, second *session.Error) *session.Error {
+	if first != nil && first.RetryAfter <= second.RetryAfter {
+		return first
 	}
-	return g.lease(requirements, &lease{minPosition: minPosition, gateway: g, group: requirements.Route.Group, server: server})
+	return second
+}
+
+// withServer returns a copy of a set of servers with one more.
+func withServer(servers map[fleet.ServerID]bool, server fleet.ServerID) map[fleet.ServerID]bool {
+	extended := map[fleet.ServerID]bool{server: true}
+	maps.Copy(extended, servers)
+	return extended
 }
 
 // acquirePrimary returns a connection to the primary. It waits until the primary may
@@ -193,12 +235,26 @@
 		l.conn = conn
 		return l, nil
 	}
-	l.recordFailedWait()
+	l.recordFailedWait(requirements.Deadline.Add(-executionReserve))
 	l.endUse()
 	if failure.Kind != session.KindBusy {
 		g.reportFailure(l.server)
 	}
-	return nil, &session.Error{Err: errors.New(failure.Text), Kind: session.KindBusy, Op: "connect", RetryAfter: primaryRetryAfter}
+	return nil, &session.Error{
+		Err: errors.New(failure.Text), Kind: session.KindBusy, Op: opConnect, RetryAfter: g.jitteredRetryAfter(failure.RetryAfter), Saturated: failure.Saturated,
+	}
+}
+
+// jitteredRetryAfter returns the delay that is sent to a refused caller: up to a quarter
+// more than the time after which the request could be served, so that refused callers
+// don't return together.
+func (g *Gateway) jitteredRetryAfter(delay time.Duration) time.Duration {
+	if delay == 0 {
+		delay = primaryRetryAfter
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(minRetryAfter, delay+time.Duration(g.random.Float64()*float64(delay)/4))
 }
 
 // workspaceWeight returns the relative share of a workspace when requests wait.
--- a/pool/average.go
+++ b/pool/average.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// maxSampleRatio bounds a sample by the average, so that the statements that were running
+// while a server was frozen don't make it seem overloaded afterwards.
+const maxSampleRatio = 4
+
 // averageWeight is the weight of a new sample in an average: a change of the load is
 // followed within some tens of samples, and one statement of a heavy tail moves the
 // average by little.
@@ -19,6 +23,9 @@
 func (a *average) add(sample time.Duration) {
 	a.samples++
 	weight := max(averageWeight, 1/float64(a.samples))
+	if a.samples > 1 {
+		sample = min(sample, maxSampleRatio*max(a.value, time.Millisecond))
+	}
 	a.value += time.Duration(weight * float64(sample-a.value))
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -202,7 +202,7 @@
 	}
 	s.queue.add(w)
 	s.dispatch(now)
-	return w, nil
+	return w, s.refuseArrival(now, w)
 }
 
 // controlWorkspace is the workspace of connections that AcquireAny opens.
@@ -253,7 +253,7 @@
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
 		if s.queue.remove(w) {
-			return grant{}, false
+			return grant{failure: s.saturated(p.clock(), 0, "all connections to the server are in use")}, true
 		}
 		if i := slices.Index(s.control, w); i >= 0 {
 			s.control = slices.Delete(s.control, i, i+1)
@@ -289,11 +289,13 @@
 		s.handshake.add(now.Sub(began))
 		return &PooledConn{
 			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
-			weight: request.Weight, workspace: request.Workspace,
+			serviceBegan: began, weight: request.Weight, workspace: request.Workspace,
 		}, nil, false
 	}
 	s.open--
-	s.endService(request.Workspace)
+	if request.Workspace != controlWorkspace {
+		s.endService(now, request.Workspace, began)
+	}
 	refused := failure.Kind == session.KindBusy
 	if refused {
 		s.refuse(now)
@@ -322,7 +324,7 @@
 	}
 	if conn.inService {
 		conn.inService = false
-		s.endService(conn.workspace)
+		s.endService(now, conn.workspace, conn.serviceBegan)
 	}
 	if conn.broken || !conn.Reusable() || conn.State.Uncertain() || s.open > s.limit {
 		conn.Close()
@@ -348,13 +350,14 @@
 	}
 }
 
-// CloseIdle closes the idle connections to one server.
-func (p *Pool) CloseIdle(server fleet.ServerID) {
+// Abandon closes the idle connections to a server that doesn't answer, and makes the
+// requests that wait for it fail, so that they can go to another one.
+func (p *Pool) Abandon(server fleet.ServerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
 		s.closeIdle()
-		s.dispatch(p.clock())
+		s.failWaiters("the server does not answer")
 	}
 }
 
--- a/pool/pooledconn.go
+++ b/pool/pooledconn.go
@@ -19,6 +19,8 @@
 	owner      *serverState
 	pool       *Pool
 	releasedAt time.Time
+	// serviceBegan is when the connection was last granted or began a statement.
+	serviceBegan time.Time
 	// served is the time for which statements have used the connection.
 	served    time.Duration
 	weight    int
@@ -43,8 +45,9 @@
 func (p *Pool) beginRun(conn *PooledConn) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.owner.beginService(conn)
-	return p.clock()
+	now := p.clock()
+	conn.owner.beginService(now, conn)
+	return now
 }
 
 // endRun counts the end of a statement. Outside a transaction the connection stays in
@@ -62,7 +65,7 @@
 	}
 	if !conn.Reusable() {
 		conn.inService = false
-		s.endService(conn.workspace)
+		s.endService(now, conn.workspace, conn.serviceBegan)
 		s.dispatch(now)
 	}
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -21,8 +21,10 @@
 type waiter struct {
 	deadline   time.Time
 	enqueuedAt time.Time
-	granted    chan grant
-	priority   int
+	// estimate is the wait that was estimated on arrival.
+	estimate time.Duration
+	granted  chan grant
+	priority int
 	// variables are the session variables of the request.
 	variables map[string]string
 	weight    int
--- a/pool/replay_test.go
+++ b/pool/replay_test.go
@@ -227,3 +227,77 @@
 		}
 	})
 }
+
+// TestOverload guards against requests that wait until their deadline although they can't
+// be served in time, and against refusals that leave the server idle: requests arrive at
+// 1.5 times the rate that the server can run.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReplay(newReplayServer(4), pool.Server{Address: "a", ID: "s", Idle: 33, Limit: 33, Slots: 4})
+		r.arrivals(10*time.Second, 840, r.oneOf(20))
+		r.running.Wait()
+		const from, to = 2 * time.Second, 10 * time.Second
+		all := r.summarize(from, to)
+		atOnce, heldToDeadline := 0, 0
+		for _, outcomes := range r.outcomes {
+			for _, o := range outcomes {
+				switch {
+				case o.served || o.arrived < from || o.arrived >= to:
+				case o.latency == 0:
+					atOnce++
+				case o.latency >= replayTimeout:
+					heldToDeadline++
+				}
+			}
+		}
+		t.Logf("%+v; %d refused at once, %d at the deadline", all, atOnce, heldToDeadline)
+		if atOnce*2 < all.refused || heldToDeadline*100 > all.refused {
+			t.Errorf("of %d refused requests, %d were refused at once and %d at the deadline; want at least half and at most 1%%", all.refused, atOnce, heldToDeadline)
+		}
+		const capacity = 565 * 8
+		if served := all.late + all.served; served*10 < capacity*9 {
+			t.Errorf("%d were served of %d that the server can run, want 90%%", served, capacity)
+		}
+	})
+}
+
+// TestBurst guards against refusing requests of a burst that can all be served in time.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReplay(newReplayServer(4), pool.Server{Address: "a", ID: "s", Idle: 33, Limit: 33, Slots: 4})
+		workspace := r.oneOf(20)
+		r.arrivals(3*time.Second, 100, workspace)
+		for range 20 {
+			for range 150 {
+				r.statement(workspace())
+			}
+			time.Sleep(time.Second)
+		}
+		r.running.Wait()
+		if all := r.summarize(0, time.Minute); all.refused > 0 {
+			t.Errorf("%d of %d requests were refused, want none", all.refused, all.refused+all.served+all.late)
+		}
+	})
+}
+
+// TestHotWorkspace guards against requests of other workspaces that wait behind those of
+// one workspace that sends more than the server can run.
+func TestHotWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReplay(newReplayServer(4), pool.Server{Address: "a", ID: "s", Idle: 33, Limit: 33, Slots: 4})
+		light := r.oneOf(20)
+		r.arrivals(8*time.Second, 750, func() fleet.WorkspaceID {
+			if r.random.IntN(750) < 150 {
+				return light()
+			}
+			return "hot"
+		})
+		r.running.Wait()
+		hot := r.summarize(time.Second, 8*time.Second, "hot")
+		all := r.summarize(time.Second, 8*time.Second)
+		t.Logf("hot: %+v, all: %+v", hot, all)
+		if others := all.refused - hot.refused + all.late - hot.late; others > 0 {
+			t.Errorf("%d requests of the other workspaces were refused or late, want none", others)
+		}
+	})
+}
--- a/pool/server.go
+++ b/pool/server.go
@@ -39,8 +39,18 @@
 
 	// inService is the number of statements and handshakes that occupy the server.
 	inService int
-	handshake average
-	service   average
+	// handshake, service and occupation are the times of a handshake, of a statement, and
+	// from the grant to the end of service, which includes the handshake if there is one.
+	handshake  average
+	service    average
+	occupation average
+	// lastServiceEnd is when the last statement or handshake ended.
+	lastServiceEnd time.Time
+	// nextReturn is when the next request that is refused may return.
+	nextReturn time.Time
+	shedAt     time.Time
+	// waitRatio is the ratio of actual to estimated waits, in units of 1/waitRatioUnit.
+	waitRatio average
 
 	limitChangedAt time.Time
 	// idle are the connections that are not in use, in the order of their last use.
@@ -57,7 +67,7 @@
 func newServerState(now time.Time, server Server) *serverState {
 	return &serverState{
 		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, queue: newQueue(),
-		server: server, service: average{initial: initialService},
+		server: server, service: average{initial: initialService}, waitRatio: average{initial: waitRatioUnit},
 	}
 }
 
@@ -70,10 +80,11 @@
 	for s.queue.size > 0 && s.mayServe() {
 		w := s.queue.next(func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
 		if w == nil {
-			return
+			break
 		}
 		s.grantTo(now, w)
 	}
+	s.shed(now)
 }
 
 // mayServe reports whether another statement may be sent to the server.
@@ -81,6 +92,12 @@
 	return s.server.Slots <= 0 || s.inService < inServicePerSlot*s.server.Slots
 }
 
+// isSaturated reports whether all slots of the server are in use, so that a handshake
+// delays statements.
+func (s *serverState) isSaturated() bool {
+	return s.server.Slots > 0 && s.inService >= s.server.Slots
+}
+
 // grantControl serves the first query of the instance itself. It reports false if no
 // connection is free.
 func (s *serverState) grantControl() bool {
@@ -109,7 +126,7 @@
 	if s.mayOpen(now) {
 		return s.handshake.get(), true
 	}
-	if f.inService > 0 && now.Sub(w.enqueuedAt) < s.handshake.get() {
+	if s.isSaturated() && f.inService > 0 && now.Sub(w.enqueuedAt) < s.handshake.get() {
 		// A connection of the workspace will be free sooner.
 		return 0, false
 	}
@@ -161,31 +178,34 @@
 			s.idle = slices.Delete(s.idle, i, i+1)
 		}
 	}
+	s.recordWait(w, now.Sub(w.enqueuedAt))
 	f.inService++
 	s.inService++
 	served := f.charged
 	s.queue.charge(w.workspace, w.weight, cost)
 	s.queue.advance(served)
 	if conn != nil {
-		conn.inService, conn.weight = true, w.weight
+		conn.inService, conn.serviceBegan, conn.weight = true, now, w.weight
 	}
 	w.granted <- grant{conn: conn, server: s}
 }
 
 // beginService counts a statement on a connection that is not in service: one of a
 // transaction, which doesn't wait in the queue.
-func (s *serverState) beginService(conn *PooledConn) {
+func (s *serverState) beginService(now time.Time, conn *PooledConn) {
 	if conn.inService || conn.workspace == controlWorkspace {
 		return
 	}
-	conn.inService = true
+	conn.inService, conn.serviceBegan = true, now
 	s.queue.charge(conn.workspace, max(1, conn.weight), s.service.get())
 	s.queue.flow(conn.workspace).inService++
 	s.inService++
 }
 
 // endService counts that a connection of a workspace is no longer in service.
-func (s *serverState) endService(workspace fleet.WorkspaceID) {
+func (s *serverState) endService(now time.Time, workspace fleet.WorkspaceID, began time.Time) {
+	s.occupation.add(now.Sub(began))
+	s.lastServiceEnd = now
 	if f := s.queue.flows[workspace]; f != nil && f.inService > 0 {
 		f.inService--
 		s.inService--
--- a/session/error.go
+++ b/session/error.go
@@ -61,6 +61,9 @@
 	// RetryAfter is how long to wait before a retry can succeed, or zero if it
 	// isn't known.
 	RetryAfter time.Duration
+	// Saturated means that the request was refused because a server has more requests
+	// than it can serve in time. It is not retried in the same queue.
+	Saturated bool
 }
 
 // Error returns the operation, the kind and the cause as text.
--- a/session/router.go
+++ b/session/router.go
@@ -63,6 +63,9 @@
 	// RetryAfter is how long to wait before a retry can succeed, or zero if it
 	// isn't known.
 	RetryAfter time.Duration
+	// Saturated means that the request was refused because the server has more requests
+	// than it can serve in time.
+	Saturated bool
 	// Text is the server's error message, or describes the connection error.
 	Text string
 }
--- a/session/session.go
+++ b/session/session.go
@@ -58,6 +58,8 @@
 	// Jitter returns a random number in [0, 1).
 	Jitter   func() float64
 	Observer Observer
+	// Retries bounds the retries of all sessions. Nil means no bound.
+	Retries *RetryBudget
 	// Sleep blocks for a duration.
 	Sleep  func(time.Duration)
 	Router Router
@@ -270,6 +272,7 @@
 // servers while the error allows it. If write is true, it retries only after an
 // error that proves that the request did not run.
 func (s *Session) runWithRetries(requirements *Requirements, attempts *int, write bool, run func(Lease) (Reply, *Error)) (Reply, *Error) {
+	s.config.Retries.Deposit()
 	for {
 		lease, err := s.config.Router.Acquire(*requirements)
 		if err != nil {
@@ -288,7 +291,7 @@
 			Refused:    err.Kind.NotRun(),
 			Idempotent: !write,
 		}
-		if *attempts >= maxAttempts || !attempt.MayRetry(s.config.Clock().Add(delay)) {
+		if err.Saturated || *attempts >= maxAttempts || !attempt.MayRetry(s.config.Clock().Add(delay)) || !s.mayWithdrawRetry(err) {
 			return Reply{}, s.readOutcome(write, err)
 		}
 		if server := lease.Server(); server != "" {
@@ -300,6 +303,12 @@
 	}
 }
 
+// mayWithdrawRetry takes a retry from the budget. The answer that a server lags or can't
+// write is part of routing and doesn't come from load, so it needs none.
+func (s *Session) mayWithdrawRetry(err *Error) bool {
+	return err.Kind == KindLagging || err.Kind == KindReadOnly || s.config.Retries.TryWithdraw()
+}
+
 // retryDelay returns the delay before the next attempt. Only a read that can go to
 // another replica is retried without delay.
 func (s *Session) retryDelay(attempts int, requirements Requirements, err *Error) time.Duration {
@@ -339,7 +348,7 @@
 
 // wrapRunError converts a failed command into the error of an operation.
 func wrapRunError(op string, failure *RunError) *Error {
-	return &Error{Err: errors.New(failure.Text), Kind: failure.Kind, Op: op, RetryAfter: failure.RetryAfter}
+	return &Error{Err: errors.New(failure.Text), Kind: failure.Kind, Op: op, RetryAfter: failure.RetryAfter, Saturated: failure.Saturated}
 }
 
 // newCommand returns the command that runs a statement on a server. For a prepared
