feat: reserve connections for single statements beside transactions

Sixty callers idle in transactions held all connections to a server for 7 s, and every single statement waited until its deadline. The wait for a transaction to end is estimated from how long transactions hold their connections. Transactions that may not begin count for nobody's expected wait.

--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -110,6 +110,8 @@
 	requirements.Deadline = requirementsDeadline
 	// A later start only requires a more recent log.
 	requirements.StartedAt = now
+	// A lease of one batch has no ID.
+	requirements.Transaction = request.Lease != ""
 	return g.openPeerLease(deadline, requirements, request)
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -228,7 +228,7 @@
 func (g *Gateway) lease(requirements session.Requirements, l *lease) (session.Lease, *session.Error) {
 	l.requestedAt = g.config.Clock()
 	conn, failure := g.pool.Acquire(l.server, pool.Request{
-		Deadline: requirements.Deadline.Add(-executionReserve), Priority: requirements.Route.Priority, Variables: requirements.Variables,
+		Deadline: requirements.Deadline.Add(-executionReserve), Priority: requirements.Route.Priority, Transaction: requirements.Transaction, Variables: requirements.Variables,
 		Weight: g.workspaceWeight(requirements.Workspace), Workspace: requirements.Workspace,
 	})
 	if failure == nil {
--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -35,14 +35,18 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// ahead returns the number of queued requests that are served before a queued one.
-func (q *queue) ahead(w *waiter, service, handshake time.Duration) int {
+// ahead returns the number of queued requests that are served before a queued one, except
+// those that may not begin now.
+func (q *queue) ahead(w *waiter, service time.Duration, mayBegin func(*waiter, *flow) bool) int {
 	own := q.flows[w.workspace]
-	n, tag := 0, own.charged+handshake/time.Duration(w.weight)
+	n, tag := 0, own.charged
 	for _, queued := range own.waiters {
 		if queued == w {
 			break
 		}
+		if !mayBegin(queued, own) {
+			continue
+		}
 		n++
 		tag += service / time.Duration(w.weight)
 	}
@@ -55,6 +59,9 @@
 			if queued.priority > w.priority || (queued.priority == w.priority && charged > tag) {
 				break
 			}
+			if !mayBegin(queued, f) {
+				continue
+			}
 			n++
 			charged += service / time.Duration(queued.weight)
 		}
@@ -81,7 +88,12 @@
 
 // expectedWait estimates how long a queued request still waits.
 func (s *serverState) expectedWait(w *waiter) time.Duration {
-	return time.Duration(s.queue.ahead(w, s.service.get(), 0)+1) * s.perRequest()
+	return max(s.queueWait(w), s.transactionWait(w))
+}
+
+// queueWait estimates how long a queued request waits for those that go before it.
+func (s *serverState) queueWait(w *waiter) time.Duration {
+	return time.Duration(s.queue.ahead(w, s.service.get(), s.mayBegin)+1) * s.perRequest()
 }
 
 // isEstimateUsable reports whether requests may be refused by the estimated wait.
@@ -93,15 +105,18 @@
 // confidence that its estimated wait must have.
 func (s *serverState) cannotServe(now time.Time, w *waiter, confidence float64) bool {
 	available := w.deadline.Sub(now)
+	if float64(s.transactionWait(w))*transactionConfidence > float64(available) {
+		return true
+	}
 	longest := time.Duration(s.queue.size) * s.perRequest()
-	return float64(longest)*confidence > float64(available) && float64(s.expectedWait(w))*confidence > float64(available)
+	return float64(longest)*confidence > float64(available) && float64(s.queueWait(w))*confidence > float64(available)
 }
 
 // recordWait compares the wait that was estimated for a request on arrival with the actual
 // one, or with the estimate at which the request was refused in the queue. Requests that
 // arrive later may go before it.
 func (s *serverState) recordWait(w *waiter, actual time.Duration) {
-	if w.estimate >= minComparedEstimate {
+	if !w.transaction && w.estimate >= minComparedEstimate {
 		s.waitRatio.add(min(time.Duration(float64(actual)/float64(w.estimate)*waitRatioUnit), maxWaitRatio))
 	}
 }
@@ -112,12 +127,12 @@
 	if len(w.granted) > 0 {
 		return nil
 	}
-	w.estimate = s.expectedWait(w)
+	w.estimate = s.queueWait(w)
 	ratio := float64(s.waitRatio.get()) / waitRatioUnit
 	if !s.isEstimateUsable(now) || !s.cannotServe(now, w, arrivalConfidence*ratio) {
 		return nil
 	}
-	excess := time.Duration(ratio*float64(w.estimate)) - w.deadline.Sub(now)
+	excess := max(time.Duration(ratio*float64(w.estimate)), s.transactionWait(w)) - w.deadline.Sub(now)
 	s.queue.remove(w)
 	return s.saturated(now, excess, "the server has too many requests to serve this one in time")
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -63,6 +63,8 @@
 // Counts are the numbers of connections and waiting requests of one server.
 type Counts struct {
 	Idle int
+	// InTransactions is the number of connections that transactions hold.
+	InTransactions int
 	// Open includes idle connections and those that are being opened.
 	Open    int
 	Waiting int
@@ -129,7 +131,7 @@
 	if s == nil {
 		return Counts{}
 	}
-	return Counts{Idle: len(s.idle), Open: s.open, Waiting: s.waiting()}
+	return Counts{Idle: len(s.idle), InTransactions: s.transactions, Open: s.open, Waiting: s.waiting()}
 }
 
 // HasIdle reports whether there is an idle connection of the workspace.
@@ -146,6 +148,8 @@
 	Deadline time.Time
 	// Priority orders waiting requests; lower values go first.
 	Priority int
+	// Transaction means that the connection is kept for a transaction.
+	Transaction bool
 	// Variables are the session variables. A connection on which exactly these
 	// are set is preferred.
 	Variables map[string]string
@@ -197,7 +201,7 @@
 		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
 	}
 	w := &waiter{
-		deadline: request.Deadline, enqueuedAt: now, granted: make(chan grant, 1), priority: request.Priority,
+		deadline: request.Deadline, enqueuedAt: now, granted: make(chan grant, 1), priority: request.Priority, transaction: request.Transaction,
 		variables: request.Variables, weight: max(1, request.Weight), workspace: request.Workspace,
 	}
 	s.queue.add(w)
@@ -289,12 +293,16 @@
 		s.handshake.add(now.Sub(began))
 		return &PooledConn{
 			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
-			serviceBegan: began, weight: request.Weight, workspace: request.Workspace,
+			grantedAt: began, serviceBegan: began, transaction: request.Transaction, weight: request.Weight, workspace: request.Workspace,
 		}, nil, false
 	}
 	s.open--
 	if request.Workspace != controlWorkspace {
 		s.endService(now, request.Workspace, began)
+		if request.Transaction {
+			s.transactions--
+			s.queue.flow(request.Workspace).transactions--
+		}
 	}
 	refused := failure.Kind == session.KindBusy
 	if refused {
@@ -322,6 +330,9 @@
 		conn.Close()
 		return
 	}
+	if conn.transaction {
+		s.endTransaction(now, conn)
+	}
 	if conn.inService {
 		conn.inService = false
 		s.endService(now, conn.workspace, conn.serviceBegan)
--- a/pool/pooledconn.go
+++ b/pool/pooledconn.go
@@ -13,6 +13,8 @@
 	State *session.ConnState
 
 	broken bool
+	// grantedAt is when the connection was last granted.
+	grantedAt time.Time
 	// inService is true while a statement of the connection occupies the server: from
 	// the grant to the end of its statement, or to the release outside a transaction.
 	inService  bool
@@ -22,9 +24,11 @@
 	// serviceBegan is when the connection was last granted or began a statement.
 	serviceBegan time.Time
 	// served is the time for which statements have used the connection.
-	served    time.Duration
-	weight    int
-	workspace fleet.WorkspaceID
+	served time.Duration
+	// transaction is true while a transaction holds the connection.
+	transaction bool
+	weight      int
+	workspace   fleet.WorkspaceID
 }
 
 // MarkBroken makes Release close the connection instead of reusing it.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -25,6 +25,8 @@
 	estimate time.Duration
 	granted  chan grant
 	priority int
+	// transaction means that the request keeps the connection for a transaction.
+	transaction bool
 	// variables are the session variables of the request.
 	variables map[string]string
 	weight    int
@@ -37,6 +39,8 @@
 	charged time.Duration
 	// inService is the number of connections that the workspace uses or opens.
 	inService int
+	// transactions is the number of connections that transactions of the workspace hold.
+	transactions int
 	// waiters are in order of priority, and of deadline within a priority.
 	waiters []*waiter
 }
@@ -49,6 +53,8 @@
 	flows map[fleet.WorkspaceID]*flow
 	// size is the number of waiters in the flows.
 	size int
+	// singles is the number of waiters that are not transactions.
+	singles int
 	// virtual is the charge with which a workspace starts that had no requests.
 	virtual time.Duration
 }
@@ -82,6 +88,9 @@
 	})
 	f.waiters = slices.Insert(f.waiters, index, w)
 	q.size++
+	if !w.transaction {
+		q.singles++
+	}
 }
 
 // remove removes a waiter. It reports false if the waiter is not queued.
@@ -96,6 +105,9 @@
 	}
 	f.waiters = slices.Delete(f.waiters, index, index+1)
 	q.size--
+	if !w.transaction {
+		q.singles--
+	}
 	q.prune(w.workspace)
 	return true
 }
@@ -103,7 +115,7 @@
 // prune forgets a workspace that neither waits nor is in service and whose charge no
 // longer delays it.
 func (q *queue) prune(workspace fleet.WorkspaceID) {
-	if f := q.flows[workspace]; f != nil && len(f.waiters) == 0 && f.inService == 0 && f.charged <= q.virtual {
+	if f := q.flows[workspace]; f != nil && len(f.waiters) == 0 && f.inService == 0 && f.transactions == 0 && f.charged <= q.virtual {
 		delete(q.flows, workspace)
 	}
 }
@@ -122,16 +134,18 @@
 	return q.virtual
 }
 
-// next returns the waiter to serve next, or nil. The function cost returns the handshake
-// time that serving the waiter takes, and false if it can't be served now.
-func (q *queue) next(cost func(*waiter, *flow) (handshake time.Duration, ok bool)) *waiter {
+// next returns the waiter to serve next, or nil. The function mayBegin reports whether a
+// waiter may be served now, and cost returns the handshake time that this takes, or false
+// if there is no connection for it.
+func (q *queue) next(mayBegin func(*waiter, *flow) bool, cost func(*waiter, *flow) (handshake time.Duration, ok bool)) *waiter {
 	var best *waiter
 	var bestTag time.Duration
 	for _, f := range q.flows {
-		if len(f.waiters) == 0 {
+		first := slices.IndexFunc(f.waiters, func(w *waiter) bool { return mayBegin(w, f) })
+		if first < 0 {
 			continue
 		}
-		w := f.waiters[0]
+		w := f.waiters[first]
 		if best != nil && w.priority > best.priority {
 			continue
 		}
@@ -180,6 +194,6 @@
 		f.waiters = nil
 		q.prune(workspace)
 	}
-	q.size = 0
+	q.size, q.singles = 0, 0
 	return all
 }
--- a/pool/replay_test.go
+++ b/pool/replay_test.go
@@ -24,6 +24,8 @@
 	maxConns int
 	mu       sync.Mutex
 	open     int
+	// refusals is the number of connections that were refused.
+	refusals int
 	slots    chan struct{}
 	// slowness multiplies the time of each statement.
 	slowness int
@@ -34,7 +36,10 @@
 }
 
 // replayConn is a connection to a replayServer.
-type replayConn struct{ server *replayServer }
+type replayConn struct {
+	inTransaction bool
+	server        *replayServer
+}
 
 func (s *replayServer) occupySlot(span time.Duration) {
 	s.slots <- struct{}{}
@@ -46,6 +51,7 @@
 func (s *replayServer) Dial(time.Time, pool.Server, fleet.WorkspaceID) (pool.Conn, *session.RunError) {
 	s.mu.Lock()
 	if s.maxConns > 0 && s.open >= s.maxConns {
+		s.refusals++
 		s.mu.Unlock()
 		return nil, &session.RunError{Kind: session.KindBusy, Text: "too many connections"}
 	}
@@ -57,7 +63,7 @@
 }
 
 func (c *replayConn) Alive() bool    { return true }
-func (c *replayConn) Reusable() bool { return true }
+func (c *replayConn) Reusable() bool { return !c.inTransaction }
 
 func (c *replayConn) Close() {
 	c.server.mu.Lock()
@@ -65,8 +71,12 @@
 	c.server.open--
 }
 
-// Run runs a statement whose text is its duration.
+// Run begins or ends a transaction, or runs a statement whose text is its duration.
 func (c *replayConn) Run(_ time.Time, commands []session.Command) (session.Reply, *session.RunError) {
+	if kind := commands[0].Kind; kind == session.StatementBegin || kind == session.StatementRollback {
+		c.inTransaction = kind == session.StatementBegin
+		return session.Reply{}, nil
+	}
 	work, err := time.ParseDuration(commands[0].Text)
 	if err != nil {
 		return session.Reply{}, &session.RunError{Kind: session.KindMalformed, Text: err.Error()}
@@ -143,9 +153,11 @@
 // hold opens a transaction in the background that stays idle for a duration.
 func (r *replay) hold(workspace fleet.WorkspaceID, span time.Duration) {
 	r.running.Go(func() {
-		conn, failure := r.pool.Acquire("s", pool.Request{Deadline: time.Now().Add(replayTimeout), Workspace: workspace})
+		conn, failure := r.pool.Acquire("s", pool.Request{Deadline: time.Now().Add(replayTimeout), Transaction: true, Workspace: workspace})
 		if failure == nil {
+			_, _ = conn.Run(time.Now(), []session.Command{{Statement: session.Statement{Kind: session.StatementBegin}}})
 			time.Sleep(span)
+			_, _ = conn.Run(time.Now(), []session.Command{{Statement: session.Statement{Kind: session.StatementRollback}}})
 			r.pool.Release("s", conn)
 		}
 	})
@@ -220,6 +232,11 @@
 		for at := time.Duration(0); at < 14*time.Second; at += time.Second {
 			t.Logf("%v: %+v", at, r.summarize(at, at+time.Second))
 		}
+		during := r.summarize(2*time.Second, began)
+		t.Logf("beside the transactions: %+v", during)
+		if during.refused*10 > during.late+during.served {
+			t.Errorf("beside the transactions, %d single statements were refused and %d served, want 90%%", during.refused, during.late+during.served)
+		}
 		after := r.summarize(began+time.Second, began+5*time.Second)
 		t.Logf("from 1 s after the transactions: %+v; %d handshakes", after, server.handshakes)
 		if after.refused > 0 || after.late*100 > after.served {
--- a/pool/server.go
+++ b/pool/server.go
@@ -44,6 +44,10 @@
 	handshake  average
 	service    average
 	occupation average
+	// hold is how long transactions hold their connections.
+	hold average
+	// transactions is the number of connections that transactions hold.
+	transactions int
 	// lastServiceEnd is when the last statement or handshake ended.
 	lastServiceEnd time.Time
 	// nextReturn is when the next request that is refused may return.
@@ -78,7 +82,7 @@
 	for len(s.control) > 0 && s.grantControl() {
 	}
 	for s.queue.size > 0 && s.mayServe() {
-		w := s.queue.next(func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
+		w := s.queue.next(s.mayBegin, func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
 		if w == nil {
 			break
 		}
@@ -184,8 +188,11 @@
 	served := f.charged
 	s.queue.charge(w.workspace, w.weight, cost)
 	s.queue.advance(served)
+	if w.transaction {
+		s.beginTransaction(f)
+	}
 	if conn != nil {
-		conn.inService, conn.serviceBegan, conn.weight = true, now, w.weight
+		conn.inService, conn.grantedAt, conn.serviceBegan, conn.transaction, conn.weight = true, now, now, w.transaction, w.weight
 	}
 	w.granted <- grant{conn: conn, server: s}
 }
--- a/session/router.go
+++ b/session/router.go
@@ -23,6 +23,8 @@
 	// A read may miss commits that are newer than this time minus the route's
 	// maximum age, but no older ones.
 	StartedAt time.Time
+	// Transaction means that the lease is kept for several statements.
+	Transaction bool
 	// Variables are the session variables. The map must not be modified.
 	Variables map[string]string
 	Workspace fleet.WorkspaceID
--- a/session/session.go
+++ b/session/session.go
@@ -183,7 +183,7 @@
 		return s.errorResult(err)
 	}
 	requirements := s.requirements(now, access)
-	requirements.Write = statement.Kind == StatementBegin
+	requirements.Transaction, requirements.Write = true, statement.Kind == StatementBegin
 	s.transaction = &transaction{access: access, requirements: requirements}
 	s.state = StateTransaction
 	return s.emptyResult()
