fix: raise a lowered connection limit fast once refusals end

A limit that was lowered because a server refused connections rose by one per second: 30 s to the usual limit, and all requests waited for the few connections meanwhile. It is now raised by one connection once the backoff has ended, and after each connection that the server accepts, by twice as much each time. Connections refused at the same time lengthen the backoff once instead of once each.

TestRefusalsAreRare bounds the dials of a full server by one in each maxDialBackoff.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,8 +17,8 @@
 	// maxIdleTime is how long a connection may be idle before it is closed, so
 	// that other instances can open connections.
 	maxIdleTime = 20 * time.Second
-	// limitRaiseInterval is the interval at which a limit that was lowered because
-	// the server refused a connection is raised again by one.
+	// limitRaiseInterval is the interval at which a limit that was lowered because the
+	// server refused a connection is raised again while no connection is opened.
 	limitRaiseInterval = time.Second
 	// initialDialBackoff and maxDialBackoff bound the backoff after a server
 	// refused a connection. The server stops counting a connection at once if the
@@ -290,6 +290,8 @@
 	now := p.clock()
 	if failure == nil {
 		s.dialBackoff = 0
+		s.raiseLimit(now)
+		s.dispatch(now)
 		s.handshake.add(now.Sub(began))
 		return &PooledConn{
 			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
@@ -307,7 +309,7 @@
 	refused := failure.Kind == session.KindBusy
 	if refused {
 		s.refuse(now)
-		time.AfterFunc(s.dialBackoff, func() { p.dispatch(s) })
+		time.AfterFunc(s.refusedUntil.Sub(now), func() { p.dispatch(s) })
 	}
 	s.dispatch(now)
 	return nil, failure, refused
--- a/pool/server.go
+++ b/pool/server.go
@@ -60,8 +60,9 @@
 	// idle are the connections that are not in use, in the order of their last use.
 	idle []*PooledConn
 	// limit is the current limit, which is lowered after the server refused a
-	// connection.
-	limit int
+	// connection, and limitStep is by how much it is raised next.
+	limit     int
+	limitStep int
 	// open counts all connections, including idle ones and those that waiters
 	// are about to open.
 	open   int
@@ -70,7 +71,7 @@
 
 func newServerState(now time.Time, server Server) *serverState {
 	return &serverState{
-		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, queue: newQueue(),
+		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, limitStep: 1, queue: newQueue(),
 		server: server, service: average{initial: initialService}, waitRatio: average{initial: waitRatioUnit},
 	}
 }
@@ -78,7 +79,7 @@
 // dispatch grants connections, and the right to open connections, to waiters while that
 // is possible.
 func (s *serverState) dispatch(now time.Time) {
-	s.raiseLimit(now)
+	s.probeLimit(now)
 	for len(s.control) > 0 && s.grantControl() {
 	}
 	for s.queue.size > 0 && s.mayServe() {
@@ -252,19 +253,38 @@
 }
 
 // refuse lowers the limit after the server refused a connection, and sets the time until
-// which it isn't dialed.
+// which it isn't dialed. Several connections may be refused at the same time.
 func (s *serverState) refuse(now time.Time) {
 	s.limit = max(1, s.open)
-	s.limitChangedAt = now
+	s.limitChangedAt, s.limitStep = now, 1
+	if now.Before(s.refusedUntil) {
+		return
+	}
 	s.dialBackoff = min(maxDialBackoff, max(initialDialBackoff, 2*s.dialBackoff))
 	s.refusedUntil = now.Add(s.dialBackoff)
 }
 
-// raiseLimit raises a limit that was lowered after a refusal, by one each
+// probeLimit raises a limit that was lowered after a refusal: to one more connection than
+// are open once the backoff has ended, so that the server is tried, and further each
 // limitRaiseInterval.
+func (s *serverState) probeLimit(now time.Time) {
+	if s.limit >= s.server.Limit || now.Before(s.refusedUntil) {
+		return
+	}
+	if s.limitStep == 1 {
+		s.limit = max(s.limit, s.open+1)
+	}
+	if now.Sub(s.limitChangedAt) >= limitRaiseInterval {
+		s.raiseLimit(now)
+	}
+}
+
+// raiseLimit raises a lowered limit after the server accepted a connection: by one first,
+// and by twice as much each time, so that the limit recovers within a few connections.
 func (s *serverState) raiseLimit(now time.Time) {
-	if s.limit < s.server.Limit && now.Sub(s.limitChangedAt) >= limitRaiseInterval {
-		s.limit++
+	if s.limit < s.server.Limit {
+		s.limit = min(s.server.Limit, s.limit+s.limitStep)
+		s.limitStep *= 2
 		s.limitChangedAt = now
 	}
 }
--- /dev/null
+++ b/pool/server_test.go
@@ -0,0 +1,63 @@
+package pool_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/pool"
+)
+
+// TestLimitRecovers guards against an instance that keeps a few connections for tens of
+// seconds after a server refused one, although the server accepts connections again.
+func TestLimitRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newReplayServer(4)
+		server.maxConns = 3
+		p := pool.New(server, time.Now)
+		p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 33, Limit: 33}})
+		for range 33 {
+			go func() { _, _ = p.Acquire("s", pool.Request{Deadline: time.Now().Add(7 * time.Second), Workspace: "w"}) }()
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if open := p.Counts("s").Open; open != 3 {
+			t.Errorf("%d connections are open, want the 3 that the server accepts", open)
+		}
+		server.mu.Lock()
+		server.maxConns, server.refusals = 0, 0
+		server.mu.Unlock()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if open := p.Counts("s").Open; open != 33 {
+			t.Errorf("%d connections are open 1 s after the last refusal, want 33", open)
+		}
+	})
+}
+
+// TestRefusalsAreRare guards against an instance that dials a full server all the time.
+func TestRefusalsAreRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newReplayServer(4)
+		server.maxConns = 3
+		p := pool.New(server, time.Now)
+		p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 33, Limit: 33}})
+		for range 33 {
+			go func() {
+				_, _ = p.Acquire("s", pool.Request{Deadline: time.Now().Add(11 * time.Second), Workspace: "w"})
+			}()
+		}
+		time.Sleep(time.Second)
+		server.mu.Lock()
+		server.refusals = 0
+		server.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		// One in each maxDialBackoff.
+		if server.refusals > 20 {
+			t.Errorf("the full server refused %d connections in 10 s, want at most 20", server.refusals)
+		}
+	})
+}
