feat: publish the load of each server and the reasons of refusals

The metric Servers holds for each server the limit in force, open and idle connections, those in transactions, what is in service, waiting requests, the oldest and the expected wait, learned times, and refusals by reason.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,7 @@
 	expvar.Publish("LimitPhase", expvar.Func(func() any { return g.limitPhase() }))
 	expvar.Publish("Owners", expvar.Func(func() any { return g.allOwners() }))
 	expvar.Publish("Relay", expvar.Func(func() any { return g.relayState() }))
+	expvar.Publish("Servers", expvar.Func(func() any { return g.pool.Gauges(g.config.Clock()) }))
 }
 
 // RelayState says from where an instance reads the tables.
--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -75,8 +75,8 @@
 	// Connections that are neither idle nor in service are held by transactions that
 	// run nothing now.
 	n := s.limit - (s.open - len(s.idle) - s.inService)
-	if s.server.Slots > 0 {
-		n = min(n, inServicePerSlot*s.server.Slots)
+	if s.bound > 0 {
+		n = min(n, s.bound)
 	}
 	return max(1, n)
 }
@@ -93,7 +93,7 @@
 
 // queueWait estimates how long a queued request waits for those that go before it.
 func (s *serverState) queueWait(w *waiter) time.Duration {
-	return time.Duration(s.queue.ahead(w, s.service.get(), s.mayBegin)+1) * s.perRequest()
+	return time.Duration(s.queue.ahead(w, s.serviceTime, s.mayBegin)+1) * s.perRequest()
 }
 
 // isEstimateUsable reports whether requests may be refused by the estimated wait.
@@ -134,7 +134,7 @@
 	}
 	excess := max(time.Duration(ratio*float64(w.estimate)), s.transactionWait(w)) - w.deadline.Sub(now)
 	s.queue.remove(w)
-	return s.saturated(now, excess, "the server has too many requests to serve this one in time")
+	return s.saturated(now, excess, s.reason(w, RefusedOnArrival))
 }
 
 // shed refuses queued requests that can no longer be served in time.
@@ -155,16 +155,26 @@
 			excess := expected - w.deadline.Sub(now)
 			s.recordWait(w, now.Sub(w.enqueuedAt)+expected)
 			s.queue.remove(w)
-			w.granted <- grant{failure: s.saturated(now, excess, "the server can no longer serve this request in time")}
+			w.granted <- grant{failure: s.saturated(now, excess, s.reason(w, RefusedInQueue))}
 		}
 	}
 }
 
+// reason returns RefusedTransaction for a transaction that was removed from the queue and
+// that other transactions kept from beginning, and the given reason for all others.
+func (s *serverState) reason(w *waiter, reason RefusalReason) RefusalReason {
+	if !s.mayBegin(w, s.queue.flow(w.workspace)) {
+		return RefusedTransaction
+	}
+	return reason
+}
+
 // saturated returns the failure of a request that can't be served in time. It may return
 // after the excess of its wait over the time it had, and each refused request later than
 // the one before by the time that the server needs for it, so that they don't return all
 // at once.
-func (s *serverState) saturated(now time.Time, excess time.Duration, text string) *session.RunError {
+func (s *serverState) saturated(now time.Time, excess time.Duration, reason RefusalReason) *session.RunError {
+	s.refusals[reason]++
 	returnAt := now.Add(max(excess, s.perRequest()))
 	if s.nextReturn.After(returnAt) {
 		returnAt = s.nextReturn
@@ -173,5 +183,5 @@
 		returnAt = latest
 	}
 	s.nextReturn = returnAt.Add(s.perRequest())
-	return &session.RunError{Kind: session.KindBusy, RetryAfter: returnAt.Sub(now), Saturated: true, Text: text}
+	return &session.RunError{Kind: session.KindBusy, RetryAfter: returnAt.Sub(now), Saturated: true, Text: refusalTexts[reason]}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,6 +52,18 @@
 	// Slots is the number of statements that the server runs concurrently, or zero if
 	// unknown. Statements above inServicePerSlot times this number wait in the pool.
 	Slots int
+	// Speed is what was learned about the speed of the server, or nil.
+	Speed Speed
+}
+
+// Speed tells how much load a server handles well. The pool calls it with its mutex held,
+// so it must not call the pool.
+type Speed interface {
+	// Concurrency returns how many statements and handshakes should be in service at the
+	// server, or zero if that isn't known.
+	Concurrency(now time.Time) int
+	// ServiceTime returns the time of a statement, or zero if that isn't known.
+	ServiceTime(now time.Time) time.Duration
 }
 
 // Dialer opens connections to servers. The error has session.KindBusy if the
@@ -189,7 +201,7 @@
 }
 
 func errAllInUse() *session.RunError {
-	return &session.RunError{Kind: session.KindBusy, Text: "all connections to the server are in use"}
+	return &session.RunError{Kind: session.KindBusy, Text: refusalTexts[RefusedAtDeadline]}
 }
 
 // enqueue adds a request to the queue of a server and serves it at once if possible.
@@ -257,7 +269,7 @@
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
 		if s.queue.remove(w) {
-			return grant{failure: s.saturated(p.clock(), 0, "all connections to the server are in use")}, true
+			return grant{failure: s.saturated(p.clock(), 0, s.reason(w, RefusedAtDeadline))}, true
 		}
 		if i := slices.Index(s.control, w); i >= 0 {
 			s.control = slices.Delete(s.control, i, i+1)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -186,6 +186,19 @@
 	}
 }
 
+// oldest returns when the waiter that has waited longest was added.
+func (q *queue) oldest() time.Time {
+	var oldest time.Time
+	for _, f := range q.flows {
+		for _, w := range f.waiters {
+			if oldest.IsZero() || w.enqueuedAt.Before(oldest) {
+				oldest = w.enqueuedAt
+			}
+		}
+	}
+	return oldest
+}
+
 // takeAll removes and returns all waiters.
 func (q *queue) takeAll() []*waiter {
 	var all []*waiter
--- a/pool/server.go
+++ b/pool/server.go
@@ -37,6 +37,10 @@
 	refusedUntil time.Time
 	dialBackoff  time.Duration
 
+	// bound is how many statements and handshakes may be in service, or zero for any
+	// number, and serviceTime is the time of a statement.
+	bound       int
+	serviceTime time.Duration
 	// inService is the number of statements and handshakes that occupy the server.
 	inService int
 	// handshake, service and occupation are the times of a handshake, of a statement, and
@@ -52,6 +56,7 @@
 	lastServiceEnd time.Time
 	// nextReturn is when the next request that is refused may return.
 	nextReturn time.Time
+	refusals   map[RefusalReason]int64
 	shedAt     time.Time
 	// waitRatio is the ratio of actual to estimated waits, in units of 1/waitRatioUnit.
 	waitRatio average
@@ -70,16 +75,19 @@
 }
 
 func newServerState(now time.Time, server Server) *serverState {
-	return &serverState{
-		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, limitStep: 1, queue: newQueue(),
+	s := &serverState{
+		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, limitStep: 1, queue: newQueue(), refusals: map[RefusalReason]int64{},
 		server: server, service: average{initial: initialService}, waitRatio: average{initial: waitRatioUnit},
 	}
+	s.updateSpeed(now)
+	return s
 }
 
 // dispatch grants connections, and the right to open connections, to waiters while that
 // is possible.
 func (s *serverState) dispatch(now time.Time) {
 	s.probeLimit(now)
+	s.updateSpeed(now)
 	for len(s.control) > 0 && s.grantControl() {
 	}
 	for s.queue.size > 0 && s.mayServe() {
@@ -92,9 +100,25 @@
 	s.shed(now)
 }
 
+// updateSpeed sets the bound of what is in service and the time of a statement: those that
+// were learned by comparison with the other servers, or else those of the slots and the
+// own measurements.
+func (s *serverState) updateSpeed(now time.Time) {
+	s.bound, s.serviceTime = inServicePerSlot*s.server.Slots, s.service.get()
+	if s.server.Speed == nil {
+		return
+	}
+	if concurrency := s.server.Speed.Concurrency(now); concurrency > 0 {
+		s.bound = concurrency
+	}
+	if service := s.server.Speed.ServiceTime(now); service > 0 {
+		s.serviceTime = service
+	}
+}
+
 // mayServe reports whether another statement may be sent to the server.
 func (s *serverState) mayServe() bool {
-	return s.server.Slots <= 0 || s.inService < inServicePerSlot*s.server.Slots
+	return s.bound <= 0 || s.inService < s.bound
 }
 
 // isSaturated reports whether all slots of the server are in use, so that a handshake
@@ -165,7 +189,7 @@
 func (s *serverState) grantTo(now time.Time, w *waiter) {
 	s.queue.remove(w)
 	f := s.queue.flow(w.workspace)
-	cost := s.service.get()
+	cost := s.serviceTime
 	conn := s.takeIdle(now, w.workspace, w.variables)
 	if conn == nil {
 		cost += s.handshake.get()
@@ -205,7 +229,7 @@
 		return
 	}
 	conn.inService, conn.serviceBegan = true, now
-	s.queue.charge(conn.workspace, max(1, conn.weight), s.service.get())
+	s.queue.charge(conn.workspace, max(1, conn.weight), s.serviceTime)
 	s.queue.flow(conn.workspace).inService++
 	s.inService++
 }
--- a/pool/transactions.go
+++ b/pool/transactions.go
@@ -21,8 +21,8 @@
 // transactionCapacity returns how many connections transactions of a priority may hold.
 func (s *serverState) transactionCapacity(priority int) int {
 	reserve := int(transactionReserveFraction * float64(s.limit))
-	if s.server.Slots > 0 {
-		reserve = min(reserve, inServicePerSlot*s.server.Slots)
+	if s.bound > 0 {
+		reserve = min(reserve, s.bound)
 	}
 	capacity := s.limit - reserve
 	if s.limit >= minSharedLimit && priority > 0 {
