fix: estimate the wait from the interval between two grants

The interval between two grants while requests wait is measured instead; slots, connections, handshakes and statements of transactions determine it together. Later arrivals of workspaces with less service count by the rate of arrivals. Estimates are used after 300 ms of waiting requests, because the first statements after a start wait for handshakes, and also in the first 500 ms after the server was idle.

A read that all servers refused for lack of capacity was reported as lagging; it is now reported as busy with the earliest time to retry.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -56,8 +56,11 @@
 	var refusal *session.Error
 	for {
 		server, minPosition, primary, found := g.chooseReplica(requirements)
+		if !found && refusal == nil {
+			return nil, errNoRecentServer()
+		}
 		if !found {
-			return nil, earlierRefusal(refusal, errNoRecentServer())
+			return nil, refusal
 		}
 		var l session.Lease
 		var err *session.Error
--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -9,13 +10,19 @@
 )
 
 const (
-	// minEstimateSamples is the number of measured services from which on requests are
+	// minEstimateSamples is the number of measured intervals from which on requests are
 	// refused by an estimate.
-	minEstimateSamples = 30
-	// maxEstimateAge is how long after the last measured service requests are refused by an
-	// estimate. A server that ended nothing for longer may be frozen, and then nothing is
-	// known about the time after it continues.
-	maxEstimateAge = 500 * time.Millisecond
+	minEstimateSamples = 16
+	// minBacklogTime is the sum of these intervals from which on requests are refused by an
+	// estimate. The first statements after a start mostly wait for handshakes.
+	minBacklogTime = 300 * time.Millisecond
+	// maxSilence is how long a server with statements in service may end none while
+	// requests are refused by an estimate. A server that ends nothing for longer may be
+	// frozen, and then nothing is known about the time after it continues.
+	maxSilence = 500 * time.Millisecond
+	// maxEstimateAge is how long after the last measured interval requests are refused by an
+	// estimate.
+	maxEstimateAge = 5 * time.Second
 	// arrivalConfidence and queuedConfidence are the parts of the estimated wait that must
 	// exceed the available time for a refusal on arrival and in the queue. A wrongful
 	// refusal costs a caller as much as a late answer, so none is made on arrival while the
@@ -25,69 +32,67 @@
 	queuedConfidence  = 0.75
 	// shedInterval is the minimum time between two checks of the queued requests.
 	shedInterval = 10 * time.Millisecond
-	// minComparedEstimate is the least estimate that is compared with the actual wait, and
-	// maxWaitRatio bounds the ratio of the actual wait to the estimated one. The unit of
-	// the ratio is waitRatioUnit.
-	minComparedEstimate = 50 * time.Millisecond
-	maxWaitRatio        = 3 * waitRatioUnit
-	waitRatioUnit       = 1000
+	// arrivalTimeConstant is the time constant of the rate of arrivals. It is longer than
+	// requests wait, so that a burst counts for little.
+	arrivalTimeConstant = 2 * time.Second
 	// maxRetryAfter bounds the time after which a refused request is told to return.
 	maxRetryAfter = 2 * time.Second
 )
 
 // ahead returns the number of queued requests that are served before a queued one, except
-// those that may not begin now.
-func (q *queue) ahead(w *waiter, service time.Duration, mayBegin func(*waiter, *flow) bool) int {
+// those that may not begin now, and for each workspace how many more would be if it had
+// as many requests as the fair share allows.
+func (q *queue) ahead(w *waiter, service time.Duration, mayBegin func(*waiter, *flow) bool) (queued int, more []int) {
 	own := q.flows[w.workspace]
-	n, tag := 0, own.charged
-	for _, queued := range own.waiters {
-		if queued == w {
+	tag := own.charged
+	for _, other := range own.waiters {
+		if other == w {
 			break
 		}
-		if !mayBegin(queued, own) {
-			continue
+		if mayBegin(other, own) {
+			queued++
+			tag += service / time.Duration(w.weight)
 		}
-		n++
-		tag += service / time.Duration(w.weight)
 	}
 	for _, f := range q.flows {
-		if f == own {
+		if f == own || len(f.waiters) == 0 {
 			continue
 		}
-		charged := f.charged
-		for _, queued := range f.waiters {
-			if queued.priority > w.priority || (queued.priority == w.priority && charged > tag) {
+		charged, cost := f.charged, service
+		for _, other := range f.waiters {
+			if other.priority > w.priority || (other.priority == w.priority && charged > tag) {
 				break
 			}
-			if !mayBegin(queued, f) {
-				continue
+			if mayBegin(other, f) {
+				queued++
+				cost = service / time.Duration(other.weight)
+				charged += cost
 			}
-			n++
-			charged += service / time.Duration(queued.weight)
+		}
+		if charged < tag {
+			more = append(more, int((tag-charged)/max(cost, 1)))
 		}
 	}
-	return n
+	return queued, more
 }
 
-// concurrency returns the number of requests that are served at the same time while
-// requests wait.
-func (s *serverState) concurrency() int {
-	n := s.limit
-	if s.limit >= minSharedLimit {
-		// Connections that are neither idle nor in service are held by transactions that
-		// run nothing now. Those of a small limit mostly end before a request would be
-		// refused because of them.
-		n -= s.open - len(s.idle) - s.inService
-	}
-	if s.bound > 0 {
-		n = min(n, s.bound)
-	}
-	return max(1, n)
+// recordArrival updates the rate of arrivals.
+func (s *serverState) recordArrival(now time.Time) {
+	remaining := math.Exp(-now.Sub(s.lastArrival).Seconds() / arrivalTimeConstant.Seconds())
+	s.arrivalRate = remaining*s.arrivalRate + 1/arrivalTimeConstant.Seconds()
+	s.lastArrival = now
 }
 
-// perRequest returns the mean time between two grants while requests wait.
-func (s *serverState) perRequest() time.Duration {
-	return s.occupation.get() / time.Duration(s.concurrency())
+// recordGrant measures the interval between two grants while requests wait, which is the
+// time that the server needs for one: the slots, the connections, handshakes and the
+// statements of transactions determine it together.
+func (s *serverState) recordGrant(now time.Time) {
+	if s.backlogged {
+		s.interval.add(now.Sub(s.lastGrant))
+		s.intervalAt = now
+		s.backlogTime = min(minBacklogTime, s.backlogTime+now.Sub(s.lastGrant))
+	}
+	s.lastGrant = now
 }
 
 // expectedWait estimates how long a queued request still waits.
@@ -95,14 +100,26 @@
 	return max(s.queueWait(w), s.transactionWait(w))
 }
 
-// queueWait estimates how long a queued request waits for those that go before it.
+// queueWait estimates how long a queued request waits for those that go before it: those
+// that are queued, and of those that will arrive meanwhile the ones of workspaces with
+// less service.
 func (s *serverState) queueWait(w *waiter) time.Duration {
-	return time.Duration(s.queue.ahead(w, s.serviceTime, s.mayBegin)+1) * s.perRequest()
+	queued, more := s.queue.ahead(w, s.serviceTime, s.mayBegin)
+	wait := time.Duration(queued+1) * s.interval.get()
+	arrivals := s.arrivalRate * wait.Seconds() / float64(len(s.queue.flows))
+	later := 0.0
+	for _, n := range more {
+		later += min(float64(n), arrivals)
+	}
+	return wait + time.Duration(later*float64(s.interval.get()))
 }
 
 // isEstimateUsable reports whether requests may be refused by the estimated wait.
 func (s *serverState) isEstimateUsable(now time.Time) bool {
-	return s.occupation.samples >= minEstimateSamples && now.Sub(s.lastServiceEnd) <= maxEstimateAge
+	if s.interval.samples < minEstimateSamples || s.backlogTime < minBacklogTime || now.Sub(s.intervalAt) > maxEstimateAge {
+		return false
+	}
+	return now.Sub(s.lastServiceEnd) <= maxSilence || now.Sub(s.busySince) <= maxSilence
 }
 
 // cannotServe reports whether a queued request can't be served in time, with the
@@ -112,17 +129,7 @@
 	if float64(s.transactionWait(w))*transactionConfidence > float64(available) {
 		return true
 	}
-	longest := time.Duration(s.queue.size) * s.perRequest()
-	return float64(longest)*confidence > float64(available) && float64(s.queueWait(w))*confidence > float64(available)
-}
-
-// recordWait compares the wait that was estimated for a request on arrival with the actual
-// one, or with the estimate at which the request was refused in the queue. Requests that
-// arrive later may go before it.
-func (s *serverState) recordWait(w *waiter, actual time.Duration) {
-	if !w.transaction && w.estimate >= minComparedEstimate {
-		s.waitRatio.add(min(time.Duration(float64(actual)/float64(w.estimate)*waitRatioUnit), maxWaitRatio))
-	}
+	return float64(s.queueWait(w))*confidence > float64(available)
 }
 
 // refuseArrival removes a request that was just queued and can't be served in time, and
@@ -131,12 +138,10 @@
 	if len(w.granted) > 0 {
 		return nil
 	}
-	w.estimate = s.queueWait(w)
-	ratio := float64(s.waitRatio.get()) / waitRatioUnit
-	if !s.isEstimateUsable(now) || !s.cannotServe(now, w, arrivalConfidence*ratio) {
+	if !s.isEstimateUsable(now) || !s.cannotServe(now, w, arrivalConfidence) {
 		return nil
 	}
-	excess := max(time.Duration(ratio*float64(w.estimate)), s.transactionWait(w)) - w.deadline.Sub(now)
+	excess := s.expectedWait(w) - w.deadline.Sub(now)
 	s.queue.remove(w)
 	return s.saturated(now, excess, s.reason(w, RefusedOnArrival))
 }
@@ -157,7 +162,6 @@
 			}
 			expected := s.expectedWait(w)
 			excess := expected - w.deadline.Sub(now)
-			s.recordWait(w, now.Sub(w.enqueuedAt)+expected)
 			s.queue.remove(w)
 			w.granted <- grant{failure: s.saturated(now, excess, s.reason(w, RefusedInQueue))}
 		}
@@ -179,13 +183,13 @@
 // at once.
 func (s *serverState) saturated(now time.Time, excess time.Duration, reason RefusalReason) *session.RunError {
 	s.refusals[reason]++
-	returnAt := now.Add(max(excess, s.perRequest()))
+	returnAt := now.Add(max(excess, s.interval.get()))
 	if s.nextReturn.After(returnAt) {
 		returnAt = s.nextReturn
 	}
 	if latest := now.Add(maxRetryAfter); returnAt.After(latest) {
 		returnAt = latest
 	}
-	s.nextReturn = returnAt.Add(s.perRequest())
+	s.nextReturn = returnAt.Add(s.interval.get())
 	return &session.RunError{Kind: session.KindBusy, RetryAfter: returnAt.Sub(now), Saturated: true, Text: refusalTexts[reason]}
 }
--- a/pool/gauges.go
+++ b/pool/gauges.go
@@ -68,7 +68,7 @@
 		Limit: s.limit, Open: s.open, Refusals: maps.Clone(s.refusals), ServiceMilliseconds: s.serviceTime.Seconds() * 1000, Waiting: s.waiting(),
 	}
 	if s.queue.size > 0 {
-		g.ExpectedWaitMilliseconds = (time.Duration(s.queue.size+1) * s.perRequest()).Milliseconds()
+		g.ExpectedWaitMilliseconds = (time.Duration(s.queue.size+1) * s.interval.get()).Milliseconds()
 		g.OldestWaitMilliseconds = now.Sub(s.queue.oldest()).Milliseconds()
 	}
 	return g
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -217,6 +217,7 @@
 		variables: request.Variables, weight: max(1, request.Weight), workspace: request.Workspace,
 	}
 	s.queue.add(w)
+	s.recordArrival(now)
 	s.dispatch(now)
 	return w, s.refuseArrival(now, w)
 }
@@ -307,12 +308,12 @@
 		s.handshake.add(now.Sub(began))
 		return &PooledConn{
 			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
-			grantedAt: began, serviceBegan: began, transaction: request.Transaction, weight: request.Weight, workspace: request.Workspace,
+			grantedAt: began, transaction: request.Transaction, weight: request.Weight, workspace: request.Workspace,
 		}, nil, false
 	}
 	s.open--
 	if request.Workspace != controlWorkspace {
-		s.endService(now, request.Workspace, began)
+		s.endService(now, request.Workspace)
 		if request.Transaction {
 			s.transactions--
 			s.queue.flow(request.Workspace).transactions--
@@ -349,7 +350,7 @@
 	}
 	if conn.inService {
 		conn.inService = false
-		s.endService(now, conn.workspace, conn.serviceBegan)
+		s.endService(now, conn.workspace)
 	}
 	if conn.broken || !conn.Reusable() || conn.State.Uncertain() || s.open > s.limit {
 		conn.Close()
--- a/pool/pooledconn.go
+++ b/pool/pooledconn.go
@@ -21,8 +21,6 @@
 	owner      *serverState
 	pool       *Pool
 	releasedAt time.Time
-	// serviceBegan is when the connection was last granted or began a statement.
-	serviceBegan time.Time
 	// served is the time for which statements have used the connection.
 	served time.Duration
 	// transaction is true while a transaction holds the connection.
@@ -69,7 +67,7 @@
 	}
 	if !conn.Reusable() {
 		conn.inService = false
-		s.endService(now, conn.workspace, conn.serviceBegan)
+		s.endService(now, conn.workspace)
 		s.dispatch(now)
 	}
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -21,10 +21,8 @@
 type waiter struct {
 	deadline   time.Time
 	enqueuedAt time.Time
-	// estimate is the wait that was estimated on arrival.
-	estimate time.Duration
-	granted  chan grant
-	priority int
+	granted    chan grant
+	priority   int
 	// transaction means that the request keeps the connection for a transaction.
 	transaction bool
 	// variables are the session variables of the request.
--- a/pool/server.go
+++ b/pool/server.go
@@ -44,23 +44,33 @@
 	serviceTime time.Duration
 	// inService is the number of statements and handshakes that occupy the server.
 	inService int
-	// handshake, service and occupation are the times of a handshake, of a statement, and
-	// from the grant to the end of service, which includes the handshake if there is one.
-	handshake  average
-	service    average
-	occupation average
+	// handshake and service are the times of a handshake and of a statement.
+	handshake average
+	service   average
+	// interval is the time between two grants while requests wait, last measured at
+	// intervalAt, and backlogTime is the sum of these times up to minBacklogTime. The last grant was at lastGrant, and backlogged is true if requests that
+	// may be served have waited since.
+	interval    average
+	intervalAt  time.Time
+	lastGrant   time.Time
+	backlogTime time.Duration
+	backlogged  bool
+	// arrivalRate is the number of requests that arrive in a second, as of lastArrival.
+	arrivalRate float64
+	lastArrival time.Time
 	// hold is how long transactions hold their connections.
 	hold average
 	// transactions is the number of connections that transactions hold.
 	transactions int
 	// lastServiceEnd is when the last statement or handshake ended.
 	lastServiceEnd time.Time
+	// busySince is when the first of the statements and handshakes in service began after
+	// there were none.
+	busySince time.Time
 	// nextReturn is when the next request that is refused may return.
 	nextReturn time.Time
 	refusals   map[RefusalReason]int64
 	shedAt     time.Time
-	// waitRatio is the ratio of actual to estimated waits, in units of 1/waitRatioUnit.
-	waitRatio average
 
 	limitChangedAt time.Time
 	// idle are the connections that are not in use, in the order of their last use.
@@ -78,7 +88,7 @@
 func newServerState(now time.Time, server Server) *serverState {
 	s := &serverState{
 		handshake: average{initial: initialHandshake}, limit: server.Limit, limitChangedAt: now, limitStep: 1, queue: newQueue(), refusals: map[RefusalReason]int64{},
-		server: server, service: average{initial: initialService}, waitRatio: average{initial: waitRatioUnit},
+		server: server, service: average{initial: initialService},
 	}
 	s.updateSpeed(now)
 	return s
@@ -99,6 +109,7 @@
 		s.grantTo(now, w)
 	}
 	s.shed(now)
+	s.backlogged = s.queue.singles > 0
 }
 
 // updateSpeed sets the bound of what is in service and the time of a statement: those that
@@ -208,9 +219,8 @@
 			s.idle = slices.Delete(s.idle, i, i+1)
 		}
 	}
-	s.recordWait(w, now.Sub(w.enqueuedAt))
-	f.inService++
-	s.inService++
+	s.recordGrant(now)
+	s.beginOccupation(now, f)
 	served := f.charged
 	s.queue.charge(w.workspace, w.weight, cost)
 	s.queue.advance(served)
@@ -218,7 +228,7 @@
 		s.beginTransaction(f)
 	}
 	if conn != nil {
-		conn.inService, conn.grantedAt, conn.serviceBegan, conn.transaction, conn.weight = true, now, now, w.transaction, w.weight
+		conn.inService, conn.grantedAt, conn.transaction, conn.weight = true, now, w.transaction, w.weight
 	}
 	w.granted <- grant{conn: conn, server: s}
 }
@@ -229,15 +239,22 @@
 	if conn.inService || conn.workspace == controlWorkspace {
 		return
 	}
-	conn.inService, conn.serviceBegan = true, now
+	conn.inService = true
 	s.queue.charge(conn.workspace, max(1, conn.weight), s.serviceTime)
-	s.queue.flow(conn.workspace).inService++
+	s.beginOccupation(now, s.queue.flow(conn.workspace))
+}
+
+// beginOccupation counts a statement or handshake that begins.
+func (s *serverState) beginOccupation(now time.Time, f *flow) {
+	if s.inService == 0 {
+		s.busySince = now
+	}
+	f.inService++
 	s.inService++
 }
 
 // endService counts that a connection of a workspace is no longer in service.
-func (s *serverState) endService(now time.Time, workspace fleet.WorkspaceID, began time.Time) {
-	s.occupation.add(now.Sub(began))
+func (s *serverState) endService(now time.Time, workspace fleet.WorkspaceID) {
 	s.lastServiceEnd = now
 	if f := s.queue.flows[workspace]; f != nil && f.inService > 0 {
 		f.inService--
