--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -30,6 +30,9 @@
 	// time it has waited, and service times have a heavy tail.
 	arrivalConfidence = 1.0
 	queuedConfidence  = 0.75
+	// smallLimitConfidence multiplies these for a limit below minSharedLimit: with two
+	// connections, the wait depends on single transactions and long statements.
+	smallLimitConfidence = 0.7
 	// shedInterval is the minimum time between two checks of the queued requests.
 	shedInterval = 10 * time.Millisecond
 	// arrivalTimeConstant is the time constant of the rate of arrivals. It is longer than
@@ -129,6 +132,9 @@
 	if float64(s.transactionWait(w))*transactionConfidence > float64(available) {
 		return true
 	}
+	if s.limit < minSharedLimit {
+		confidence *= smallLimitConfidence
+	}
 	return float64(s.queueWait(w))*confidence > float64(available)
 }
 
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -166,13 +166,15 @@
 	f.charged = max(f.charged, q.virtual) + service/time.Duration(weight)
 }
 
-// advance raises the charge with which a workspace starts to the least charge of the
-// workspaces that wait, or that of the one that was served last.
-func (q *queue) advance(served time.Duration) {
+// advance raises the charge with which a workspace starts, after one with the given charge
+// was served at a priority: to the least charge of those that wait with this priority or a
+// higher one. A workspace that waits with a lower priority, or for transactions to end,
+// doesn't hold it back, because new ones would get ahead of the others for long.
+func (q *queue) advance(served time.Duration, priority int, mayBegin func(*waiter, *flow) bool) {
 	least := served
 	for _, f := range q.flows {
-		if len(f.waiters) > 0 {
-			least = min(least, f.charged)
+		if f.charged < least && slices.ContainsFunc(f.waiters, func(w *waiter) bool { return w.priority <= priority && mayBegin(w, f) }) {
+			least = f.charged
 		}
 	}
 	q.virtual = max(q.virtual, least)
--- a/pool/server.go
+++ b/pool/server.go
@@ -223,7 +223,7 @@
 	s.beginOccupation(now, f)
 	served := f.charged
 	s.queue.charge(w.workspace, w.weight, cost)
-	s.queue.advance(served)
+	s.queue.advance(served, w.priority, s.mayBegin)
 	if w.transaction {
 		s.beginTransaction(f)
 	}
