--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/pool"
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/sheet"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 // memoryStore is a store in memory that answers each call after a millisecond.
@@ -159,8 +165,9 @@
 func (healthyControl) StepDown(time.Time, pool.Conn, fleet.Term) error { return nil }
 
 // newTrio runs an instance in front of three servers until the context ends, and returns
-// it once the primary can be used.
-func newTrio(ctx context.Context, t *testing.T, servers *slotServers) *gateway.Gateway {
+// it once the primary can be used. There are others instances beside it, and owners are
+// called through the client, unless it is nil.
+func newTrio(ctx context.Context, t *testing.T, servers *slotServers, others int, client gateway.OwnerClient) *gateway.Gateway {
 	t.Helper()
 	store := newMemoryStore()
 	store.revision = 1
@@ -173,10 +180,18 @@
 	for id := range servers.work {
 		store.put(serverTable, feed.Row{Key: string(id), Revision: 1})
 	}
+	for other := range others {
+		// The row is of a time after the test, so that it stays live.
+		row, err := json.Marshal(gateway.MemberRow{At: 3 * time.Hour, Address: "a", DataCentre: "d", Epoch: 1, Phase: workspace.PhaseHolding, ProcessorShare: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.put(instanceTable, feed.Row{Key: fmt.Sprintf("other-%d", other), Revision: 1, Value: row})
+	}
 	recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
 	g := gateway.New(gateway.Config{
 		Clock: time.Now, Control: healthyControl{}, Dialer: servers, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
-		Settings: gateway.Settings{DataCentre: "d", KeyLease: 4 * time.Second}, Source: trioSource{}, Store: store,
+		OwnerClient: client, Settings: gateway.Settings{DataCentre: "d", KeyLease: 4 * time.Second}, Source: trioSource{}, Store: store,
 	})
 	go func() { _ = g.Run(ctx) }()
 	time.Sleep(3 * time.Second)
@@ -209,7 +224,7 @@
 			time.Sleep(10 * time.Second)
 		}()
 		servers := newSlotServers(map[fleet.ServerID]time.Duration{"primary": 3 * time.Millisecond, "fast": 3 * time.Millisecond, "slow": 60 * time.Millisecond})
-		g := newTrio(ctx, t, servers)
+		g := newTrio(ctx, t, servers, 0, nil)
 		for range 10 {
 			if err := runStatement(g, true); err != nil {
 				t.Fatalf("write: %v", err)
@@ -248,3 +263,58 @@
 		}
 	})
 }
+
+// fixedOwner answers each request with the same response.
+type fixedOwner struct {
+	calls    int
+	response owner.Response
+}
+
+func (o *fixedOwner) Run(context.Context, string, []byte, owner.Request) (owner.Response, error) {
+	o.calls++
+	return o.response, nil
+}
+
+// TestSaturatedOwner guards against sending a request again to an owner that has refused it
+// for lack of capacity, against giving up a request that another owner can serve, and
+// against giving up one that a server has refused.
+func TestSaturatedOwner(t *testing.T) {
+	busy := func(retryAfter time.Duration) *session.RunError {
+		return &session.RunError{Kind: session.KindBusy, RetryAfter: retryAfter, Text: "busy"}
+	}
+	for _, test := range []struct {
+		name      string
+		response  owner.Response
+		saturated bool
+	}{
+		{name: "refused by the owner", response: owner.Response{Failure: busy(50 * time.Millisecond)}, saturated: true},
+		{name: "the owner can't use the servers", response: owner.Response{Failure: busy(50 * time.Millisecond), Unavailable: true}},
+		{name: "refused by a server", response: owner.Response{Failure: busy(0), Server: "primary"}},
+		{name: "the deadline has passed at the owner", response: owner.Response{Failure: busy(0)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() {
+					cancel()
+					time.Sleep(10 * time.Second)
+				}()
+				client := &fixedOwner{response: test.response}
+				// More instances than 0.6 of the 40 connections that a server accepts.
+				g := newTrio(ctx, t, newSlotServers(map[fleet.ServerID]time.Duration{"primary": 0}), 30, client)
+				now := time.Now()
+				lease, err := g.Acquire(session.Requirements{Deadline: now.Add(time.Second), Route: sheet.Route{Group: "g"}, Workspace: "w", Write: true})
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, failure := lease.Run(now.Add(time.Second), session.Batch{Commands: []session.Command{{}}, Final: true})
+				if client.calls != 1 || failure == nil {
+					t.Fatalf("%d calls of the owner, failure %v", client.calls, failure)
+				}
+				if diff := cmp.Diff(test.saturated, failure.Saturated); diff != "" {
+					t.Errorf("saturated (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
