--- a/gateway/memorystore_test.go
+++ b/gateway/memorystore_test.go
@@ -41,7 +41,11 @@
 }
 
 func (s *memoryStore) put(table gateway.Table, key string, value []byte) {
-	_, _ = s.write([]gateway.Write{{Key: key, Table: table, Value: value}}, false)
+	s.putIn("", table, key, value)
+}
+
+func (s *memoryStore) putIn(partition gateway.Partition, table gateway.Table, key string, value []byte) {
+	_, _ = s.write([]gateway.Write{{Key: key, Partition: partition, Table: table, Value: value}}, false)
 }
 
 func (s *memoryStore) write(writes []gateway.Write, conditional bool) (gateway.WriteResult, error) {
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -111,6 +111,8 @@
 	requirements.Deadline = requirementsDeadline
 	// A later start only requires a more recent log.
 	requirements.StartedAt = now
+	// A lease of one batch has no ID.
+	requirements.Transaction = request.Lease != ""
 	return g.openPeerLease(deadline, requirements, request)
 }
 
@@ -125,7 +127,14 @@
 	if g.stoppedOwning(g.config.Clock()) {
 		return refusedBatch(errStopping)
 	}
+	began := g.config.Clock()
 	acquired, err := g.acquire(requirements, true)
+	// The wait for a connection doesn't count towards the deadline of an attempt, which
+	// detects lost answers.
+	deadline = deadline.Add(g.config.Clock().Sub(began))
+	if deadline.After(requirements.Deadline) {
+		deadline = requirements.Deadline
+	}
 	if err != nil {
 		return owner.Response{
 			Failure:     &session.RunError{Kind: err.Kind, RetryAfter: err.RetryAfter, Text: err.Err.Error()},
--- a/session/router.go
+++ b/session/router.go
@@ -23,6 +23,8 @@
 	// A read may miss commits that are newer than this time minus the route's
 	// maximum age, but no older ones.
 	StartedAt time.Time
+	// Transaction means that the lease is kept for several statements.
+	Transaction bool
 	// Variables are the session variables. The map must not be modified.
 	Variables map[string]string
 	Workspace fleet.WorkspaceID
@@ -74,6 +76,9 @@
 	// RetryAfter is how long to wait before a retry can succeed, or zero if it
 	// isn't known.
 	RetryAfter time.Duration
+	// Saturated means that the request was refused because the server has more requests
+	// than it can serve in time.
+	Saturated bool
 	// Text is the server's error message, or describes the connection error.
 	Text string
 }
