--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -24,10 +24,11 @@
 // are, and end with the lease.
 func (g *Gateway) updateLimitShares(now time.Time) {
 	g.mu.Lock()
-	if g.routing == nil || g.members.verifiedAt.IsZero() {
+	if g.routing == nil {
 		g.mu.Unlock()
 		return
 	}
+	verified := !g.members.verifiedAt.IsZero()
 	members := append(g.members.otherParticipants(g.storeClock.StoreTime(now)),
 		workspace.Member{Age: g.ownRowAge(now), Instance: g.members.self, Phase: g.members.participation.EffectivePhase()})
 	var rateLimits []workspace.Limit
@@ -35,6 +36,10 @@
 		rateLimits = append(rateLimits, workspace.Limit{Burst: limit.Burst, Rate: limit.Rate, Workspace: id})
 	}
 	g.mu.Unlock()
+	if !verified {
+		g.rateLimits.LocatePools(rateLimits, members)
+		return
+	}
 	g.rateLimits.Divide(now, rateLimits, members)
 }
 
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -8,6 +8,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 var (
@@ -20,33 +21,22 @@
 // store can't be reached: the duration of a few store calls.
 const storeRetryAfter = 500 * time.Millisecond
 
-// maxPoolAttempts limits how often one operation requests tokens from the pools of
-// its rate limit.
-const maxPoolAttempts = 2
+// maxTokenWait bounds how long an operation waits for a token from the pools of its
+// limit.
+const maxTokenWait = 70 * time.Millisecond
 
 // Admit takes a token for one operation from the rate limit of the workspace: from
 // this instance's share, or else from the pools of the limit. An operation without
 // a workspace is not limited.
-func (g *Gateway) Admit(now time.Time, workspace fleet.WorkspaceID) *session.Error {
-	if workspace == "" {
+func (g *Gateway) Admit(now time.Time, id fleet.WorkspaceID) *session.Error {
+	if id == "" {
 		return nil
 	}
-	g.rateLimits.RecordDemand(now, workspace)
-	decision := g.rateLimits.Admit(now, workspace)
-	reason := "other requests took what its pools gave"
-	for attempts := 0; !decision.Admitted && attempts < maxPoolAttempts; attempts++ {
-		taken, retryAfter, poolReason := g.takeFromPools(g.config.Clock(), workspace)
-		if !taken {
-			decision.RetryAfter, reason = min(decision.RetryAfter, retryAfter), poolReason
-			break
-		}
-		// A concurrent request may already have used the tokens.
-		decision = g.rateLimits.Admit(g.config.Clock(), workspace)
-	}
+	decision := g.tokens.admit(now, workspace.Request{WaitUntil: now.Add(maxTokenWait), Workspace: id})
 	if decision.Admitted {
 		return nil
 	}
-	return &session.Error{Err: fmt.Errorf("the workspace is over its rate; %s", reason), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
+	return &session.Error{Err: errors.New("the workspace is over its rate, or its limit is not known to be in force"), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
 }
 
 // Authorize returns the route and workspace for the credentials. Except for
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,6 +170,7 @@
 type Gateway struct {
 	config     Config
 	rateLimits *workspace.DistributedLimiter
+	tokens     *tokenExchange
 	pool       *pool.Pool
 
 	// mu guards the fields below, except for the channels discovered, joined,
@@ -297,6 +298,7 @@
 		servers:            map[fleet.ServerID]*backendServer{},
 	}
 	g.members.processorShare = config.Settings.ProcessorShare
+	g.tokens = newTokenExchange(config.Clock, config.Instance, g.rateLimits, g.takeTokens)
 	g.pool = pool.New(config.Dialer, config.Clock)
 	return g
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,30 +4,16 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"math"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
-const (
-	// tokenBatchDuration determines how many tokens an instance takes from a pool in
-	// one call: those for its expected demand in this time. Unused tokens on the
-	// instances add to the burst of a workspace, so they must stay well below the
-	// 10 % by which a limit may be exceeded in 5 s.
-	tokenBatchDuration = 250 * time.Millisecond
-	// peerCallTimeout is the timeout of one call, which delays a caller's request. A
-	// response takes two to four milliseconds, and a lost datagram is sent again.
-	peerCallTimeout = 70 * time.Millisecond
-	// emptyPoolBackoff is the maximum time for which a pool that was empty is not
-	// asked again.
-	emptyPoolBackoff = 200 * time.Millisecond
-	// failedOwnerBackoff is the time for which the owner of a pool is not asked
-	// again after a failed call.
-	failedOwnerBackoff = 500 * time.Millisecond
-)
+// peerCallTimeout is the timeout of one call. A response takes two to four milliseconds,
+// and a lost datagram is sent again.
+const peerCallTimeout = 70 * time.Millisecond
 
 // PeerTransport carries requests and responses between instances.
 type PeerTransport interface {
@@ -51,23 +37,21 @@
 	Look bool `json:",omitempty"`
 	// Probe names a server that the sender can't reach and the receiver is to check.
 	Probe fleet.ServerID `json:",omitempty"`
-	// Take is nil if no tokens are requested.
-	Take *TakeRequest `json:",omitempty"`
-}
-
-// TakeRequest requests tokens from the owner of a rate limit pool.
-type TakeRequest struct {
-	// Want is the number of tokens.
-	Want      float64
-	Workspace fleet.WorkspaceID
+	// Take is the form of Takes for one workspace that earlier versions use. It is nil
+	// if no tokens are requested.
+	Take *workspace.TakeRequest `json:",omitempty"`
+	// Takes requests tokens from the owner of rate limit pools.
+	Takes []workspace.TakeRequest `json:",omitempty"`
 }
 
 // PeerResponse is the response to a PeerRequest.
 type PeerResponse struct {
-	// RetryAfter is set if the pool is empty.
+	// Grants answers Takes, in the same order.
+	Grants []workspace.TakeGrant `json:",omitempty"`
+	// RetryAfter is set if the pool for Take is empty.
 	RetryAfter time.Duration `json:",omitempty"`
-	// Taken is the number of tokens granted.
-	Taken float64
+	// Taken is the number of tokens granted for Take.
+	Taken float64 `json:",omitempty"`
 }
 
 // servePeers serves the requests of other instances.
@@ -90,8 +74,7 @@
 	})
 }
 
-// response processes a request of another instance, or of this one to its own pool,
-// and returns the response.
+// response processes a request of another instance and returns the response.
 func (g *Gateway) response(request PeerRequest) PeerResponse {
 	var response PeerResponse
 	if request.Look {
@@ -106,6 +89,9 @@
 	if take := request.Take; take != nil {
 		response.Taken, response.RetryAfter = g.rateLimits.TakeFromPool(g.config.Clock(), take.Workspace, take.Want)
 	}
+	if len(request.Takes) > 0 {
+		response.Grants = g.rateLimits.Grant(g.config.Clock(), request.Takes)
+	}
 	return response
 }
 
@@ -123,54 +109,14 @@
 	}
 }
 
-// takeFromPools takes tokens from the pools of a workspace's rate limit. If none
-// were taken, it returns when a caller may retry, and the reason.
-func (g *Gateway) takeFromPools(now time.Time, id fleet.WorkspaceID) (taken bool, retryAfter time.Duration, reason string) {
-	owners := g.rateLimits.PoolOwners(now, id)
-	want := math.Max(1, g.rateLimits.Demand(now, id)*tokenBatchDuration.Seconds())
-	retryAfter, reason = storeRetryAfter, "its limits are not known to be in force"
-	for i, owner := range owners {
-		if wait := owner.SkipUntil.Sub(now); wait > 0 {
-			retryAfter, reason = earlierRetry(i, retryAfter, wait), "its pools were empty or silent a moment ago"
-			continue
-		}
-		response, err := g.takeFromOwner(owner.Instance, TakeRequest{Want: want, Workspace: id})
-		now = g.config.Clock()
-		if err != nil {
-			g.rateLimits.SkipOwner(id, owner.Instance, now.Add(failedOwnerBackoff))
-			retryAfter, reason = earlierRetry(i, retryAfter, storeRetryAfter), fmt.Sprintf("no answer from its pool on %s: %v", owner.Instance, err)
-			continue
-		}
-		if response.Taken > 0 {
-			g.rateLimits.Add(now, id, response.Taken)
-			return true, 0, ""
-		}
-		g.rateLimits.SkipOwner(id, owner.Instance, now.Add(min(emptyPoolBackoff, response.RetryAfter)))
-		retryAfter, reason = earlierRetry(i, retryAfter, response.RetryAfter), "its pool on "+string(owner.Instance)+" is empty"
-	}
-	return false, retryAfter, reason
-}
-
-// earlierRetry returns the shorter of two retry delays. The delay of the first owner
-// replaces the default.
-func earlierRetry(ownerIndex int, current, candidate time.Duration) time.Duration {
-	if ownerIndex == 0 {
-		return candidate
-	}
-	return min(current, candidate)
-}
-
-// takeFromOwner takes tokens from the pool of an owner, which may be this instance.
-func (g *Gateway) takeFromOwner(owner fleet.InstanceID, take TakeRequest) (PeerResponse, error) {
-	request := PeerRequest{Take: &take}
-	if owner == g.config.Instance {
-		return g.response(request), nil
-	}
-	return g.callPeer(owner, request)
-}
-
 // callPeer sends a request to another instance.
 func (g *Gateway) callPeer(instance fleet.InstanceID, request PeerRequest) (PeerResponse, error) {
+	return g.callPeerWithin(peerCallTimeout, instance, request)
+}
+
+// callPeerWithin sends a request to another instance and waits for the response until the
+// timeout.
+func (g *Gateway) callPeerWithin(timeout time.Duration, instance fleet.InstanceID, request PeerRequest) (PeerResponse, error) {
 	g.mu.Lock()
 	peer := g.members.members[instance]
 	g.mu.Unlock()
@@ -181,7 +127,7 @@
 	if err != nil {
 		return PeerResponse{}, &Error{Err: err, Kind: KindInvalid, Op: "ask"}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	encoded, err := g.config.PeerTransport.Call(ctx, peer.row.Address, peer.row.Secret, payload)
 	var response PeerResponse
--- /dev/null
+++ b/workspace/admitter.go
@@ -0,0 +1,513 @@
+package workspace
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+const (
+	// hedgeDelay is the time without an answer after which the other pool is asked
+	// as well. Answers take two to four milliseconds.
+	hedgeDelay = 15 * time.Millisecond
+	// failedOwnerBackoff is the time for which the owner of a pool is not asked after
+	// a failed call. Then one call finds out whether it answers again.
+	failedOwnerBackoff = 500 * time.Millisecond
+	// minEmptyPoolBackoff and maxEmptyPoolBackoff bound the time for which a pool that
+	// was empty is not asked again, so that a workspace over its rate costs few
+	// messages.
+	minEmptyPoolBackoff = 20 * time.Millisecond
+	maxEmptyPoolBackoff = 200 * time.Millisecond
+	// tokenBatchDuration determines how many tokens are taken in one call: those for
+	// the expected demand in this time, or in half of the tokens' lifetime.
+	tokenBatchDuration = 250 * time.Millisecond
+	// prefetchLead is the time for which the held tokens should last at least.
+	prefetchLead = 60 * time.Millisecond
+	// minPrefetchDemand is the demand, in requests per second, above which tokens are
+	// requested in advance. Below, most of them would expire unused.
+	minPrefetchDemand = 3
+	// maxTakesPerCall keeps a call and its answer within one datagram.
+	maxTakesPerCall = 7
+	// maxRetryAfter bounds the retry time of a refusal: by then the lease of an owner
+	// that does not answer has ended.
+	maxRetryAfter = 4500 * time.Millisecond
+	// retryJitter is the fraction by which a retry time is extended at random, so that
+	// callers that were refused together do not return together.
+	retryJitter = 0.5
+	// accountSweepInterval is the time between two removals of idle accounts.
+	accountSweepInterval = 10 * time.Second
+)
+
+// Ticket identifies a request that waits for its admission. It is never zero.
+type Ticket uint64
+
+// Request is one operation that asks for admission.
+type Request struct {
+	// Priority orders the requests of a workspace; lower values go first.
+	Priority int
+	// WaitUntil is how long the request may wait for a token.
+	WaitUntil time.Time
+	Workspace fleet.WorkspaceID
+}
+
+// TokenCall is a call to the owner of pools that the instance must make.
+type TokenCall struct {
+	ID    uint64
+	Owner fleet.InstanceID
+	Takes []TakeRequest
+}
+
+// Outcome is the decision on a request that waited.
+type Outcome struct {
+	Decision Decision
+	Ticket   Ticket
+}
+
+// Step is what the instance has to do after an event.
+type Step struct {
+	// Calls are to be made now, without waiting for one another.
+	Calls []TokenCall
+	// Decided are the decisions on requests that waited.
+	Decided []Outcome
+	// WakeAt is when Advance must be called unless another event comes first. It is
+	// zero if no request waits.
+	WakeAt time.Time
+}
+
+// tokenCall is a call without an answer.
+type tokenCall struct {
+	id     uint64
+	owner  fleet.InstanceID
+	sentAt time.Time
+	takes  []TakeRequest
+}
+
+// poolPeer is what this instance knows about the owner of pools.
+type poolPeer struct {
+	// calls are the unanswered calls, the oldest one first.
+	calls []*tokenCall
+	// failed is true after a failed call until the next answer.
+	failed      bool
+	silentUntil time.Time
+}
+
+// isSuspect reports whether the owner has failed or has an overdue call.
+func (p *poolPeer) isSuspect(now time.Time) bool {
+	return p.failed || (len(p.calls) > 0 && now.Sub(p.calls[0].sentAt) >= hedgeDelay)
+}
+
+// Admitter decides on requests by this instance's direct shares and by tokens from pools.
+// It decides which tokens to request from which owners, in advance and for requests that
+// wait. It isn't safe for concurrent use.
+type Admitter struct {
+	accounts map[fleet.WorkspaceID]*account
+	calls    map[uint64]*tokenCall
+	lastCall uint64
+	limiter  *DistributedLimiter
+	peers    map[fleet.InstanceID]*poolPeer
+	// prefetching holds the accounts that got tokens in advance.
+	prefetching map[fleet.WorkspaceID]*account
+	// random returns a random number in [0, 1).
+	random     func() float64
+	lastTicket Ticket
+	self       fleet.InstanceID
+	sweepAt    time.Time
+	// waiting holds the accounts with waiting requests.
+	waiting map[fleet.WorkspaceID]*account
+}
+
+// NewAdmitter returns an admitter that uses the shares and pools of a limiter.
+func NewAdmitter(self fleet.InstanceID, limiter *DistributedLimiter, random func() float64) *Admitter {
+	return &Admitter{
+		accounts:    map[fleet.WorkspaceID]*account{},
+		calls:       map[uint64]*tokenCall{},
+		limiter:     limiter,
+		peers:       map[fleet.InstanceID]*poolPeer{},
+		prefetching: map[fleet.WorkspaceID]*account{},
+		random:      random,
+		self:        self,
+		waiting:     map[fleet.WorkspaceID]*account{},
+	}
+}
+
+// Admit decides on a request. If the ticket is not zero, the request waits and is decided
+// in a later step.
+func (a *Admitter) Admit(now time.Time, request Request) (Decision, Ticket, Step) {
+	var step Step
+	a.limiter.RecordDemand(now, request.Workspace)
+	account := a.account(now, request.Workspace)
+	account.demand.Record(now, true)
+	if len(account.waiters) == 0 {
+		if decision := a.useToken(now, account); decision.Admitted {
+			a.prefetch(now, account, &step)
+			a.finish(now, &step)
+			return decision, 0, step
+		}
+	}
+	a.lastTicket++
+	ticket := a.lastTicket
+	account.insert(waiter{priority: request.Priority, ticket: ticket, until: request.WaitUntil})
+	a.settle(now, account, &step)
+	a.finish(now, &step)
+	if i := slices.IndexFunc(step.Decided, func(o Outcome) bool { return o.Ticket == ticket }); i >= 0 {
+		decision := step.Decided[i].Decision
+		step.Decided = slices.Delete(step.Decided, i, i+1)
+		return decision, 0, step
+	}
+	return Decision{}, ticket, step
+}
+
+// Advance decides on the requests for which something is due.
+func (a *Admitter) Advance(now time.Time) Step {
+	var step Step
+	a.finish(now, &step)
+	return step
+}
+
+// finish settles the accounts that are due, and sets the time of the next wake-up.
+func (a *Admitter) finish(now time.Time, step *Step) {
+	for _, id := range slices.Sorted(maps.Keys(a.waiting)) {
+		account := a.waiting[id]
+		if !account.wakeAt.IsZero() && !now.Before(account.wakeAt) {
+			a.settle(now, account, step)
+		}
+		if at := account.wakeAt; !at.IsZero() && (step.WakeAt.IsZero() || at.Before(step.WakeAt)) {
+			step.WakeAt = at
+		}
+	}
+}
+
+// Answered processes the answer to a call.
+func (a *Admitter) Answered(now time.Time, id uint64, grants []TakeGrant) Step {
+	call := a.endCall(id)
+	if call == nil {
+		return a.Advance(now)
+	}
+	peer := a.peer(call.owner)
+	peer.failed, peer.silentUntil = false, time.Time{}
+	for i, take := range call.takes {
+		if i < len(grants) && grants[i].Workspace == take.Workspace {
+			a.receive(now, call.owner, call.sentAt, take, grants[i])
+		}
+	}
+	return a.settleAll(now, call.takes)
+}
+
+// Failed processes that a call had no answer.
+func (a *Admitter) Failed(now time.Time, id uint64) Step {
+	call := a.endCall(id)
+	if call == nil {
+		return a.Advance(now)
+	}
+	peer := a.peer(call.owner)
+	peer.failed, peer.silentUntil = true, now.Add(failedOwnerBackoff)
+	return a.settleAll(now, call.takes)
+}
+
+// settleAll decides on the waiting requests of the workspaces of a call.
+func (a *Admitter) settleAll(now time.Time, takes []TakeRequest) Step {
+	var step Step
+	for _, take := range takes {
+		a.settle(now, a.account(now, take.Workspace), &step)
+	}
+	a.finish(now, &step)
+	return step
+}
+
+// endCall removes and returns an unanswered call.
+func (a *Admitter) endCall(id uint64) *tokenCall {
+	call := a.calls[id]
+	if call == nil {
+		return nil
+	}
+	delete(a.calls, id)
+	peer := a.peer(call.owner)
+	peer.calls = slices.DeleteFunc(peer.calls, func(c *tokenCall) bool { return c == call })
+	for _, take := range call.takes {
+		if account := a.accounts[take.Workspace]; account != nil && account.calls[call.owner] == call {
+			delete(account.calls, call.owner)
+		}
+	}
+	return call
+}
+
+// receive adds granted tokens, or records that a pool was empty.
+func (a *Admitter) receive(now time.Time, owner fleet.InstanceID, sentAt time.Time, take TakeRequest, grant TakeGrant) {
+	account := a.account(now, take.Workspace)
+	if grant.Taken >= 1 {
+		if take.Extra > 0 {
+			a.prefetching[take.Workspace] = account
+		}
+		lifetime := a.limiter.PoolLocation(now, take.Workspace).Lifetime
+		account.addLot(tokenLot{count: grant.Taken, usableFrom: now.Add(grant.Delay), expiresAt: sentAt.Add(grant.Delay + lifetime)})
+	} else if take.Extra > 0 {
+		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
+	}
+	if grant.RetryAfter > 0 && take.Want > 0 {
+		account.blocks[owner] = poolBlock{
+			retryAt: now.Add(grant.RetryAfter),
+			until:   now.Add(max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))),
+		}
+	}
+}
+
+// useToken admits a request by the direct share or by a token from a pool.
+func (a *Admitter) useToken(now time.Time, account *account) Decision {
+	decision := a.limiter.Admit(now, account.workspace)
+	if !decision.Admitted && account.takeToken(now) {
+		return Decision{Admitted: true}
+	}
+	return decision
+}
+
+// settle decides on the waiting requests of a workspace, and requests tokens for those
+// that none is held for. A request for which no tokens can be requested is refused.
+func (a *Admitter) settle(now time.Time, account *account, step *Step) {
+	defer a.updateWaiting(now, account)
+	direct := a.admitWaiting(now, account, step)
+	open, _ := account.uncovered(now)
+	if len(open) > 0 && a.takeFromSelf(now, account, open) {
+		direct = a.admitWaiting(now, account, step)
+		open, _ = account.uncovered(now)
+	}
+	if len(open) == 0 || a.ask(now, account, open, step) {
+		return
+	}
+	for i, w := range open {
+		// The most urgent one can wait for the next token of the direct share.
+		if i == 0 && direct.RetryAfter > 0 && now.Add(direct.RetryAfter).Before(w.until) {
+			continue
+		}
+		a.refuse(now, account, w, direct, step)
+	}
+}
+
+// admitWaiting admits waiting requests while there are tokens, and refuses those that can
+// wait no longer. It returns the last decision by the direct share.
+func (a *Admitter) admitWaiting(now time.Time, account *account, step *Step) Decision {
+	var decision Decision
+	for len(account.waiters) > 0 {
+		if decision = a.useToken(now, account); !decision.Admitted {
+			break
+		}
+		step.Decided = append(step.Decided, Outcome{Decision: Decision{Admitted: true}, Ticket: account.waiters[0].ticket})
+		account.waiters = slices.Delete(account.waiters, 0, 1)
+	}
+	for _, w := range slices.Clone(account.waiters) {
+		if !now.Before(w.until) {
+			a.refuse(now, account, w, decision, step)
+		}
+	}
+	return decision
+}
+
+// refuse refuses a waiting request. The time to retry is the one at which the first pool
+// can be asked again.
+func (a *Admitter) refuse(now time.Time, account *account, w waiter, direct Decision, step *Step) {
+	retryAfter := direct.RetryAfter
+	for _, owner := range a.limiter.PoolLocation(now, account.workspace).Owners {
+		retryAt := account.blocks[owner].retryAt
+		if silent := a.peer(owner).silentUntil; silent.After(retryAt) {
+			retryAt = silent
+		}
+		if wait := retryAt.Sub(now); wait > 0 {
+			retryAfter = min(retryAfter, wait)
+		}
+	}
+	retryAfter = min(time.Duration(float64(retryAfter)*(1+retryJitter*a.random())), maxRetryAfter)
+	account.waiters = slices.DeleteFunc(account.waiters, func(other waiter) bool { return other.ticket == w.ticket })
+	step.Decided = append(step.Decided, Outcome{Decision: Decision{RetryAfter: retryAfter}, Ticket: w.ticket})
+}
+
+// takeFromSelf takes tokens for waiting requests from the pool of this instance, if it
+// owns one that was not just empty. It reports whether it took any.
+func (a *Admitter) takeFromSelf(now time.Time, account *account, open []waiter) bool {
+	location := a.limiter.PoolLocation(now, account.workspace)
+	if !slices.Contains(location.Owners, a.self) || account.isBlocked(now, a.self) {
+		return false
+	}
+	take := a.takeRequest(now, account, open, location)
+	take.Extra = 0
+	if a.canAskOther(now, account, location, a.self) {
+		take.MaxWait = 0
+	}
+	grant := a.limiter.Grant(now, []TakeRequest{take})[0]
+	a.receive(now, a.self, now, take, grant)
+	return grant.Taken >= 1
+}
+
+// takeRequest returns the request for the tokens that a workspace needs: for those that
+// wait, and for expected requests.
+func (a *Admitter) takeRequest(now time.Time, account *account, open []waiter, location PoolLocation) TakeRequest {
+	take := TakeRequest{Want: float64(len(open)), Workspace: account.workspace}
+	for _, w := range open {
+		take.MaxWait = max(take.MaxWait, w.until.Sub(now))
+	}
+	if demand := account.demand.Rate(now); demand >= minPrefetchDemand {
+		batch := min(tokenBatchDuration, location.Lifetime/2)
+		take.Extra = math.Max(0, math.Ceil(demand*batch.Seconds())-take.Want)
+	}
+	return take
+}
+
+// canAskOther reports whether there is another pool that can be asked. If there is, a pool
+// is not asked for tokens of the future, because the other may have some now.
+func (a *Admitter) canAskOther(now time.Time, account *account, location PoolLocation, owner fleet.InstanceID) bool {
+	return slices.ContainsFunc(location.Owners, func(other fleet.InstanceID) bool {
+		return other != owner && !account.isBlocked(now, other) && account.calls[other] == nil && !a.peer(other).isSuspect(now)
+	})
+}
+
+// ask requests tokens for waiting requests from an owner. A call that is overdue, or an
+// owner that failed before, is hedged by asking the other owner at the same time. It
+// reports whether a call is under way.
+func (a *Admitter) ask(now time.Time, account *account, open []waiter, step *Step) bool {
+	location := a.limiter.PoolLocation(now, account.workspace)
+	underWay := false
+	var healthy, suspect []fleet.InstanceID
+	for i := range location.Owners {
+		owner := location.Owners[(i+account.rotation)%len(location.Owners)]
+		peer := a.peer(owner)
+		if call := account.calls[owner]; call != nil {
+			overdue := now.Sub(call.sentAt) >= hedgeDelay
+			if !overdue && !peer.failed {
+				return true
+			}
+			// Nothing waits long for an owner that has failed before.
+			underWay = underWay || !overdue || !peer.failed
+			continue
+		}
+		switch {
+		case owner == a.self || account.isBlocked(now, owner) || now.Before(peer.silentUntil):
+		case peer.isSuspect(now):
+			suspect = append(suspect, owner)
+		default:
+			healthy = append(healthy, owner)
+		}
+	}
+	if len(healthy) > 0 {
+		suspect = slices.DeleteFunc(suspect, func(owner fleet.InstanceID) bool { return !a.peer(owner).failed })
+		healthy = healthy[:1]
+	}
+	account.rotation++
+	for _, owner := range append(healthy, suspect...) {
+		take := a.takeRequest(now, account, open, location)
+		if a.canAskOther(now, account, location, owner) {
+			take.MaxWait = 0
+		}
+		if peer := a.peer(owner); peer.failed {
+			peer.silentUntil = now.Add(failedOwnerBackoff)
+		}
+		a.call(now, owner, account, take, step)
+		underWay = true
+	}
+	return underWay
+}
+
+// prefetch requests tokens in advance if few are left for the demand.
+func (a *Admitter) prefetch(now time.Time, account *account, step *Step) {
+	location := a.limiter.PoolLocation(now, account.workspace)
+	if !a.needsPrefetch(now, account, prefetchLead) {
+		return
+	}
+	for i := range location.Owners {
+		owner := location.Owners[(i+account.rotation)%len(location.Owners)]
+		if owner == a.self {
+			return
+		}
+		if account.isBlocked(now, owner) || a.peer(owner).isSuspect(now) {
+			continue
+		}
+		account.rotation++
+		a.call(now, owner, account, a.takeRequest(now, account, nil, location), step)
+		return
+	}
+}
+
+// needsPrefetch reports whether the held tokens do not last for the lead and none are
+// under way.
+func (a *Admitter) needsPrefetch(now time.Time, account *account, lead time.Duration) bool {
+	demand := account.demand.Rate(now)
+	return demand >= minPrefetchDemand && len(account.calls) == 0 && !now.Before(account.prefetchAfter) &&
+		account.held(now) < demand*lead.Seconds()
+}
+
+// call adds a call to the step. Tokens that other workspaces need from the same owner
+// are requested in the same call.
+func (a *Admitter) call(now time.Time, owner fleet.InstanceID, account *account, take TakeRequest, step *Step) {
+	a.lastCall++
+	call := &tokenCall{id: a.lastCall, owner: owner, sentAt: now, takes: []TakeRequest{take}}
+	account.calls[owner] = call
+	for _, id := range slices.Sorted(maps.Keys(a.prefetching)) {
+		other := a.prefetching[id]
+		if other == account || len(other.waiters) > 0 || !a.needsPrefetch(now, other, 2*prefetchLead) {
+			if other.demand.Rate(now) < minPrefetchDemand {
+				delete(a.prefetching, id)
+			}
+			continue
+		}
+		location := a.limiter.PoolLocation(now, id)
+		if len(call.takes) < maxTakesPerCall && slices.Contains(location.Owners, owner) && !slices.Contains(location.Owners, a.self) && !other.isBlocked(now, owner) {
+			call.takes = append(call.takes, a.takeRequest(now, other, nil, location))
+			other.calls[owner] = call
+		}
+	}
+	a.calls[call.id] = call
+	peer := a.peer(owner)
+	peer.calls = append(peer.calls, call)
+	step.Calls = append(step.Calls, TokenCall{ID: call.id, Owner: owner, Takes: call.takes})
+}
+
+// updateWaiting keeps the set of accounts with waiting requests, and when they have to be
+// looked at.
+func (a *Admitter) updateWaiting(now time.Time, account *account) {
+	if len(account.waiters) == 0 {
+		account.wakeAt = time.Time{}
+		delete(a.waiting, account.workspace)
+		return
+	}
+	account.wakeAt = account.nextWake(now, a.limiter.TimeToDirect(now, account.workspace))
+	a.waiting[account.workspace] = account
+}
+
+// account returns the account of a workspace and creates it if needed. From time to time
+// it removes idle ones, and what is known about owners that are not asked.
+func (a *Admitter) account(now time.Time, id fleet.WorkspaceID) *account {
+	if now.After(a.sweepAt) {
+		a.sweepAt = now.Add(accountSweepInterval)
+		for other, account := range a.accounts {
+			if account.isIdle(now) {
+				delete(a.accounts, other)
+				delete(a.prefetching, other)
+			}
+		}
+		maps.DeleteFunc(a.peers, func(_ fleet.InstanceID, p *poolPeer) bool {
+			return len(p.calls) == 0 && now.Sub(p.silentUntil) > accountSweepInterval
+		})
+	}
+	found := a.accounts[id]
+	if found == nil {
+		found = &account{
+			blocks:    map[fleet.InstanceID]poolBlock{},
+			calls:     map[fleet.InstanceID]*tokenCall{},
+			demand:    NewDemand(now),
+			rotation:  int(2 * a.random()),
+			workspace: id,
+		}
+		a.accounts[id] = found
+	}
+	return found
+}
+
+// peer returns what is known about an owner.
+func (a *Admitter) peer(owner fleet.InstanceID) *poolPeer {
+	peer := a.peers[owner]
+	if peer == nil {
+		peer = &poolPeer{}
+		a.peers[owner] = peer
+	}
+	return peer
+}
--- /dev/null
+++ b/workspace/admitter_test.go
@@ -0,0 +1,180 @@
+package workspace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/workspace"
+)
+
+// tokenFleet is an instance that takes tokens from two owners over a network with a
+// delay of 1 ms in each direction. Its requests can wait for 100 ms.
+type tokenFleet struct {
+	admitter *workspace.Admitter
+	calls    int
+	// decided are the decisions on requests that waited.
+	decided map[workspace.Ticket]workspace.Decision
+	events  []fleetEvent
+	now     time.Time
+	owners  map[fleet.InstanceID]*workspace.DistributedLimiter
+	// silent holds the owners that don't answer.
+	silent map[fleet.InstanceID]bool
+	wakeAt time.Time
+}
+
+// fleetEvent is something that happens at a time.
+type fleetEvent struct {
+	at time.Time
+	do func()
+}
+
+func newTokenFleet(limits ...workspace.Limit) *tokenFleet {
+	f := &tokenFleet{decided: map[workspace.Ticket]workspace.Decision{}, now: start, owners: map[fleet.InstanceID]*workspace.DistributedLimiter{}, silent: map[fleet.InstanceID]bool{}}
+	members := []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}, {Instance: "b", Phase: workspace.PhaseHolding}, {Age: -time.Hour, Instance: "taker", Phase: workspace.PhaseJoining}}
+	for _, id := range []fleet.InstanceID{"a", "b", "taker"} {
+		f.owners[id] = workspace.NewDistributedLimiter(id)
+		f.owners[id].Renew(start, start.Add(time.Hour))
+		f.owners[id].Divide(start, limits, members)
+	}
+	// The taker has started just now, and holds no shares.
+	f.owners["taker"] = workspace.NewDistributedLimiter("taker")
+	f.owners["taker"].LocatePools(limits, members)
+	f.admitter = workspace.NewAdmitter("taker", f.owners["taker"], func() float64 { return 0.5 })
+	return f
+}
+
+// perform carries out a step.
+func (f *tokenFleet) perform(step workspace.Step) {
+	f.wakeAt = step.WakeAt
+	for _, outcome := range step.Decided {
+		f.decided[outcome.Ticket] = outcome.Decision
+	}
+	for _, call := range step.Calls {
+		f.calls++
+		if f.silent[call.Owner] {
+			f.after(150*time.Millisecond, func() { f.perform(f.admitter.Failed(f.now, call.ID)) })
+			continue
+		}
+		f.after(time.Millisecond, func() {
+			grants := f.owners[call.Owner].Grant(f.now, call.Takes)
+			f.after(time.Millisecond, func() { f.perform(f.admitter.Answered(f.now, call.ID, grants)) })
+		})
+	}
+}
+
+func (f *tokenFleet) after(delay time.Duration, do func()) {
+	f.events = append(f.events, fleetEvent{at: f.now.Add(delay), do: do})
+}
+
+// run passes time in steps of 1 ms.
+func (f *tokenFleet) run(duration time.Duration) {
+	for end := f.now.Add(duration); f.now.Before(end); {
+		f.now = f.now.Add(time.Millisecond)
+		due := f.events
+		f.events = nil
+		for _, event := range due {
+			if f.now.Before(event.at) {
+				f.events = append(f.events, event)
+				continue
+			}
+			event.do()
+		}
+		if !f.wakeAt.IsZero() && !f.now.Before(f.wakeAt) {
+			f.perform(f.admitter.Advance(f.now))
+		}
+	}
+}
+
+// request sends one request and returns the decision and how long it took.
+func (f *tokenFleet) request(id fleet.WorkspaceID) (workspace.Decision, time.Duration) {
+	sentAt := f.now
+	decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{WaitUntil: f.now.Add(100 * time.Millisecond), Workspace: id})
+	f.perform(step)
+	for ticket != 0 && f.now.Sub(sentAt) < time.Second {
+		if decided, found := f.decided[ticket]; found {
+			return decided, f.now.Sub(sentAt)
+		}
+		f.run(time.Millisecond)
+	}
+	return decision, f.now.Sub(sentAt)
+}
+
+// TestSilentOwnerDelaysNoRequestLong guards against requests that wait for the timeout of
+// a call to an owner that does not answer, although the other pool has tokens.
+func TestSilentOwnerDelaysNoRequestLong(t *testing.T) {
+	f := newTokenFleet(workspace.Limit{Burst: 50, Rate: 50, Workspace: "w"})
+	f.run(2 * time.Second)
+	f.silent["a"] = true
+	late := 0
+	for range 100 {
+		decision, took := f.request("w")
+		if !decision.Admitted || took > 20*time.Millisecond {
+			t.Errorf("at %v: decision %+v after %v", f.now.Sub(start), decision, took)
+		}
+		if took > 4*time.Millisecond {
+			late++
+		}
+		f.run(100 * time.Millisecond)
+	}
+	if late > 2 {
+		t.Errorf("%d of 100 requests waited longer than for an answer, want at most 2", late)
+	}
+	f.silent["a"], f.silent["b"] = false, true
+	f.run(time.Second)
+	for range 3 {
+		if decision, took := f.request("w"); !decision.Admitted || took > 20*time.Millisecond {
+			t.Errorf("after the silent owner is back and the other is silent: decision %+v after %v", decision, took)
+		}
+	}
+}
+
+// TestTokensBeforeShares guards against an instance that refuses requests while it has
+// just started, and against delays and messages for requests for which tokens can be
+// requested in advance.
+func TestTokensBeforeShares(t *testing.T) {
+	f := newTokenFleet(workspace.Limit{Burst: 100, Rate: 100, Workspace: "busy"}, workspace.Limit{Burst: 100, Rate: 100, Workspace: "idle"})
+	waited := 0
+	for range 500 {
+		decision, took := f.request("busy")
+		if !decision.Admitted {
+			t.Fatalf("refused at %v", f.now.Sub(start))
+		}
+		if took > 0 {
+			waited++
+		}
+		f.run(20*time.Millisecond - took)
+	}
+	if waited > 30 {
+		t.Errorf("%d of 500 requests waited, want at most 30", waited)
+	}
+	if f.calls > 125 {
+		t.Errorf("%d calls for 500 requests, want at most 125", f.calls)
+	}
+	before := f.calls
+	f.run(5 * time.Second)
+	if f.calls != before || !f.wakeAt.IsZero() {
+		t.Errorf("%d calls and next wake-up at %v while there are no requests", f.calls-before, f.wakeAt)
+	}
+}
+
+// TestRefusalsCostFewMessages guards against calls for requests that can only be refused,
+// and against callers that are told to return together or too early.
+func TestRefusalsCostFewMessages(t *testing.T) {
+	f := newTokenFleet(workspace.Limit{Burst: 10, Rate: 10, Workspace: "w"})
+	admitted := 0
+	for range 1000 {
+		if decision, took := f.request("w"); decision.Admitted {
+			admitted++
+		} else if decision.RetryAfter <= 0 || decision.RetryAfter > time.Second {
+			t.Fatalf("refusal %+v after %v", decision, took)
+		}
+		f.run(10 * time.Millisecond)
+	}
+	if elapsed := f.now.Sub(start).Seconds(); float64(admitted) < 0.9*10*elapsed || float64(admitted) > 10*elapsed+10 {
+		t.Errorf("%d admitted in %.1f s with a rate of 10", admitted, elapsed)
+	}
+	if f.calls > 500 {
+		t.Errorf("%d calls for 1000 requests, want at most 500", f.calls)
+	}
+}
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -15,9 +15,6 @@
 	// at the start. A restart takes about as long, and nothing was admitted
 	// meanwhile. A full bucket would let a restarted instance grant the burst twice.
 	initialFillTime = time.Second
-	// borrowedLifetime is how long tokens from a pool can be used: a few times the
-	// span of demand for which they are taken.
-	borrowedLifetime = time.Second
 )
 
 // DistributedLimiter enforces this instance's part of the rate limits that hold over
@@ -25,20 +22,19 @@
 // each instance. The rest is in pools, each owned by one instance, from which all
 // instances take tokens on demand. One token admits one request.
 //
-// It admits requests from the direct share and from tokens that were taken from
-// pools, and it holds the pools that this instance owns. It is safe for concurrent
-// use.
+// It admits requests from the direct share, and it holds the pools that this instance
+// owns. Admitter adds tokens from pools. It is safe for concurrent use.
 type DistributedLimiter struct {
 	mu     sync.Mutex
 	demand map[fleet.WorkspaceID]*demandMeter
-	// directory holds the pool owners of each workspace that has a limit.
-	directory map[fleet.WorkspaceID]*poolDirectory
-	// borrowed holds the tokens that were taken from pools.
-	borrowed map[fleet.WorkspaceID]borrowedTokens
+	// directory says where the pools of each workspace that has a limit are.
+	directory map[fleet.WorkspaceID]PoolLocation
 	// limiter holds this instance's direct shares, and pools the pools that it owns.
 	limiter *Limiter
 	pools   *Limiter
 	self    fleet.InstanceID
+	// divided holds the workspaces for which shares were set.
+	divided map[fleet.WorkspaceID]bool
 	// hasHeldShare is true once the instance has held a share of the limits.
 	hasHeldShare bool
 	// limits and members are the arguments of the last call of Divide, at
@@ -49,12 +45,8 @@
 	// nextChangeAt is when the shares change next because of the age of a member,
 	// or zero.
 	nextChangeAt time.Time
-}
-
-// borrowedTokens are unused tokens from a pool, which expire.
-type borrowedTokens struct {
-	count     float64
-	expiresAt time.Time
+	// relocated is true if LocatePools was called after the last call of Divide.
+	relocated bool
 }
 
 // NewDistributedLimiter returns a limiter for one instance. It admits nothing until
@@ -62,36 +54,20 @@
 func NewDistributedLimiter(self fleet.InstanceID) *DistributedLimiter {
 	return &DistributedLimiter{
 		demand:    map[fleet.WorkspaceID]*demandMeter{},
-		directory: map[fleet.WorkspaceID]*poolDirectory{},
-		borrowed:  map[fleet.WorkspaceID]borrowedTokens{},
+		directory: map[fleet.WorkspaceID]PoolLocation{},
+		divided:   map[fleet.WorkspaceID]bool{},
 		limiter:   NewLimiter(),
 		pools:     NewLimiter(),
 		self:      self,
 	}
 }
 
-// Add adds tokens that were taken from a pool. They expire after
-// borrowedLifetime, so that unused ones don't add up to a second burst.
-func (d *DistributedLimiter) Add(now time.Time, id fleet.WorkspaceID, tokens float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if left := d.borrowed[id]; now.Before(left.expiresAt) {
-		tokens += left.count
-	}
-	d.borrowed[id] = borrowedTokens{count: tokens, expiresAt: now.Add(borrowedLifetime)}
-}
-
-// Admit decides on one request of a workspace. It uses this instance's share first,
-// and then borrowed tokens.
+// Admit decides on one request of a workspace by this instance's direct share.
 func (d *DistributedLimiter) Admit(now time.Time, id fleet.WorkspaceID) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refreshShares(now)
-	decision := d.limiter.Admit(now, id)
-	if !decision.Admitted && d.takeBorrowed(now, id) {
-		return Decision{Admitted: true}
-	}
-	return decision
+	return d.limiter.Admit(now, id)
 }
 
 // RecordDemand counts one request of a workspace, whether it is admitted or not.
@@ -101,16 +77,6 @@
 	d.meter(now, id).add(now, 1)
 }
 
-// Demand returns the demand of one workspace at this instance, in requests per
-// second.
-func (d *DistributedLimiter) Demand(now time.Time, id fleet.WorkspaceID) float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	meter := d.meter(now, id)
-	meter.add(now, 0)
-	return meter.rate
-}
-
 // Divide sets the shares and pools of this instance. Members are the live instances,
 // including this one. All instances compute their shares from the same membership
 // rows, so the shares add up to no more than the limits. The other instances give
@@ -120,8 +86,8 @@
 	defer d.mu.Unlock()
 	slices.SortFunc(limits, func(a, b Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	unchanged := d.nextChangeAt.IsZero() && timeToNextChange(members) == 0 && slices.Equal(d.limits, limits) && slices.EqualFunc(d.members, members, sameMember)
-	d.limits, d.members, d.dividedAt = limits, members, now
+	unchanged := !d.relocated && d.nextChangeAt.IsZero() && timeToNextChange(members) == 0 && slices.Equal(d.limits, limits) && slices.EqualFunc(d.members, members, sameMember)
+	d.limits, d.members, d.dividedAt, d.relocated = limits, members, now, false
 	if unchanged {
 		return
 	}
@@ -162,8 +128,9 @@
 	fill := holdsShare && !d.hasHeldShare && !d.holdsByAge(members)
 	fillNewLimits := d.hasHeldShare
 	d.hasHeldShare = d.hasHeldShare || holdsShare
+	d.locatePools(d.limits, holding)
 	for _, limit := range d.limits {
-		owners := PoolOwners(limit.Workspace, holding)
+		owners := d.directory[limit.Workspace].Owners
 		pooled := PooledFraction(limit, len(members))
 		direct, pool := 0.0, 0.0
 		if holdsShare {
@@ -172,13 +139,8 @@
 		if slices.Contains(owners, d.self) && slices.Contains(PoolOwners(limit.Workspace, mayHoldSoon), d.self) {
 			pool = pooled / float64(len(owners))
 		}
-		directory, fillLimit := d.directory[limit.Workspace], fill
-		if directory == nil {
-			directory = &poolDirectory{}
-			d.directory[limit.Workspace] = directory
-			fillLimit = fillLimit || fillNewLimits
-		}
-		directory.setOwners(d.self, owners)
+		fillLimit := fill || (fillNewLimits && !d.divided[limit.Workspace])
+		d.divided[limit.Workspace] = true
 		setShare(d.limiter, now, limit, direct, fillLimit)
 		setShare(d.pools, now, limit, pool, fillLimit)
 	}
@@ -197,9 +159,9 @@
 	for _, limit := range d.limits {
 		known[limit.Workspace] = true
 	}
-	for id := range d.directory {
+	for id := range d.divided {
 		if !known[id] {
-			delete(d.directory, id)
+			delete(d.divided, id)
 			delete(d.demand, id)
 			d.limiter.Remove(id)
 			d.pools.Remove(id)
@@ -217,17 +179,32 @@
 	return d.pools.Take(now, id, want)
 }
 
-// PoolOwners returns the owners of the pools of a workspace in the order in which
-// to ask them. It returns none if this instance isn't allowed to admit requests.
-func (d *DistributedLimiter) PoolOwners(now time.Time, id fleet.WorkspaceID) []PoolOwner {
+// PoolLocation returns the owners of the pools of a workspace, and how long tokens
+// from them can be used. Without a limit there are none. The owners may be outdated:
+// an instance that does not own the pool gives no tokens.
+func (d *DistributedLimiter) PoolLocation(now time.Time, id fleet.WorkspaceID) PoolLocation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refreshShares(now)
-	entry := d.directory[id]
-	if entry == nil || !now.Before(d.limiter.ValidUntil()) {
-		return nil
+	return d.directory[id]
+}
+
+// LocatePools sets the owners of the pools without changing shares. An instance that
+// holds no shares and can't prove that its view of the members is recent takes tokens
+// from the pools of others, because these are valid by the lease of the pool's owner.
+func (d *DistributedLimiter) LocatePools(limits []Limit, members []Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.relocated = true
+	d.locatePools(limits, holders(members, func(m Member) bool { return m.holdsAfter(0) }))
+}
+
+// locatePools replaces the directory.
+func (d *DistributedLimiter) locatePools(limits []Limit, holding []fleet.InstanceID) {
+	clear(d.directory)
+	for _, limit := range limits {
+		d.directory[limit.Workspace] = PoolLocation{Lifetime: tokenLifetime(limit.Rate), Owners: PoolOwners(limit.Workspace, holding)}
 	}
-	return entry.askOrder(d.self)
 }
 
 // Renew sets the time until which the instance may admit requests.
@@ -251,21 +228,6 @@
 	return total
 }
 
-// SkipOwner marks one owner's pool of a workspace as not to be asked until a time.
-func (d *DistributedLimiter) SkipOwner(id fleet.WorkspaceID, owner fleet.InstanceID, until time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	entry := d.directory[id]
-	if entry == nil {
-		return
-	}
-	for i := range entry.owners {
-		if entry.owners[i].Instance == owner {
-			entry.owners[i].SkipUntil = until
-		}
-	}
-}
-
 // meter returns the demand meter of a workspace and creates it if necessary.
 func (d *DistributedLimiter) meter(now time.Time, id fleet.WorkspaceID) *demandMeter {
 	meter := d.demand[id]
@@ -293,13 +255,9 @@
 	limiter.Set(now, limit.Workspace, share)
 }
 
-// takeBorrowed uses one borrowed token. It reports false if there is none.
-func (d *DistributedLimiter) takeBorrowed(now time.Time, id fleet.WorkspaceID) bool {
-	borrowed := d.borrowed[id]
-	if borrowed.count < 1 || !now.Before(borrowed.expiresAt) || !now.Before(d.limiter.ValidUntil()) {
-		return false
-	}
-	borrowed.count--
-	d.borrowed[id] = borrowed
-	return true
+// TimeToDirect returns the time until the direct share holds a whole token.
+func (d *DistributedLimiter) TimeToDirect(now time.Time, id fleet.WorkspaceID) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limiter.TimeToToken(now, id)
 }
--- a/workspace/divisionmodel_test.go
+++ b/workspace/divisionmodel_test.go
@@ -1,6 +1,7 @@
 package workspace_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -20,6 +21,10 @@
 	modelRowExpiry         = 4700 * time.Millisecond
 	modelTick              = 50 * time.Millisecond
 	modelWindow            = 5 * time.Second
+	// modelCallTimeout is the timeout of a call for tokens.
+	modelCallTimeout = 150 * time.Millisecond
+	// modelMaxWait is how long a request waits for a token.
+	modelMaxWait = 250 * time.Millisecond
 )
 
 // modelRow is the membership row of an instance in the store.
@@ -31,16 +36,31 @@
 // modelInstance is one instance. It runs only while it is neither stopped nor paused,
 // and can access the store only while it is not disconnected from it.
 type modelInstance struct {
+	admitter      *workspace.Admitter
 	limiter       *workspace.DistributedLimiter
 	participation *workspace.Participation
 	id            fleet.InstanceID
 
-	disconnectedUntil, stoppedUntil, readsFailUntil, pausedUntil time.Time
+	disconnectedUntil, isolatedUntil, stoppedUntil, readsFailUntil, pausedUntil time.Time
 
 	nextHeartbeat, nextRead time.Time
 	lastHeartbeat, readAt   time.Time
 	// presentSince is since when its row has existed without expiring.
 	presentSince time.Time
+
+	// messages are the calls of this process that were not answered yet.
+	messages []*modelMessage
+	wakeAt   time.Time
+}
+
+// modelMessage is a call for tokens. It reaches the owner after a delay, and the answer
+// arrives after another one.
+type modelMessage struct {
+	call              workspace.TokenCall
+	sentAt, arrivesAt time.Time
+	answered          bool
+	answer            []workspace.TakeGrant
+	answerDelay       time.Duration
 }
 
 // divisionModel simulates a store, instances, and callers that send each instance more
@@ -55,6 +75,17 @@
 	// immediately after joining, and admitting requests without a recent read of
 	// the membership rows.
 	joinImmediately, admitOnStaleRows bool
+	// doubleGrants and keepTokens are deliberate faults of the tokens from pools:
+	// counting the tokens of an answer twice, and, in the first half, using them 3 s
+	// later.
+	doubleGrants, keepTokens bool
+	// burstTicks is the length of the bursts in which requests arrive, and of the
+	// pauses between them, or zero if they arrive all the time.
+	burstTicks int
+	// delays are the delays of the messages, in ticks, which are used in turn.
+	delays    []int
+	nextDelay int
+	tick      int
 }
 
 // isRunning reports whether the instance is neither stopped nor paused.
@@ -65,6 +96,14 @@
 // restart starts a new process of the instance, which knows only its own row.
 func (m *divisionModel) restart(i *modelInstance, now time.Time) {
 	i.limiter, i.participation = workspace.NewDistributedLimiter(i.id), workspace.NewParticipation()
+	i.admitter = workspace.NewAdmitter(i.id, i.limiter, func() float64 { return 0.5 })
+	i.messages, i.wakeAt = nil, time.Time{}
+	// It takes tokens from whoever it believes to own pools.
+	var believed []workspace.Member
+	for _, other := range m.instances {
+		believed = append(believed, workspace.Member{Instance: other.id, Phase: workspace.PhaseHolding})
+	}
+	i.limiter.LocatePools([]workspace.Limit{m.limit}, believed)
 	i.nextHeartbeat, i.nextRead = now, now
 	i.lastHeartbeat, i.readAt, i.presentSince = time.Time{}, time.Time{}, time.Time{}
 	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease {
@@ -138,30 +177,80 @@
 	i.limiter.Divide(now, []workspace.Limit{m.limit}, append(others, own))
 }
 
-// request sends one request to an instance, which takes from the pools if its own
-// share is used up.
-func (m *divisionModel) request(i *modelInstance, now time.Time) {
-	i.limiter.RecordDemand(now, m.limit.Workspace)
-	if i.limiter.Admit(now, m.limit.Workspace).Admitted {
-		m.admitted = append(m.admitted, now)
-		return
+// isIsolated reports whether an instance doesn't reach the other ones.
+func (i *modelInstance) isIsolated(now time.Time) bool {
+	return !now.After(i.isolatedUntil)
+}
+
+// delay returns the delay of the next message.
+func (m *divisionModel) delay() time.Duration {
+	if len(m.delays) == 0 {
+		return 0
 	}
-	for _, owner := range i.limiter.PoolOwners(now, m.limit.Workspace) {
-		for _, other := range m.instances {
-			if other.id != owner.Instance || !other.isRunning(now) {
-				continue
-			}
-			if given, _ := other.limiter.TakeFromPool(now, m.limit.Workspace, 1); given > 0 {
-				i.limiter.Add(now, m.limit.Workspace, given)
-				if i.limiter.Admit(now, m.limit.Workspace).Admitted {
-					m.admitted = append(m.admitted, now)
+	m.nextDelay++
+	return time.Duration(m.delays[m.nextDelay%len(m.delays)]) * modelTick
+}
+
+// perform carries out a step of an instance's admitter.
+func (m *divisionModel) perform(i *modelInstance, now time.Time, step workspace.Step) {
+	for _, outcome := range step.Decided {
+		if outcome.Decision.Admitted {
+			m.admitted = append(m.admitted, now)
+		}
+	}
+	for _, call := range step.Calls {
+		i.messages = append(i.messages, &modelMessage{call: call, sentAt: now, arrivesAt: now.Add(m.delay()), answerDelay: m.delay()})
+	}
+	i.wakeAt = step.WakeAt
+	m.deliver(i, now)
+}
+
+// deliver passes the calls of an instance to the owners and the answers to the instance.
+// An instance that was paused finds the answers that came meanwhile.
+func (m *divisionModel) deliver(i *modelInstance, now time.Time) {
+	for _, message := range slices.Clone(i.messages) {
+		owner := m.instances[slices.IndexFunc(m.instances, func(o *modelInstance) bool { return o.id == message.call.Owner })]
+		if !message.answered && !now.Before(message.arrivesAt) && owner.isRunning(now) && !owner.isIsolated(now) && !i.isIsolated(now) {
+			message.answered, message.answer, message.arrivesAt = true, owner.limiter.Grant(now, message.call.Takes), now.Add(message.answerDelay)
+		}
+		var step workspace.Step
+		switch {
+		case message.answered && !now.Before(message.arrivesAt) && i.isRunning(now):
+			for g := range message.answer {
+				if m.doubleGrants {
+					message.answer[g].Taken *= 2
+				}
+				if m.keepTokens && now.Before(start.Add(modelDuration/2)) {
+					message.answer[g].Delay += 3 * time.Second
 				}
-				return
 			}
+			i.messages = slices.DeleteFunc(i.messages, func(other *modelMessage) bool { return other == message })
+			step = i.admitter.Answered(now, message.call.ID, message.answer)
+		case now.Sub(message.sentAt) >= modelCallTimeout && i.isRunning(now):
+			i.messages = slices.DeleteFunc(i.messages, func(other *modelMessage) bool { return other == message })
+			step = i.admitter.Failed(now, message.call.ID)
+		default:
+			continue
 		}
+		m.perform(i, now, step)
+		return
 	}
 }
 
+// request sends one request to an instance.
+func (m *divisionModel) request(i *modelInstance, now time.Time) {
+	decision, _, step := i.admitter.Admit(now, workspace.Request{WaitUntil: now.Add(modelMaxWait), Workspace: m.limit.Workspace})
+	if decision.Admitted {
+		m.admitted = append(m.admitted, now)
+	}
+	m.perform(i, now, step)
+}
+
+// inBurst reports whether requests arrive in the current tick.
+func (m *divisionModel) inBurst() bool {
+	return m.burstTicks == 0 || m.tick/m.burstTicks%2 == 0
+}
+
 // maxInWindow returns the largest number of requests admitted in any window of
 // modelWindow.
 func (m *divisionModel) maxInWindow() int {
@@ -209,6 +298,7 @@
 	}
 	for now.Before(start.Add(modelDuration)) {
 		now = now.Add(modelTick)
+		m.tick++
 		for len(faults) > 0 && !now.Before(start.Add(faults[0].at)) {
 			m.start(faults[0], now)
 			faults = faults[1:]
@@ -222,8 +312,12 @@
 				m.restart(i, now)
 			}
 			m.step(i, now)
+			m.deliver(i, now)
+			m.perform(i, now, i.admitter.Advance(now))
 			for range modelRequestsPerTick {
-				m.request(i, now)
+				if m.inBurst() {
+					m.request(i, now)
+				}
 			}
 		}
 	}
@@ -244,6 +338,8 @@
 		i.readsFailUntil = until
 	case "kill":
 		i.stoppedUntil = until
+	case "isolate":
+		i.disconnectedUntil, i.isolatedUntil = until, until
 	case "leave":
 		delete(m.rows, i.id)
 		i.stoppedUntil = until
@@ -261,7 +357,7 @@
 		faults = append(faults, modelFault{
 			at:       time.Duration(at) * time.Millisecond,
 			instance: rapid.IntRange(0, 8).Draw(t, "instance"),
-			kind:     rapid.SampledFrom([]string{"cut", "deaf", "kill", "leave", "pause"}).Draw(t, "kind"),
+			kind:     rapid.SampledFrom([]string{"cut", "deaf", "isolate", "kill", "leave", "pause"}).Draw(t, "kind"),
 			duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "milliseconds")) * time.Millisecond,
 		})
 	}
@@ -276,10 +372,15 @@
 
 // TestDivisionModel guards against admitting more than a workspace's limit while
 // instances crash, restart, leave, resume after a pause, and lose access to the store,
-// either completely or for reads only.
+// either completely or for reads only, and while tokens of pools are granted ahead, late
+// and to instances that hold no shares.
 func TestDivisionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &divisionModel{limit: drawLimit(t)}
+		m := &divisionModel{
+			burstTicks: rapid.SampledFrom([]int{0, 2, 5, 11, 40}).Draw(t, "burst ticks"),
+			delays:     rapid.SliceOfN(rapid.IntRange(0, 3), 0, 7).Draw(t, "delays"),
+			limit:      drawLimit(t),
+		}
 		m.run(rapid.IntRange(2, 9).Draw(t, "instances"), drawFaults(t))
 		if got := m.maxInWindow(); float64(got) > m.maxAllowed() {
 			t.Fatalf("%d requests admitted in %v, want at most %.0f with limit %+v", got, modelWindow, m.maxAllowed(), m.limit)
@@ -306,6 +407,9 @@
 		{name: "no fault", faults: joining},
 		{name: "no fault, reads of one instance fail", faults: joiningReadsFail},
 		{name: "holds shares immediately after joining", model: divisionModel{joinImmediately: true}, faults: joining, found: true},
+		{name: "no fault, bursts and delays", model: divisionModel{burstTicks: 40, delays: []int{0, 1, 2}}, faults: joining},
+		{name: "counts the tokens of an answer twice", model: divisionModel{doubleGrants: true}, found: true},
+		{name: "uses tokens later", model: divisionModel{keepTokens: true}, found: true},
 		{name: "admits on stale rows", model: divisionModel{admitOnStaleRows: true}, faults: joiningReadsFail, found: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -35,6 +35,8 @@
 
 // bucket is a share with the time up to which it was refilled.
 type bucket struct {
+	// debt is the number of tokens that were granted before they were refilled.
+	debt     float64
 	filledAt time.Time
 	share    Share
 }
@@ -72,6 +74,57 @@
 	return 1 + more, 0
 }
 
+// Reserve takes tokens from the workspace's share for another instance, as whole tokens.
+// Those wanted for waiting requests may be tokens of the near future, up to
+// maxReservation. They must fall in the validity, outside of which the share is not
+// refilled. Extra tokens come only from the upper half of the bucket.
+func (l *Limiter) Reserve(now time.Time, take TakeRequest) TakeGrant {
+	grant := TakeGrant{Workspace: take.Workspace}
+	b := l.buckets[take.Workspace]
+	if b == nil || !now.Before(l.validUntil) || b.share.Rate <= 0 {
+		grant.RetryAfter = defaultRetryAfter
+		return grant
+	}
+	b.fill(now, l.validUntil)
+	want := math.Floor(take.Want)
+	grant.Taken = b.withdraw(want, 0)
+	if grant.Taken == want {
+		grant.Taken += b.withdraw(math.Floor(take.Extra), b.share.Capacity/2)
+		return grant
+	}
+	if grant.Taken == 0 {
+		horizon := min(take.MaxWait, maxReservation, l.validUntil.Sub(now))
+		grant.Taken, grant.Delay = b.reserve(want, horizon)
+	}
+	if grant.Taken < want {
+		grant.RetryAfter = b.retryAfter()
+	}
+	return grant
+}
+
+// withdraw takes up to want whole tokens and leaves the given level.
+func (b *bucket) withdraw(want, leave float64) float64 {
+	taken := math.Min(want, math.Floor(b.share.Level-leave+admissionTolerance))
+	if taken <= 0 {
+		return 0
+	}
+	b.share.Level = math.Max(0, b.share.Level-taken)
+	return taken
+}
+
+// reserve takes up to want tokens that will be refilled within the horizon, and returns
+// the time after which all of them are.
+func (b *bucket) reserve(want float64, horizon time.Duration) (taken float64, delay time.Duration) {
+	available := b.share.Level - b.debt + b.share.Rate*horizon.Seconds()
+	taken = math.Min(want, math.Floor(available))
+	if taken <= 0 {
+		return 0, 0
+	}
+	b.debt += taken - b.share.Level
+	b.share.Level = 0
+	return taken, time.Duration(math.Ceil(b.debt / b.share.Rate * float64(time.Second)))
+}
+
 // Remove removes the share of a workspace.
 func (l *Limiter) Remove(workspace fleet.WorkspaceID) {
 	delete(l.buckets, workspace)
@@ -109,6 +162,17 @@
 	return b.share
 }
 
+// TimeToToken returns the time until the workspace's share holds a whole token, or
+// defaultRetryAfter if that isn't known.
+func (l *Limiter) TimeToToken(now time.Time, workspace fleet.WorkspaceID) time.Duration {
+	b := l.buckets[workspace]
+	if b == nil || !now.Before(l.validUntil) {
+		return defaultRetryAfter
+	}
+	b.fill(now, l.validUntil)
+	return max(0, b.retryAfter())
+}
+
 // ValidUntil returns the end of the validity.
 func (l *Limiter) ValidUntil() time.Time {
 	return l.validUntil
@@ -125,7 +189,10 @@
 		end = validUntil
 	}
 	if end.After(b.filledAt) {
-		b.share.Level += b.share.Rate * end.Sub(b.filledAt).Seconds()
+		refill := b.share.Rate * end.Sub(b.filledAt).Seconds()
+		repaid := math.Min(b.debt, refill)
+		b.debt -= repaid
+		b.share.Level += refill - repaid
 	}
 	b.filledAt = now
 	b.share = b.share.clamped()
@@ -136,7 +203,7 @@
 	if b.share.Rate <= 0 {
 		return defaultRetryAfter
 	}
-	seconds := (1 - b.share.Level) / b.share.Rate
+	seconds := (1 - b.share.Level + b.debt) / b.share.Rate
 	if seconds > defaultRetryAfter.Seconds() && b.share.Capacity < 1 {
 		return defaultRetryAfter
 	}
