feat: let operations wait for a token for half of the target latency of their route

An operation waited 70 ms for a token, whatever its target. AccessController.Admit gets the route and deadline in session.Admission; the pool grants tokens of the near future to operations that can wait for them, and refuses the others at once.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -21,18 +21,18 @@
 // store can't be reached: the duration of a few store calls.
 const storeRetryAfter = 500 * time.Millisecond
 
-// maxTokenWait bounds how long an operation waits for a token from the pools of its
-// limit.
-const maxTokenWait = 70 * time.Millisecond
-
 // Admit takes a token for one operation from the rate limit of the workspace: from
 // this instance's share, or else from the pools of the limit. An operation without
 // a workspace is not limited.
-func (g *Gateway) Admit(now time.Time, id fleet.WorkspaceID) *session.Error {
-	if id == "" {
+func (g *Gateway) Admit(now time.Time, admission session.Admission) *session.Error {
+	if admission.Workspace == "" {
 		return nil
 	}
-	decision := g.tokens.admit(now, workspace.Request{WaitUntil: now.Add(maxTokenWait), Workspace: id})
+	decision := g.tokens.admit(now, workspace.Request{
+		Priority:  admission.Route.Priority,
+		WaitUntil: workspace.TokenDeadline(now, admission.Route.TargetLatency.Duration(), admission.Deadline),
+		Workspace: admission.Workspace,
+	})
 	if decision.Admitted {
 		return nil
 	}
--- a/session/fakes_test.go
+++ b/session/fakes_test.go
@@ -52,7 +52,7 @@
 	return sess
 }
 
-func (e *environment) Admit(time.Time, fleet.WorkspaceID) *session.Error {
+func (e *environment) Admit(time.Time, session.Admission) *session.Error {
 	if e.onAdmit != nil {
 		e.onAdmit()
 	}
--- a/session/router.go
+++ b/session/router.go
@@ -36,11 +36,20 @@
 	Workspace fleet.WorkspaceID
 }
 
+// Admission describes an operation that asks for admission.
+type Admission struct {
+	// Deadline is when the operation times out.
+	Deadline time.Time
+	Route    sheet.Route
+	// Workspace is empty if the operation is not limited.
+	Workspace fleet.WorkspaceID
+}
+
 // AccessController authorizes callers and enforces rate limits.
 type AccessController interface {
-	// Admit counts one operation against the rate limit of the workspace. It
-	// returns an error if the limit is exceeded.
-	Admit(now time.Time, workspace fleet.WorkspaceID) *Error
+	// Admit counts one operation against the rate limit of the workspace, and may
+	// wait for it. It returns an error if the limit is exceeded.
+	Admit(now time.Time, admission Admission) *Error
 	// Authorize returns the access that the credentials give at time now.
 	Authorize(now time.Time, credentials Credentials) (Access, *Error)
 	// Reauthorize returns an error if the credentials no longer give the workspace of
--- a/session/session.go
+++ b/session/session.go
@@ -193,7 +193,8 @@
 	if err != nil {
 		return access, err
 	}
-	if err := s.config.AccessController.Admit(now, access.Workspace); err != nil {
+	admission := Admission{Deadline: now.Add(access.Route.StatementTimeout.Duration()), Route: access.Route, Workspace: access.Workspace}
+	if err := s.config.AccessController.Admit(now, admission); err != nil {
 		return access, err
 	}
 	// Authorize again: admission may have waited for another instance, or the
--- a/workspace/admitter_test.go
+++ b/workspace/admitter_test.go
@@ -178,3 +178,39 @@
 		t.Errorf("%d calls for 1000 requests, want at most 500", f.calls)
 	}
 }
+
+// TestWaitWithinTargetLatency guards against refusing requests that would get a token
+// within half of the target latency of their route, and against holding others.
+func TestWaitWithinTargetLatency(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		target   time.Duration
+		admitted bool
+		maxTook  time.Duration
+	}{
+		{name: "short target", target: 40 * time.Millisecond, maxTook: 10 * time.Millisecond},
+		{name: "long target", target: 400 * time.Millisecond, admitted: true, maxTook: 200 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			// Each pool gets one token in 100 ms, and both are empty.
+			f := newTokenFleet(workspace.Limit{Burst: 20, Rate: 20, Workspace: "w"})
+			for _, owner := range []fleet.InstanceID{"a", "b"} {
+				f.owners[owner].Grant(f.now, []workspace.TakeRequest{{Want: 100, Workspace: "w"}})
+				for {
+					if taken, _ := f.owners[owner].TakeFromPool(f.now, "w", 10); taken == 0 {
+						break
+					}
+				}
+			}
+			decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{WaitUntil: workspace.TokenDeadline(f.now, test.target, f.now.Add(time.Second)), Workspace: "w"})
+			f.perform(step)
+			sentAt := f.now
+			for decided := false; ticket != 0 && !decided && f.now.Sub(sentAt) < time.Second; decision, decided = f.decided[ticket] {
+				f.run(time.Millisecond)
+			}
+			if took := f.now.Sub(sentAt); decision.Admitted != test.admitted || took > test.maxTook {
+				t.Errorf("decision %+v after %v, want admitted %t within %v", decision, took, test.admitted, test.maxTook)
+			}
+		})
+	}
+}
