feat: choose pool owners by processor share, in two data centres

A pool on an instance with a seventh of a core answers late: the instance pauses for most of a scheduling period once it has used up its time. Owners are chosen by rendezvous hashing weighted with the third power of the processor share, and the second one is in another data centre than the first, so that each side of a partition between data centres more often reaches a pool. Both rules are monotone: TestPoolsMoveOnlyToOrFromTheInstanceThatChanged. With equal shares in one data centre the owners are the earlier ones.

--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -30,7 +30,13 @@
 	}
 	verified := !g.members.verifiedAt.IsZero()
 	members := append(g.members.otherParticipants(g.storeClock.StoreTime(now)),
-		workspace.Member{Age: g.ownRowAge(now), Instance: g.members.self, Phase: g.members.participation.EffectivePhase()})
+		workspace.Member{
+			Age:            g.ownRowAge(now),
+			DataCentre:     g.config.Settings.DataCentre,
+			Instance:       g.members.self,
+			Phase:          g.members.participation.EffectivePhase(),
+			ProcessorShare: g.config.Settings.ProcessorShare,
+		})
 	var rateLimits []workspace.Limit
 	for id, limit := range g.routing.Limits() {
 		rateLimits = append(rateLimits, workspace.Limit{Burst: limit.Burst, Rate: limit.Rate, Workspace: id})
--- a/gateway/participation.go
+++ b/gateway/participation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
@@ -29,10 +30,13 @@
 
 // resumeMembership takes over the row that an earlier run of this instance wrote, if
 // its lease has not expired: until then no other instance takes over its shares of
-// the rate limits. The caller holds g.mu.
+// the rate limits. The row of a run with another data centre or processor share is not
+// taken over, because the owners of the pools depend on them, and may change only when an
+// instance joins or leaves. The caller holds g.mu.
 func (g *Gateway) resumeMembership(now time.Time, row MemberRow) {
 	remaining := primacy.LeaseTime - (g.storeClock.StoreTime(now) - row.At)
-	if remaining > 0 {
+	samePlace := row.DataCentre == g.config.Settings.DataCentre && row.ProcessorShare == g.config.Settings.ProcessorShare
+	if remaining > 0 && samePlace {
 		g.members.rowSince, g.members.resumedRowValidUntil = row.Since, now.Add(remaining)
 		g.members.participation.Resume(row.Phase)
 		g.members.phaseRevision = g.members.ownRevision
@@ -61,12 +65,17 @@
 	return g.storeClock.StoreTime(now) - g.ownRowSince(now)
 }
 
+// participant returns the instance of a row as a member that shares the rate limits.
+func (r MemberRow) participant(id fleet.InstanceID, age time.Duration) workspace.Member {
+	return workspace.Member{Age: age, DataCentre: r.DataCentre, Instance: id, Phase: r.Phase, ProcessorShare: r.ProcessorShare}
+}
+
 // otherParticipants returns the other live instances, with their ages at the given
 // store time.
 func (v *memberView) otherParticipants(now time.Duration) []workspace.Member {
 	var members []workspace.Member
 	for id, row := range v.otherLive() {
-		members = append(members, workspace.Member{Age: now - row.Since, Instance: id, Phase: row.Phase})
+		members = append(members, row.participant(id, now-row.Since))
 	}
 	return members
 }
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -98,7 +98,8 @@
 // sameMember reports whether two members are the same one with the same phase. Their
 // ages only matter while timeToNextChange is positive.
 func sameMember(a, b Member) bool {
-	return a.Instance == b.Instance && a.Phase == b.Phase && a.holdsAfter(0) == b.holdsAfter(0)
+	return a.Instance == b.Instance && a.Phase == b.Phase && a.holdsAfter(0) == b.holdsAfter(0) &&
+		a.DataCentre == b.DataCentre && a.ProcessorShare == b.ProcessorShare
 }
 
 // refreshShares recomputes the shares if the age of a member has changed them.
@@ -112,7 +113,8 @@
 func (d *DistributedLimiter) setShares(now time.Time) {
 	members := make([]Member, len(d.members))
 	for i, m := range d.members {
-		members[i] = Member{Age: m.Age + now.Sub(d.dividedAt), Instance: m.Instance, Phase: m.Phase}
+		members[i] = m
+		members[i].Age += now.Sub(d.dividedAt)
 	}
 	d.nextChangeAt = time.Time{}
 	if wait := timeToNextChange(members); wait > 0 {
@@ -120,7 +122,7 @@
 	}
 	holding := holders(members, func(m Member) bool { return m.holdsAfter(0) })
 	mayHoldSoon := holders(members, Member.mayHoldSoon)
-	holdsShare := slices.Contains(holding, d.self)
+	holdsShare := slices.ContainsFunc(holding, func(m Member) bool { return m.Instance == d.self })
 	// The buckets of a restarted instance start partly filled, also if all
 	// instances restart, because nobody has admitted requests on its share. Those of
 	// an instance that joins running ones start empty: the others have used its
@@ -200,7 +202,7 @@
 }
 
 // locatePools replaces the directory.
-func (d *DistributedLimiter) locatePools(limits []Limit, holding []fleet.InstanceID) {
+func (d *DistributedLimiter) locatePools(limits []Limit, holding []Member) {
 	clear(d.directory)
 	for _, limit := range limits {
 		d.directory[limit.Workspace] = PoolLocation{Lifetime: tokenLifetime(limit.Rate), Owners: PoolOwners(limit.Workspace, holding)}
--- a/workspace/divisionmodel_test.go
+++ b/workspace/divisionmodel_test.go
@@ -31,6 +31,13 @@
 type modelRow struct {
 	writtenAt, presentSince time.Time
 	phase                   workspace.Phase
+	dataCentre              fleet.DataCentre
+	processorShare          float64
+}
+
+// member returns the instance of the row as a member.
+func (r modelRow) member(id fleet.InstanceID, age time.Duration) workspace.Member {
+	return workspace.Member{Age: age, DataCentre: r.dataCentre, Instance: id, Phase: r.phase, ProcessorShare: r.processorShare}
 }
 
 // modelInstance is one instance. It runs only while it is neither stopped nor paused,
@@ -40,6 +47,9 @@
 	limiter       *workspace.DistributedLimiter
 	participation *workspace.Participation
 	id            fleet.InstanceID
+	dataCentre    fleet.DataCentre
+	// processorShare may change at a restart.
+	processorShare float64
 
 	disconnectedUntil, isolatedUntil, stoppedUntil, readsFailUntil, pausedUntil time.Time
 
@@ -75,6 +85,9 @@
 	// immediately after joining, and admitting requests without a recent read of
 	// the membership rows.
 	joinImmediately, admitOnStaleRows bool
+	// resumeResized is the deliberate fault that a process takes over the row of an
+	// earlier one with another processor share.
+	resumeResized bool
 	// doubleGrants and keepTokens are deliberate faults of the tokens from pools:
 	// counting the tokens of an answer twice, and, in the first half, using them 3 s
 	// later.
@@ -106,7 +119,7 @@
 	i.limiter.LocatePools([]workspace.Limit{m.limit}, believed)
 	i.nextHeartbeat, i.nextRead = now, now
 	i.lastHeartbeat, i.readAt, i.presentSince = time.Time{}, time.Time{}, time.Time{}
-	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease {
+	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease && (m.resumeResized || row.processorShare == i.processorShare) {
 		i.lastHeartbeat, i.presentSince = row.writtenAt, row.presentSince
 		i.participation.Resume(row.phase)
 	}
@@ -120,7 +133,7 @@
 	}
 	i.presentSince = i.ownPresentSince(now)
 	phase, changed := i.participation.NextPhase()
-	m.rows[i.id] = modelRow{writtenAt: now, presentSince: i.presentSince, phase: phase}
+	m.rows[i.id] = modelRow{writtenAt: now, presentSince: i.presentSince, phase: phase, dataCentre: i.dataCentre, processorShare: i.processorShare}
 	i.participation.PhaseWritten(phase)
 	i.lastHeartbeat = now
 	if changed {
@@ -162,7 +175,7 @@
 	for _, other := range m.instances {
 		row, found := m.rows[other.id]
 		if found && other != i && now.Sub(row.writtenAt) < modelRowExpiry {
-			others = append(others, workspace.Member{Age: now.Sub(row.presentSince), Instance: other.id, Phase: row.phase})
+			others = append(others, row.member(other.id, now.Sub(row.presentSince)))
 		}
 	}
 	age := now.Sub(i.ownPresentSince(now))
@@ -170,7 +183,7 @@
 	if _, changed := i.participation.NextPhase(); changed {
 		i.nextHeartbeat = now
 	}
-	own := workspace.Member{Age: age, Instance: i.id, Phase: i.participation.EffectivePhase()}
+	own := workspace.Member{Age: age, DataCentre: i.dataCentre, Instance: i.id, Phase: i.participation.EffectivePhase(), ProcessorShare: i.processorShare}
 	if m.joinImmediately {
 		own.Phase = workspace.PhaseHolding
 	}
@@ -279,6 +292,9 @@
 	duration time.Duration
 }
 
+// modelShares are the processor shares of the instances.
+var modelShares = [2]float64{0.2, 0.8}
+
 const (
 	modelDuration = 40 * time.Second
 	// modelRequestsPerTick is the number of requests to each instance in one tick.
@@ -291,7 +307,7 @@
 	now := start
 	m.rows = map[fleet.InstanceID]modelRow{}
 	for n := range instances {
-		i := &modelInstance{id: fleet.InstanceID("i" + strconv.Itoa(n))}
+		i := &modelInstance{id: fleet.InstanceID("i" + strconv.Itoa(n)), dataCentre: fleet.DataCentre("d" + strconv.Itoa(n%3)), processorShare: modelShares[n%2]}
 		m.instances = append(m.instances, i)
 		m.restart(i, now)
 		i.nextRead = now.Add(time.Duration(n) * 100 * time.Millisecond)
@@ -343,6 +359,9 @@
 	case "leave":
 		delete(m.rows, i.id)
 		i.stoppedUntil = until
+	case "resize":
+		i.stoppedUntil = until
+		i.processorShare = modelShares[0] + modelShares[1] - i.processorShare
 	case "pause":
 		i.pausedUntil = until
 	}
@@ -357,7 +376,7 @@
 		faults = append(faults, modelFault{
 			at:       time.Duration(at) * time.Millisecond,
 			instance: rapid.IntRange(0, 8).Draw(t, "instance"),
-			kind:     rapid.SampledFrom([]string{"cut", "deaf", "isolate", "kill", "leave", "pause"}).Draw(t, "kind"),
+			kind:     rapid.SampledFrom([]string{"cut", "deaf", "isolate", "kill", "leave", "pause", "resize"}).Draw(t, "kind"),
 			duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "milliseconds")) * time.Millisecond,
 		})
 	}
@@ -398,6 +417,15 @@
 	}
 	joiningReadsFail = append(joiningReadsFail, joining...)
 	joiningReadsFail = append(joiningReadsFail, modelFault{at: 14 * time.Second, instance: 0, kind: "deaf", duration: 20 * time.Second})
+	// The small instances become large ones, while the reads of the large ones fail.
+	var resizing []modelFault
+	for n := range 9 {
+		fault := modelFault{at: 10 * time.Second, instance: n, kind: "resize", duration: 300 * time.Millisecond}
+		if n%2 == 1 {
+			fault.kind, fault.duration = "deaf", 9*time.Second
+		}
+		resizing = append(resizing, fault)
+	}
 	for _, test := range []struct {
 		name   string
 		model  divisionModel
@@ -406,6 +434,8 @@
 	}{
 		{name: "no fault", faults: joining},
 		{name: "no fault, reads of one instance fail", faults: joiningReadsFail},
+		{name: "no fault, resized while reads fail", faults: resizing},
+		{name: "resumes although resized", model: divisionModel{resumeResized: true}, faults: resizing, found: true},
 		{name: "holds shares immediately after joining", model: divisionModel{joinImmediately: true}, faults: joining, found: true},
 		{name: "no fault, bursts and delays", model: divisionModel{burstTicks: 40, delays: []int{0, 1, 2}}, faults: joining},
 		{name: "counts the tokens of an answer twice", model: divisionModel{doubleGrants: true}, found: true},
--- a/workspace/participation.go
+++ b/workspace/participation.go
@@ -40,9 +40,13 @@
 // Member is a live instance, as described by its membership row in the store.
 type Member struct {
 	// Age is how long the row has existed without expiring.
-	Age      time.Duration
-	Instance fleet.InstanceID
-	Phase    Phase
+	Age        time.Duration
+	DataCentre fleet.DataCentre
+	Instance   fleet.InstanceID
+	Phase      Phase
+	// ProcessorShare is the processor time that the instance may use, in cores. Zero
+	// counts as one. Like the data centre, it changes only together with the age.
+	ProcessorShare float64
 }
 
 // holdsAfter reports whether a member may hold shares once the duration has passed.
--- a/workspace/pooled.go
+++ b/workspace/pooled.go
@@ -1,10 +1,6 @@
 package workspace
 
-import (
-	"time"
-
-	"github.com/nutmegpier/nutmegpier/fleet"
-)
+import "time"
 
 const (
 	// directFraction is the fraction of a limit that is divided equally among the
@@ -18,9 +14,6 @@
 	// refuse requests that arrive at random intervals, and a bucket of one whole
 	// request for each instance would add up to more than the burst.
 	minDirectShare = 1
-	// poolsPerWorkspace is the number of pools of a workspace. With two, half of the
-	// pooled tokens are unavailable if an owner dies, until its lease has expired.
-	poolsPerWorkspace = 2
 )
 
 // PooledFraction returns the fraction of a limit that isn't divided into direct
@@ -34,21 +27,15 @@
 	return 1 - directFraction
 }
 
-// PoolOwners returns the instances that own the pools of a workspace. The pools are
-// of equal size.
-func PoolOwners(workspace fleet.WorkspaceID, holders []fleet.InstanceID) []fleet.InstanceID {
-	return fleet.Owners(string(workspace), holders, poolsPerWorkspace)
-}
-
-// holders returns the instances of the members for which mayHold returns true.
-func holders(members []Member, mayHold func(Member) bool) []fleet.InstanceID {
-	var instances []fleet.InstanceID
+// holders returns the members for which mayHold returns true.
+func holders(members []Member, mayHold func(Member) bool) []Member {
+	var found []Member
 	for _, m := range members {
 		if mayHold(m) {
-			instances = append(instances, m.Instance)
+			found = append(found, m)
 		}
 	}
-	return instances
+	return found
 }
 
 // timeToNextChange returns the time until the set of holders changes next because of
