feat: admit urgent requests of a workspace over its rate first, and count refusals by reason

A workspace over its rate was refused by arrival: 13% of its most urgent requests, 11% of the least urgent. Requests for tokens carry the class of the requests that wait. While the demand on a pool exceeds its rate, the pool keeps tokens for more urgent classes; the others keep a tenth of the rate. Requests that were refused without a call are reported with the next one, so that the pool knows the demand, and its retry time is that of the next token times the demand over the rate.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -36,7 +36,21 @@
 	if decision.Admitted {
 		return nil
 	}
-	return &session.Error{Err: errors.New("the workspace is over its rate, or its limit is not known to be in force"), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
+	refusal := refusals[decision.Reason]
+	return &session.Error{Err: errors.New(refusal.text), Kind: session.KindBusy, Op: "admit", Reason: refusal.reason, RetryAfter: decision.RetryAfter}
+}
+
+// refusal describes a reason of a refusal to the caller.
+type refusal struct {
+	reason session.Reason
+	text   string
+}
+
+// refusals are the reasons for which an operation is not admitted.
+var refusals = map[workspace.RefusalReason]refusal{
+	workspace.RefusalLimitUnknown: {reason: session.ReasonLimitUnknown, text: "the limit of the workspace is not known to be in force"},
+	workspace.RefusalOverRate:     {reason: session.ReasonOverRate, text: "the workspace is over its rate"},
+	workspace.RefusalPoolSilent:   {reason: session.ReasonPoolSilent, text: "no answer from a pool of the workspace's rate"},
 }
 
 // Authorize returns the route and workspace for the credentials. Except for
@@ -96,6 +110,7 @@
 func (g *Gateway) Observe(now time.Time, completion session.Completion) {
 	route := completion.Requirements.Route
 	observeRequest(route.Database, completion.Latency, completion.Err)
+	countRefusal(route.Database, completion.Requirements.Workspace, completion.Err)
 	number := event.RequestFailed
 	if completion.Err == nil {
 		number = event.RequestLate
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/session"
 )
@@ -20,6 +22,7 @@
 	requestLatency    = expvar.NewMap("RequestLatencyMilliseconds")
 	ownerCalls        = expvar.NewMap("OwnerCalls")
 	peerCalls         = expvar.NewMap("PeerCalls")
+	refusalsByReason  = expvar.NewMap("Refusals")
 	relayCalls        = expvar.NewMap("RelayCalls")
 	storeCalls        = expvar.NewMap("StoreCalls")
 )
@@ -91,6 +94,23 @@
 	requestLatency.Add(latencyBucket(latency), 1)
 }
 
+// refusalGroupCount is the number of groups of workspaces by which refusals are counted,
+// so that the metric stays small with any number of workspaces.
+const refusalGroupCount = 16
+
+// countRefusal counts a request that was refused without effect, by reason, database and
+// group of workspaces. Without a reason, the kind of the error counts as one.
+func countRefusal(database fleet.GroupID, id fleet.WorkspaceID, err *session.Error) {
+	if err == nil || !err.Kind.NotRun() {
+		return
+	}
+	reason := string(err.Reason)
+	if reason == "" {
+		reason = string(err.Kind)
+	}
+	refusalsByReason.Add(fmt.Sprintf("%s %s %d", reason, database, xxhash.Sum64String(string(id))%refusalGroupCount), 1)
+}
+
 // latencyBucket returns the name of the histogram bucket for a latency.
 func latencyBucket(latency time.Duration) string {
 	milliseconds := float64(latency) / float64(time.Millisecond)
@@ -140,6 +160,9 @@
 	}
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s; %d attempts, took %d ms", completion.Statement.Kind, outcome, completion.Attempts, completion.Latency.Milliseconds())
+	if completion.Err != nil && completion.Err.Reason != "" {
+		fmt.Fprintf(&text, ", reason %s", completion.Err.Reason)
+	}
 	if completion.Err != nil && completion.Err.RetryAfter > 0 {
 		fmt.Fprintf(&text, ", retry after %d ms", completion.Err.RetryAfter.Milliseconds())
 	}
--- a/session/error.go
+++ b/session/error.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Reason says why a request was refused. The values are a closed set, by which refusals
+// are counted.
+type Reason string
+
+// Reasons of refusals at admission.
+const (
+	// ReasonLimitUnknown means that no instance can prove a share of the rate limit of
+	// the workspace.
+	ReasonLimitUnknown Reason = "LimitUnknown"
+	// ReasonOverRate means that the workspace is over its rate.
+	ReasonOverRate Reason = "OverRate"
+	// ReasonPoolSilent means that an owner of a pool of the rate limit does not answer.
+	ReasonPoolSilent Reason = "PoolSilent"
+)
+
 // Error is the error type of this package. Implementations of Router and
 // AccessController return it too. The protocol front end translates it into an
 // error response.
@@ -58,6 +73,8 @@
 	Kind Kind
 	// Op is the operation that failed.
 	Op string
+	// Reason is why the request was refused, or empty if the kind says all.
+	Reason Reason
 	// RetryAfter is how long to wait before a retry can succeed, or zero if it
 	// isn't known.
 	RetryAfter time.Duration
--- a/workspace/account.go
+++ b/workspace/account.go
@@ -16,14 +16,14 @@
 
 // waiter is a request that waits for a token until a time.
 type waiter struct {
-	priority int
-	ticket   Ticket
-	until    time.Time
+	class  Class
+	ticket Ticket
+	until  time.Time
 }
 
 // compare orders waiters by urgency.
 func (w waiter) compare(other waiter) int {
-	return cmp.Or(cmp.Compare(w.priority, other.priority), w.until.Compare(other.until), cmp.Compare(w.ticket, other.ticket))
+	return cmp.Or(cmp.Compare(w.class, other.class), w.until.Compare(other.until), cmp.Compare(w.ticket, other.ticket))
 }
 
 // account holds the tokens from pools and the waiting requests of one workspace at one
@@ -36,6 +36,8 @@
 	calls map[fleet.InstanceID]*tokenCall
 	// demand is the recent demand. It follows a change within a second.
 	demand *Demand
+	// missed counts the requests that were refused without a call since the last one.
+	missed [classCount]float64
 	// lots are ordered by the time from which they can be used.
 	lots []tokenLot
 	// prefetchAfter is the time before which no tokens are requested in advance.
@@ -48,12 +50,15 @@
 	wakeAt time.Time
 }
 
-// poolBlock says that a pool was empty.
+// poolBlock says that a pool was empty for requests of a class and less urgent ones.
 type poolBlock struct {
+	class Class
 	// retryAt is when the pool expects to have a token.
 	retryAt time.Time
 	// until is the time before which the pool is not asked.
 	until time.Time
+	// unknown is true if the instance does not have the pool.
+	unknown bool
 }
 
 // addLot adds tokens, unless they expire before they can be used.
@@ -107,9 +112,23 @@
 	return waiters, nextToken
 }
 
-// isBlocked reports whether a pool was empty a moment ago.
-func (a *account) isBlocked(now time.Time, owner fleet.InstanceID) bool {
-	return now.Before(a.blocks[owner].until)
+// isBlocked reports whether a pool was empty a moment ago for requests of a class.
+func (a *account) isBlocked(now time.Time, owner fleet.InstanceID, class Class) bool {
+	block := a.blocks[owner]
+	return now.Before(block.until) && block.class <= class
+}
+
+// block records that a pool was empty for requests of a class.
+func (a *account) block(now time.Time, owner fleet.InstanceID, class Class, grant TakeGrant) {
+	if a.isBlocked(now, owner, class) {
+		return
+	}
+	a.blocks[owner] = poolBlock{
+		class:   class,
+		retryAt: now.Add(grant.RetryAfter),
+		unknown: grant.Unknown,
+		until:   now.Add(max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))),
+	}
 }
 
 // nextWake returns when the waiters have to be looked at next, given the time until the
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -163,7 +163,7 @@
 	}
 	a.lastTicket++
 	ticket := a.lastTicket
-	account.insert(waiter{priority: request.Priority, ticket: ticket, until: request.WaitUntil})
+	account.insert(waiter{class: ClassOf(request.Priority), ticket: ticket, until: request.WaitUntil})
 	a.settle(now, account, &step)
 	a.finish(now, &step)
 	if i := slices.IndexFunc(step.Decided, func(o Outcome) bool { return o.Ticket == ticket }); i >= 0 {
@@ -260,11 +260,8 @@
 	} else if take.Extra > 0 {
 		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
 	}
-	if grant.RetryAfter > 0 && take.Want > 0 {
-		account.blocks[owner] = poolBlock{
-			retryAt: now.Add(grant.RetryAfter),
-			until:   now.Add(max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))),
-		}
+	if grant.Taken < take.Want {
+		account.block(now, owner, take.Class, grant)
 	}
 }
 
@@ -287,10 +284,14 @@
 		direct = a.admitWaiting(now, account, step)
 		open, _ = account.uncovered(now)
 	}
-	if len(open) == 0 || a.ask(now, account, open, step) {
+	if len(open) == 0 {
 		return
 	}
+	a.ask(now, account, open, step)
 	for i, w := range open {
+		if a.mayGetToken(now, account, w) {
+			continue
+		}
 		// The most urgent one can wait for the next token of the direct share.
 		if i == 0 && direct.RetryAfter > 0 && now.Add(direct.RetryAfter).Before(w.until) {
 			continue
@@ -321,36 +322,44 @@
 // refuse refuses a waiting request. The time to retry is the one at which the first pool
 // can be asked again.
 func (a *Admitter) refuse(now time.Time, account *account, w waiter, direct Decision, step *Step) {
-	retryAfter := direct.RetryAfter
+	decision := Decision{Reason: RefusalLimitUnknown, RetryAfter: direct.RetryAfter}
 	for _, owner := range a.limiter.PoolLocation(now, account.workspace).Owners {
-		retryAt := account.blocks[owner].retryAt
-		if silent := a.peer(owner).silentUntil; silent.After(retryAt) {
-			retryAt = silent
+		block, peer := account.blocks[owner], a.peer(owner)
+		retryAt := block.retryAt
+		if peer.silentUntil.After(retryAt) {
+			retryAt = peer.silentUntil
 		}
 		if wait := retryAt.Sub(now); wait > 0 {
-			retryAfter = min(retryAfter, wait)
+			decision.RetryAfter = min(decision.RetryAfter, wait)
+		}
+		switch {
+		case owner != a.self && peer.isSuspect(now):
+			decision.Reason = RefusalPoolSilent
+		case !block.unknown && decision.Reason == RefusalLimitUnknown:
+			decision.Reason = RefusalOverRate
 		}
 	}
-	retryAfter = min(time.Duration(float64(retryAfter)*(1+retryJitter*a.random())), maxRetryAfter)
+	decision.RetryAfter = min(time.Duration(float64(decision.RetryAfter)*(1+retryJitter*a.random())), maxRetryAfter)
+	account.missed[w.class]++
 	account.waiters = slices.DeleteFunc(account.waiters, func(other waiter) bool { return other.ticket == w.ticket })
-	step.Decided = append(step.Decided, Outcome{Decision: Decision{RetryAfter: retryAfter}, Ticket: w.ticket})
+	step.Decided = append(step.Decided, Outcome{Decision: decision, Ticket: w.ticket})
 }
 
 // takeFromSelf takes tokens for waiting requests from the pool of this instance, if it
 // owns one that was not just empty. It reports whether it took any.
 func (a *Admitter) takeFromSelf(now time.Time, account *account, open []waiter) bool {
 	location := a.limiter.PoolLocation(now, account.workspace)
-	if !slices.Contains(location.Owners, a.self) || account.isBlocked(now, a.self) {
+	if !slices.Contains(location.Owners, a.self) {
 		return false
 	}
-	take := a.takeRequest(now, account, open, location)
-	take.Extra = 0
-	if a.canAskOther(now, account, location, a.self) {
-		take.MaxWait = 0
+	took := false
+	for _, take := range a.takeRequests(now, account, open, location, a.self) {
+		take.Extra = 0
+		grant := a.limiter.Grant(now, []TakeRequest{take})[0]
+		a.receive(now, a.self, now, take, grant)
+		took = took || grant.Taken >= 1
 	}
-	grant := a.limiter.Grant(now, []TakeRequest{take})[0]
-	a.receive(now, a.self, now, take, grant)
-	return grant.Taken >= 1
+	return took
 }
 
 // updateWaiting keeps the set of accounts with waiting requests, and when they have to be
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -35,6 +35,8 @@
 	self    fleet.InstanceID
 	// divided holds the workspaces for which shares were set.
 	divided map[fleet.WorkspaceID]bool
+	// poolDemand holds the demand on the pools that this instance owns.
+	poolDemand map[fleet.WorkspaceID]*poolDemand
 	// hasHeldShare is true once the instance has held a share of the limits.
 	hasHeldShare bool
 	// limits and members are the arguments of the last call of Divide, at
@@ -53,12 +55,13 @@
 // Divide and Renew were called.
 func NewDistributedLimiter(self fleet.InstanceID) *DistributedLimiter {
 	return &DistributedLimiter{
-		demand:    map[fleet.WorkspaceID]*demandMeter{},
-		directory: map[fleet.WorkspaceID]PoolLocation{},
-		divided:   map[fleet.WorkspaceID]bool{},
-		limiter:   NewLimiter(),
-		pools:     NewLimiter(),
-		self:      self,
+		demand:     map[fleet.WorkspaceID]*demandMeter{},
+		directory:  map[fleet.WorkspaceID]PoolLocation{},
+		divided:    map[fleet.WorkspaceID]bool{},
+		poolDemand: map[fleet.WorkspaceID]*poolDemand{},
+		limiter:    NewLimiter(),
+		pools:      NewLimiter(),
+		self:       self,
 	}
 }
 
@@ -165,6 +168,7 @@
 		if !known[id] {
 			delete(d.divided, id)
 			delete(d.demand, id)
+			delete(d.poolDemand, id)
 			d.limiter.Remove(id)
 			d.pools.Remove(id)
 		}
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -20,6 +20,8 @@
 // Decision says whether a request is admitted.
 type Decision struct {
 	Admitted bool
+	// Reason is why an Admitter refused the request.
+	Reason RefusalReason
 	// RetryAfter is the time after which a retry can succeed. It is zero if the
 	// request was admitted.
 	RetryAfter time.Duration
@@ -77,28 +79,42 @@
 // Reserve takes tokens from the workspace's share for another instance, as whole tokens.
 // Those wanted for waiting requests may be tokens of the near future, up to
 // maxReservation. They must fall in the validity, outside of which the share is not
-// refilled. Extra tokens come only from the upper half of the bucket.
-func (l *Limiter) Reserve(now time.Time, take TakeRequest) TakeGrant {
+// refilled. Extra tokens come only from the upper half of the bucket. While the workspace
+// is over its rate, some tokens are kept for more urgent requests.
+func (l *Limiter) Reserve(now time.Time, take TakeRequest, demand *poolDemand) TakeGrant {
 	grant := TakeGrant{Workspace: take.Workspace}
 	b := l.buckets[take.Workspace]
 	if b == nil || !now.Before(l.validUntil) || b.share.Rate <= 0 {
-		grant.RetryAfter = defaultRetryAfter
+		grant.RetryAfter, grant.Unknown = defaultRetryAfter, b == nil || b.share.Capacity <= 0 || !now.Before(l.validUntil)
 		return grant
 	}
 	b.fill(now, l.validUntil)
+	demand.record(now, take, b.share.Rate)
+	keep, urgent := demand.restriction(take.Class, b.share.Rate)
+	keep = math.Min(keep, b.share.Capacity/2)
 	want := math.Floor(take.Want)
-	grant.Taken = b.withdraw(want, 0)
-	if grant.Taken == want {
-		grant.Taken += b.withdraw(math.Floor(take.Extra), b.share.Capacity/2)
-		return grant
+	horizon := min(take.MaxWait, maxReservation, l.validUntil.Sub(now))
+	if urgent {
+		horizon = min(horizon, lessUrgentReservation)
 	}
-	if grant.Taken == 0 {
-		horizon := min(take.MaxWait, maxReservation, l.validUntil.Sub(now))
+	grant.Taken = b.withdraw(want, keep)
+	if grant.Taken == 0 && keep == 0 {
 		grant.Taken, grant.Delay = b.reserve(want, horizon)
 	}
-	if grant.Taken < want {
-		grant.RetryAfter = b.retryAfter()
+	if grant.Taken == 0 && keep > 0 && demand.floor >= 1 {
+		grant.Taken, grant.Delay = b.reserve(math.Min(want, math.Floor(demand.floor)), min(take.MaxWait, maxReservation, l.validUntil.Sub(now)))
+		demand.floor -= grant.Taken
+	}
+	if grant.Taken == want {
+		if grant.Delay == 0 {
+			grant.Taken += b.withdraw(math.Floor(take.Extra), b.share.Capacity/2)
+		}
+		return grant
 	}
+	// Other callers return as well. Of those of a workspace over its rate, only some
+	// will be admitted.
+	wait := float64(b.retryAfter()) + keep/b.share.Rate*float64(time.Second)
+	grant.RetryAfter = time.Duration(min(wait*math.Max(1, demand.pressure(b.share.Rate)), float64(maxRetryAfter)))
 	return grant
 }
 
@@ -120,6 +136,10 @@
 	if taken <= 0 {
 		return 0, 0
 	}
+	if taken <= b.share.Level {
+		b.share.Level -= taken
+		return taken, 0
+	}
 	b.debt += taken - b.share.Level
 	b.share.Level = 0
 	return taken, time.Duration(math.Ceil(b.debt / b.share.Rate * float64(time.Second)))
--- a/workspace/limiter_test.go
+++ b/workspace/limiter_test.go
@@ -127,3 +127,35 @@
 		t.Errorf("results of Take (-want +got):\n%s", diff)
 	}
 }
+
+// TestGrantsNeverExceedTheShare guards against a pool that gives more tokens than it holds
+// and refills, by requests of different urgency that can wait for different times, and
+// against a refusal without a retry time.
+func TestGrantsNeverExceedTheShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := workspace.Limit{Burst: rapid.Float64Range(1, 50).Draw(t, "burst"), Rate: rapid.Float64Range(1, 100).Draw(t, "rate"), Workspace: "w"}
+		d := workspace.NewDistributedLimiter("i")
+		d.Renew(start, start.Add(time.Hour))
+		d.Divide(start, []workspace.Limit{limit}, []workspace.Member{{Age: time.Hour, Instance: "i", Phase: workspace.PhaseHolding}})
+		now, taken := start, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "step")) * time.Millisecond)
+			take := workspace.TakeRequest{
+				Class:     workspace.Class(rapid.IntRange(0, 3).Draw(t, "class")),
+				Extra:     float64(rapid.IntRange(0, 5).Draw(t, "extra")),
+				MaxWait:   time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond,
+				Want:      float64(rapid.IntRange(0, 5).Draw(t, "want")),
+				Workspace: "w",
+			}
+			grant := d.Grant(now, []workspace.TakeRequest{take})[0]
+			taken += grant.Taken
+			if grant.Taken < take.Want && grant.RetryAfter <= 0 {
+				t.Fatalf("%+v answered with %+v", take, grant)
+			}
+			usable := now.Add(grant.Delay).Sub(start).Seconds()
+			if most := limit.Burst + 1 + limit.Rate*usable; grant.Delay == 0 && taken > most+limit.Rate*0.2 || grant.Delay > 0 && taken > most+1e-6 {
+				t.Fatalf("%v tokens given that can be used after %.3f s, want at most %v", taken, usable, most)
+			}
+		}
+	})
+}
--- a/workspace/take.go
+++ b/workspace/take.go
@@ -8,11 +8,16 @@
 
 // TakeRequest requests tokens from the owner of a pool of a workspace's limit.
 type TakeRequest struct {
+	// Class is the urgency of the requests that wait.
+	Class Class `json:",omitempty"`
 	// Extra is the number of tokens wanted for expected requests. They are granted
 	// only from what the pool does not need.
 	Extra float64 `json:",omitempty"`
 	// MaxWait is how long the requests that wait for tokens can still wait.
 	MaxWait time.Duration `json:",omitempty"`
+	// Missed is the number of requests of the class that were refused without a call
+	// since the last one.
+	Missed float64 `json:",omitempty"`
 	// Want is the number of tokens for requests that wait.
 	Want      float64
 	Workspace fleet.WorkspaceID
@@ -25,7 +30,10 @@
 	// RetryAfter is set if fewer tokens than wanted were granted.
 	RetryAfter time.Duration `json:",omitempty"`
 	// Taken is the number of tokens granted.
-	Taken     float64
+	Taken float64
+	// Unknown is set if the instance may not give tokens: it does not own a pool of
+	// the workspace, or can't prove that its share is in force.
+	Unknown   bool `json:",omitempty"`
 	Workspace fleet.WorkspaceID
 }
 
@@ -62,7 +70,12 @@
 	d.refreshShares(now)
 	grants := make([]TakeGrant, len(takes))
 	for i, take := range takes {
-		grants[i] = d.pools.Reserve(now, take)
+		demand := d.poolDemand[take.Workspace]
+		if demand == nil {
+			demand = newPoolDemand(now)
+			d.poolDemand[take.Workspace] = demand
+		}
+		grants[i] = d.pools.Reserve(now, take, demand)
 	}
 	return grants
 }
--- a/workspace/tokencalls.go
+++ b/workspace/tokencalls.go
@@ -9,49 +9,82 @@
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
-// takeRequest returns the request for the tokens that a workspace needs: for those that
-// wait, and for expected requests.
-func (a *Admitter) takeRequest(now time.Time, account *account, open []waiter, location PoolLocation) TakeRequest {
-	take := TakeRequest{Want: float64(len(open)), Workspace: account.workspace}
+// takeRequests returns the requests to an owner for the tokens that a workspace needs: for
+// the waiting requests of each class for which the pool was not just empty, and, with the
+// first, for expected requests. A pool is not asked for tokens of the future while the
+// other can be asked as well, because that may have some now.
+func (a *Admitter) takeRequests(now time.Time, account *account, open []waiter, location PoolLocation, owner fleet.InstanceID) []TakeRequest {
+	var takes []TakeRequest
 	for _, w := range open {
-		take.MaxWait = max(take.MaxWait, w.until.Sub(now))
+		if account.isBlocked(now, owner, w.class) {
+			continue
+		}
+		if len(takes) == 0 || takes[len(takes)-1].Class != w.class {
+			takes = append(takes, TakeRequest{Class: w.class, Workspace: account.workspace})
+		}
+		take := &takes[len(takes)-1]
+		take.Want++
+		if !a.canAskOther(now, account, location, owner, w.class) {
+			take.MaxWait = max(take.MaxWait, w.until.Sub(now))
+		}
 	}
-	if demand := account.demand.Rate(now); demand >= minPrefetchDemand {
-		batch := min(tokenBatchDuration, location.Lifetime/2)
-		take.Extra = math.Max(0, math.Ceil(demand*batch.Seconds())-take.Want)
+	if len(takes) > 0 {
+		takes[0].Extra = math.Max(0, a.batch(now, account, location)-float64(len(open)))
+	}
+	return takes
+}
+
+// batch returns the number of tokens for the expected requests.
+func (a *Admitter) batch(now time.Time, account *account, location PoolLocation) float64 {
+	demand := account.demand.Rate(now)
+	if demand < minPrefetchDemand {
+		return 0
 	}
-	return take
+	return math.Ceil(demand * min(tokenBatchDuration, location.Lifetime/2).Seconds())
 }
 
-// canAskOther reports whether there is another pool that can be asked. If there is, a pool
-// is not asked for tokens of the future, because the other may have some now.
-func (a *Admitter) canAskOther(now time.Time, account *account, location PoolLocation, owner fleet.InstanceID) bool {
+// canAskOther reports whether there is another pool that can be asked for requests of a
+// class.
+func (a *Admitter) canAskOther(now time.Time, account *account, location PoolLocation, owner fleet.InstanceID, class Class) bool {
 	return slices.ContainsFunc(location.Owners, func(other fleet.InstanceID) bool {
-		return other != owner && !account.isBlocked(now, other) && account.calls[other] == nil && !a.peer(other).isSuspect(now)
+		return other != owner && !account.isBlocked(now, other, class) && account.calls[other] == nil && !a.peer(other).isSuspect(now)
 	})
 }
 
+// isHopeless reports whether a call is overdue to an owner that has failed before. Nothing
+// waits for it.
+func (a *Admitter) isHopeless(now time.Time, call *tokenCall) bool {
+	return a.peer(call.owner).failed && now.Sub(call.sentAt) >= hedgeDelay
+}
+
+// mayGetToken reports whether a call is under way that may bring a token for a waiting
+// request.
+func (a *Admitter) mayGetToken(now time.Time, account *account, w waiter) bool {
+	for owner, call := range account.calls {
+		covers := slices.ContainsFunc(call.takes, func(t TakeRequest) bool { return t.Workspace == account.workspace && t.Class >= w.class })
+		if !a.isHopeless(now, call) && (covers || !account.isBlocked(now, owner, w.class)) {
+			return true
+		}
+	}
+	return false
+}
+
 // ask requests tokens for waiting requests from an owner. A call that is overdue, or an
-// owner that failed before, is hedged by asking the other owner at the same time. It
-// reports whether a call is under way.
-func (a *Admitter) ask(now time.Time, account *account, open []waiter, step *Step) bool {
+// owner that failed before, is hedged by asking the other owner at the same time.
+func (a *Admitter) ask(now time.Time, account *account, open []waiter, step *Step) {
 	location := a.limiter.PoolLocation(now, account.workspace)
-	underWay := false
 	var healthy, suspect []fleet.InstanceID
 	for i := range location.Owners {
 		owner := location.Owners[(i+account.rotation)%len(location.Owners)]
 		peer := a.peer(owner)
 		if call := account.calls[owner]; call != nil {
-			overdue := now.Sub(call.sentAt) >= hedgeDelay
-			if !overdue && !peer.failed {
-				return true
+			if now.Sub(call.sentAt) < hedgeDelay && !peer.failed {
+				return
 			}
-			// Nothing waits long for an owner that has failed before.
-			underWay = underWay || !overdue || !peer.failed
 			continue
 		}
 		switch {
-		case owner == a.self || account.isBlocked(now, owner) || now.Before(peer.silentUntil):
+		case owner == a.self || account.isBlocked(now, owner, open[0].class) || now.Before(peer.silentUntil):
 		case peer.isSuspect(now):
 			suspect = append(suspect, owner)
 		default:
@@ -64,17 +97,15 @@
 	}
 	account.rotation++
 	for _, owner := range append(healthy, suspect...) {
-		take := a.takeRequest(now, account, open, location)
-		if a.canAskOther(now, account, location, owner) {
-			take.MaxWait = 0
+		takes := a.takeRequests(now, account, open, location, owner)
+		for i := range takes {
+			takes[i].Missed, account.missed[takes[i].Class] = account.missed[takes[i].Class], 0
 		}
 		if peer := a.peer(owner); peer.failed {
 			peer.silentUntil = now.Add(failedOwnerBackoff)
 		}
-		a.call(now, owner, account, take, step)
-		underWay = true
+		a.call(now, owner, account, takes, step)
 	}
-	return underWay
 }
 
 // prefetch requests tokens in advance if few are left for the demand.
@@ -88,15 +119,20 @@
 		if owner == a.self {
 			return
 		}
-		if account.isBlocked(now, owner) || a.peer(owner).isSuspect(now) {
+		if account.isBlocked(now, owner, classCount-1) || a.peer(owner).isSuspect(now) {
 			continue
 		}
 		account.rotation++
-		a.call(now, owner, account, a.takeRequest(now, account, nil, location), step)
+		a.call(now, owner, account, []TakeRequest{a.prefetchRequest(now, account, location)}, step)
 		return
 	}
 }
 
+// prefetchRequest returns the request for tokens for expected requests only.
+func (a *Admitter) prefetchRequest(now time.Time, account *account, location PoolLocation) TakeRequest {
+	return TakeRequest{Class: classCount - 1, Extra: a.batch(now, account, location), Workspace: account.workspace}
+}
+
 // needsPrefetch reports whether the held tokens do not last for the lead and none are
 // under way.
 func (a *Admitter) needsPrefetch(now time.Time, account *account, lead time.Duration) bool {
@@ -107,9 +143,9 @@
 
 // call adds a call to the step. Tokens that other workspaces need from the same owner
 // are requested in the same call.
-func (a *Admitter) call(now time.Time, owner fleet.InstanceID, account *account, take TakeRequest, step *Step) {
+func (a *Admitter) call(now time.Time, owner fleet.InstanceID, account *account, takes []TakeRequest, step *Step) {
 	a.lastCall++
-	call := &tokenCall{id: a.lastCall, owner: owner, sentAt: now, takes: []TakeRequest{take}}
+	call := &tokenCall{id: a.lastCall, owner: owner, sentAt: now, takes: takes}
 	account.calls[owner] = call
 	for _, id := range slices.Sorted(maps.Keys(a.prefetching)) {
 		other := a.prefetching[id]
@@ -120,8 +156,8 @@
 			continue
 		}
 		location := a.limiter.PoolLocation(now, id)
-		if len(call.takes) < maxTakesPerCall && slices.Contains(location.Owners, owner) && !slices.Contains(location.Owners, a.self) && !other.isBlocked(now, owner) {
-			call.takes = append(call.takes, a.takeRequest(now, other, nil, location))
+		if len(call.takes) < maxTakesPerCall && slices.Contains(location.Owners, owner) && !slices.Contains(location.Owners, a.self) && !other.isBlocked(now, owner, classCount-1) {
+			call.takes = append(call.takes, a.prefetchRequest(now, other, location))
 			other.calls[owner] = call
 		}
 	}
