--- a/workspace/divisionmodel_test.go
+++ b/workspace/divisionmodel_test.go
@@ -92,6 +92,10 @@
 	// counting the tokens of an answer twice, and, in the first half, using them 3 s
 	// later.
 	doubleGrants, keepTokens bool
+	// others are the limits of further workspaces.
+	others []workspace.Limit
+	// onDecided is called for each decision on a request that waited, if it is set.
+	onDecided func(i *modelInstance, outcome workspace.Outcome, now time.Time)
 	// burstTicks is the length of the bursts in which requests arrive, and of the
 	// pauses between them, or zero if they arrive all the time.
 	burstTicks int
@@ -116,7 +120,7 @@
 	for _, other := range m.instances {
 		believed = append(believed, workspace.Member{Instance: other.id, Phase: workspace.PhaseHolding})
 	}
-	i.limiter.LocatePools([]workspace.Limit{m.limit}, believed)
+	i.limiter.LocatePools(m.limits(), believed)
 	i.nextHeartbeat, i.nextRead = now, now
 	i.lastHeartbeat, i.readAt, i.presentSince = time.Time{}, time.Time{}, time.Time{}
 	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease && (m.resumeResized || row.processorShare == i.processorShare) {
@@ -187,7 +191,12 @@
 	if m.joinImmediately {
 		own.Phase = workspace.PhaseHolding
 	}
-	i.limiter.Divide(now, []workspace.Limit{m.limit}, append(others, own))
+	i.limiter.Divide(now, m.limits(), append(others, own))
+}
+
+// limits returns the limits of all workspaces.
+func (m *divisionModel) limits() []workspace.Limit {
+	return append([]workspace.Limit{m.limit}, m.others...)
 }
 
 // isIsolated reports whether an instance doesn't reach the other ones.
@@ -207,6 +216,9 @@
 // perform carries out a step of an instance's admitter.
 func (m *divisionModel) perform(i *modelInstance, now time.Time, step workspace.Step) {
 	for _, outcome := range step.Decided {
+		if m.onDecided != nil {
+			m.onDecided(i, outcome, now)
+		}
 		if outcome.Decision.Admitted {
 			m.admitted = append(m.admitted, now)
 		}
@@ -302,9 +314,8 @@
 	modelRequestsPerTick = 6
 )
 
-// run simulates modelDuration with the faults, which are ordered by time.
-func (m *divisionModel) run(instances int, faults []modelFault) {
-	now := start
+// create starts the instances.
+func (m *divisionModel) create(instances int, now time.Time) {
 	m.rows = map[fleet.InstanceID]modelRow{}
 	for n := range instances {
 		i := &modelInstance{id: fleet.InstanceID("i" + strconv.Itoa(n)), dataCentre: fleet.DataCentre("d" + strconv.Itoa(n%3)), processorShare: modelShares[n%2]}
@@ -312,6 +323,12 @@
 		m.restart(i, now)
 		i.nextRead = now.Add(time.Duration(n) * 100 * time.Millisecond)
 	}
+}
+
+// run simulates modelDuration with the faults, which are ordered by time.
+func (m *divisionModel) run(instances int, faults []modelFault) {
+	now := start
+	m.create(instances, now)
 	for now.Before(start.Add(modelDuration)) {
 		now = now.Add(modelTick)
 		m.tick++
@@ -323,13 +340,7 @@
 			if !i.isRunning(now) {
 				continue
 			}
-			if !i.stoppedUntil.IsZero() {
-				i.stoppedUntil = time.Time{}
-				m.restart(i, now)
-			}
-			m.step(i, now)
-			m.deliver(i, now)
-			m.perform(i, now, i.admitter.Advance(now))
+			m.resume(i, now)
 			for range modelRequestsPerTick {
 				if m.inBurst() {
 					m.request(i, now)
@@ -339,6 +350,17 @@
 	}
 }
 
+// resume does what is due at an instance that runs.
+func (m *divisionModel) resume(i *modelInstance, now time.Time) {
+	if !i.stoppedUntil.IsZero() {
+		i.stoppedUntil = time.Time{}
+		m.restart(i, now)
+	}
+	m.step(i, now)
+	m.deliver(i, now)
+	m.perform(i, now, i.admitter.Advance(now))
+}
+
 // start starts a fault, unless its instance is stopped or paused.
 func (m *divisionModel) start(fault modelFault, now time.Time) {
 	i := m.instances[fault.instance%len(m.instances)]
@@ -354,6 +376,8 @@
 		i.readsFailUntil = until
 	case "kill":
 		i.stoppedUntil = until
+	case "hush":
+		i.isolatedUntil = until
 	case "isolate":
 		i.disconnectedUntil, i.isolatedUntil = until, until
 	case "leave":
@@ -376,7 +400,7 @@
 		faults = append(faults, modelFault{
 			at:       time.Duration(at) * time.Millisecond,
 			instance: rapid.IntRange(0, 8).Draw(t, "instance"),
-			kind:     rapid.SampledFrom([]string{"cut", "deaf", "isolate", "kill", "leave", "pause", "resize"}).Draw(t, "kind"),
+			kind:     rapid.SampledFrom([]string{"cut", "deaf", "hush", "isolate", "kill", "leave", "pause", "resize"}).Draw(t, "kind"),
 			duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "milliseconds")) * time.Millisecond,
 		})
 	}
--- a/workspace/poolowners.go
+++ b/workspace/poolowners.go
@@ -19,38 +19,41 @@
 	return cmp.Or(cmp.Compare(other.score, r.score), cmp.Compare(r.Instance, other.Instance))
 }
 
-// PoolOwners returns the two instances that own the pools of a workspace, in order of
-// rank. The pools are of equal size. Owners are chosen by weighted rendezvous hashing: if
-// an instance joins or leaves, pools move only to or from it. With equal processor
-// shares, the ranks are those of fleet.Owners.
+// poolsPerWorkspace is the number of pools of a workspace. Limits are about 1.6 times the
+// usual demand. With three pools, the other two still hold slightly more than the usual
+// demand if an owner dies, until its lease has expired, also of a limit without direct
+// shares; with two, they would hold 0.8 of it.
+const poolsPerWorkspace = 3
+
+// PoolOwners returns the instances that own the pools of a workspace, in order of rank.
+// The pools are of equal size. Owners are chosen by weighted rendezvous hashing: if an
+// instance joins or leaves, pools move only to or from it, and at most one does.
 //
-// The second owner is in another data centre than the first, if there is one, so that
-// each side of a network partition between data centres more often reaches one. It stays
-// so that pools move only to or from one instance: the second owner is the first one in
-// rank outside of the data centre of the highest rank.
+// The owners are in different data centres as far as possible, so that each side of a
+// network partition between data centres more often reaches one: of each data centre the
+// instance with the highest rank, and then the others.
 func PoolOwners(workspace fleet.WorkspaceID, holders []Member) []fleet.InstanceID {
-	if len(holders) == 0 {
-		return nil
-	}
 	ranked := make([]rankedMember, len(holders))
 	for i, m := range holders {
 		ranked[i] = rankedMember{Member: m, score: ownerScore(workspace, m)}
 	}
-	first := slices.MinFunc(ranked, rankedMember.compare)
-	others := slices.DeleteFunc(ranked, func(r rankedMember) bool { return r.Instance == first.Instance })
-	if len(others) == 0 {
-		return []fleet.InstanceID{first.Instance}
-	}
-	second := slices.MinFunc(others, func(a, b rankedMember) int {
-		if near, other := a.DataCentre == first.DataCentre, b.DataCentre == first.DataCentre; near != other {
-			if near {
-				return 1
+	var owners []fleet.InstanceID
+	var used []fleet.DataCentre
+	for len(owners) < min(poolsPerWorkspace, len(holders)) {
+		next := slices.MinFunc(ranked, func(a, b rankedMember) int {
+			usedA, usedB := slices.Contains(used, a.DataCentre), slices.Contains(used, b.DataCentre)
+			if usedA != usedB {
+				if usedA {
+					return 1
+				}
+				return -1
 			}
-			return -1
-		}
-		return a.compare(b)
-	})
-	return []fleet.InstanceID{first.Instance, second.Instance}
+			return a.compare(b)
+		})
+		owners, used = append(owners, next.Instance), append(used, next.DataCentre)
+		ranked = slices.DeleteFunc(ranked, func(r rankedMember) bool { return r.Instance == next.Instance })
+	}
+	return owners
 }
 
 // ownerScore returns the score of an instance for a workspace. The highest score is held
--- a/workspace/poolowners_test.go
+++ b/workspace/poolowners_test.go
@@ -19,7 +19,7 @@
 		var members []workspace.Member
 		for i := range rapid.IntRange(1, 20).Draw(t, "instances") {
 			members = append(members, workspace.Member{
-				DataCentre:     fleet.DataCentre(rapid.SampledFrom([]string{"d1", "d2", "d3"}).Draw(t, "data centre")),
+				DataCentre:     fleet.DataCentre(rapid.SampledFrom([]string{"d1", "d2", "d3", "d4"}).Draw(t, "data centre")),
 				Instance:       fleet.InstanceID(fmt.Sprintf("i%d", i)),
 				ProcessorShare: rapid.SampledFrom([]float64{0, 0.134, 0.192, 0.8}).Draw(t, "share"),
 			})
@@ -39,7 +39,10 @@
 					t.Fatalf("%s: owners %v, without %s %v", id, with, changed.Instance, then)
 				}
 			}
-			if len(then) != min(2, len(without)) {
+			if gained := slices.DeleteFunc(slices.Clone(then), func(o fleet.InstanceID) bool { return slices.Contains(with, o) }); len(gained) > 1 {
+				t.Fatalf("%s: owners %v, without %s %v", id, with, changed.Instance, then)
+			}
+			if len(then) != min(3, len(without)) {
 				t.Fatalf("%s: owners %v, without %s %v", id, with, changed.Instance, then)
 			}
 		}
@@ -47,7 +50,7 @@
 }
 
 // TestSmallInstancesOwnFewPools guards against pools on instances that pause for most of a
-// scheduling period, and against both pools of a workspace in one data centre.
+// scheduling period, and against pools of a workspace in the same data centre.
 func TestSmallInstancesOwnFewPools(t *testing.T) {
 	var members []workspace.Member
 	for i := range 100 {
@@ -69,8 +72,8 @@
 				small++
 			}
 		}
-		if at[0] == at[1] {
-			t.Fatalf("the owners %v are both in %s", owners, at[0])
+		if slices.Sort(at); len(slices.Compact(at)) < 3 {
+			t.Fatalf("the owners %v are in the same data centre", owners)
 		}
 	}
 	if small*5 > pools {
