--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -39,6 +39,25 @@
 	return xxhash.Sum64String(strconv.Itoa(len(key)) + ":" + key + string(instance))
 }
 
+// OwnerHasher computes the weights of many instances for one key.
+type OwnerHasher struct {
+	buffer []byte
+	prefix int
+}
+
+// NewOwnerHasher returns a hasher for a key.
+func NewOwnerHasher(key string) *OwnerHasher {
+	buffer := append(strconv.AppendInt(nil, int64(len(key)), 10), ':')
+	buffer = append(buffer, key...)
+	return &OwnerHasher{buffer: buffer, prefix: len(buffer)}
+}
+
+// Weight returns what OwnerWeight returns for an instance.
+func (h *OwnerHasher) Weight(instance InstanceID) uint64 {
+	h.buffer = append(h.buffer[:h.prefix], instance...)
+	return xxhash.Sum64(h.buffer)
+}
+
 // candidate is an instance with its weight for one key.
 type candidate struct {
 	instance InstanceID
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -141,7 +141,8 @@
 		if holdsShare {
 			direct = (1 - pooled) / float64(len(members))
 		}
-		if slices.Contains(owners, d.self) && slices.Contains(PoolOwners(limit.Workspace, mayHoldSoon), d.self) {
+		// Mostly, no other instance is about to hold a share.
+		if slices.Contains(owners, d.self) && (len(mayHoldSoon) == len(holding) || slices.Contains(PoolOwners(limit.Workspace, mayHoldSoon), d.self)) {
 			pool = pooled / float64(len(owners))
 		}
 		fillLimit := fill || (fillNewLimits && !d.divided[limit.Workspace])
--- a/workspace/poolowners.go
+++ b/workspace/poolowners.go
@@ -33,10 +33,7 @@
 // network partition between data centres more often reaches one: of each data centre the
 // instance with the highest rank, and then the others.
 func PoolOwners(workspace fleet.WorkspaceID, holders []Member) []fleet.InstanceID {
-	ranked := make([]rankedMember, len(holders))
-	for i, m := range holders {
-		ranked[i] = rankedMember{Member: m, score: ownerScore(workspace, m)}
-	}
+	ranked := highestRanked(workspace, holders)
 	var owners []fleet.InstanceID
 	var used []fleet.DataCentre
 	for len(owners) < min(poolsPerWorkspace, len(holders)) {
@@ -56,12 +53,31 @@
 	return owners
 }
 
-// ownerScore returns the score of an instance for a workspace. The highest score is held
-// by each instance with a probability that is proportional to its weight.
-func ownerScore(workspace fleet.WorkspaceID, m Member) float64 {
-	// The hash is mapped to the open interval (0, 1).
-	uniform := (float64(fleet.OwnerWeight(string(workspace), m.Instance)>>11) + 0.5) / (1 << 53)
-	return ownerWeight(m) / -math.Log(uniform)
+// highestRanked returns the poolsPerWorkspace members of each data centre that rank
+// highest, among which the owners are.
+func highestRanked(workspace fleet.WorkspaceID, holders []Member) []rankedMember {
+	hasher := fleet.NewOwnerHasher(string(workspace))
+	var centres [][]rankedMember
+	for _, m := range holders {
+		// The hash is mapped to the open interval (0, 1).
+		uniform := (float64(hasher.Weight(m.Instance)>>12) + 0.5) / (1 << 52)
+		i := slices.IndexFunc(centres, func(c []rankedMember) bool { return c[0].DataCentre == m.DataCentre })
+		if i < 0 {
+			i, centres = len(centres), append(centres, nil)
+		}
+		// The logarithm takes most of the time. It is at least 1-uniform.
+		highest := centres[i]
+		if len(highest) == poolsPerWorkspace && ownerWeight(m)/(1-uniform) < highest[poolsPerWorkspace-1].score {
+			continue
+		}
+		// Each instance has the highest score with a probability that is proportional
+		// to its weight.
+		r := rankedMember{Member: m, score: ownerWeight(m) / -math.Log(uniform)}
+		at, _ := slices.BinarySearchFunc(highest, r, rankedMember.compare)
+		highest = slices.Insert(highest, at, r)
+		centres[i] = highest[:min(poolsPerWorkspace, len(highest))]
+	}
+	return slices.Concat(centres...)
 }
 
 // ownerWeight returns the weight of an instance: the third power of its processor share.
