--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -131,7 +131,7 @@
 
 // Admit replaces the admission, which also needs a recent proof of the sheet and would
 // hide a failure of the check of keys.
-func (i *testInstance) Admit(time.Time, fleet.WorkspaceID) *session.Error { return nil }
+func (i *testInstance) Admit(time.Time, session.Admission) *session.Error { return nil }
 
 // Observe implements session.Observer.
 func (i *testInstance) Observe(now time.Time, completion session.Completion) {
--- a/workspace/divisionmodel_test.go
+++ b/workspace/divisionmodel_test.go
@@ -1,6 +1,7 @@
 package workspace_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -20,27 +21,56 @@
 	modelRowExpiry         = 4700 * time.Millisecond
 	modelTick              = 50 * time.Millisecond
 	modelWindow            = 5 * time.Second
+	// modelCallTimeout is the timeout of a call for tokens.
+	modelCallTimeout = 150 * time.Millisecond
+	// modelMaxWait is how long a request waits for a token.
+	modelMaxWait = 250 * time.Millisecond
 )
 
 // modelRow is the membership row of an instance in the store.
 type modelRow struct {
 	writtenAt, presentSince time.Time
 	phase                   workspace.Phase
+	dataCentre              fleet.DataCentre
+	processorShare          float64
+}
+
+// member returns the instance of the row as a member.
+func (r modelRow) member(id fleet.InstanceID, age time.Duration) workspace.Member {
+	return workspace.Member{Age: age, DataCentre: r.dataCentre, Instance: id, Phase: r.phase, ProcessorShare: r.processorShare}
 }
 
 // modelInstance is one instance. It runs only while it is neither stopped nor paused,
 // and can access the store only while it is not disconnected from it.
 type modelInstance struct {
+	admitter      *workspace.Admitter
 	limiter       *workspace.DistributedLimiter
 	participation *workspace.Participation
 	id            fleet.InstanceID
+	dataCentre    fleet.DataCentre
+	// processorShare may change at a restart.
+	processorShare float64
 
-	disconnectedUntil, stoppedUntil, readsFailUntil, pausedUntil time.Time
+	disconnectedUntil, isolatedUntil, stoppedUntil, readsFailUntil, pausedUntil time.Time
 
 	nextHeartbeat, nextRead time.Time
 	lastHeartbeat, readAt   time.Time
 	// presentSince is since when its row has existed without expiring.
 	presentSince time.Time
+
+	// messages are the calls of this process that were not answered yet.
+	messages []*modelMessage
+	wakeAt   time.Time
+}
+
+// modelMessage is a call for tokens. It reaches the owner after a delay, and the answer
+// arrives after another one.
+type modelMessage struct {
+	call              workspace.TokenCall
+	sentAt, arrivesAt time.Time
+	answered          bool
+	answer            []workspace.TakeGrant
+	answerDelay       time.Duration
 }
 
 // divisionModel simulates a store, instances, and callers that send each instance more
@@ -55,6 +85,24 @@
 	// immediately after joining, and admitting requests without a recent read of
 	// the membership rows.
 	joinImmediately, admitOnStaleRows bool
+	// resumeResized is the deliberate fault that a process takes over the row of an
+	// earlier one with another processor share.
+	resumeResized bool
+	// doubleGrants and keepTokens are deliberate faults of the tokens from pools:
+	// counting the tokens of an answer twice, and, in the first half, using them 3 s
+	// later.
+	doubleGrants, keepTokens bool
+	// others are the limits of further workspaces.
+	others []workspace.Limit
+	// onDecided is called for each decision on a request that waited, if it is set.
+	onDecided func(i *modelInstance, outcome workspace.Outcome, now time.Time)
+	// burstTicks is the length of the bursts in which requests arrive, and of the
+	// pauses between them, or zero if they arrive all the time.
+	burstTicks int
+	// delays are the delays of the messages, in ticks, which are used in turn.
+	delays    []int
+	nextDelay int
+	tick      int
 }
 
 // isRunning reports whether the instance is neither stopped nor paused.
@@ -65,9 +113,17 @@
 // restart starts a new process of the instance, which knows only its own row.
 func (m *divisionModel) restart(i *modelInstance, now time.Time) {
 	i.limiter, i.participation = workspace.NewDistributedLimiter(i.id), workspace.NewParticipation()
+	i.admitter = workspace.NewAdmitter(i.id, i.limiter, func() float64 { return 0.5 })
+	i.messages, i.wakeAt = nil, time.Time{}
+	// It takes tokens from whoever it believes to own pools.
+	var believed []workspace.Member
+	for _, other := range m.instances {
+		believed = append(believed, workspace.Member{Instance: other.id, Phase: workspace.PhaseHolding})
+	}
+	i.limiter.LocatePools(m.limits(), believed)
 	i.nextHeartbeat, i.nextRead = now, now
 	i.lastHeartbeat, i.readAt, i.presentSince = time.Time{}, time.Time{}, time.Time{}
-	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease {
+	if row, found := m.rows[i.id]; found && now.Sub(row.writtenAt) < modelLease && (m.resumeResized || row.processorShare == i.processorShare) {
 		i.lastHeartbeat, i.presentSince = row.writtenAt, row.presentSince
 		i.participation.Resume(row.phase)
 	}
@@ -81,7 +137,7 @@
 	}
 	i.presentSince = i.ownPresentSince(now)
 	phase, changed := i.participation.NextPhase()
-	m.rows[i.id] = modelRow{writtenAt: now, presentSince: i.presentSince, phase: phase}
+	m.rows[i.id] = modelRow{writtenAt: now, presentSince: i.presentSince, phase: phase, dataCentre: i.dataCentre, processorShare: i.processorShare}
 	i.participation.PhaseWritten(phase)
 	i.lastHeartbeat = now
 	if changed {
@@ -123,7 +179,7 @@
 	for _, other := range m.instances {
 		row, found := m.rows[other.id]
 		if found && other != i && now.Sub(row.writtenAt) < modelRowExpiry {
-			others = append(others, workspace.Member{Age: now.Sub(row.presentSince), Instance: other.id, Phase: row.phase})
+			others = append(others, row.member(other.id, now.Sub(row.presentSince)))
 		}
 	}
 	age := now.Sub(i.ownPresentSince(now))
@@ -131,37 +187,95 @@
 	if _, changed := i.participation.NextPhase(); changed {
 		i.nextHeartbeat = now
 	}
-	own := workspace.Member{Age: age, Instance: i.id, Phase: i.participation.EffectivePhase()}
+	own := workspace.Member{Age: age, DataCentre: i.dataCentre, Instance: i.id, Phase: i.participation.EffectivePhase(), ProcessorShare: i.processorShare}
 	if m.joinImmediately {
 		own.Phase = workspace.PhaseHolding
 	}
-	i.limiter.Divide(now, []workspace.Limit{m.limit}, append(others, own))
+	i.limiter.Divide(now, m.limits(), append(others, own))
 }
 
-// request sends one request to an instance, which takes from the pools if its own
-// share is used up.
-func (m *divisionModel) request(i *modelInstance, now time.Time) {
-	i.limiter.RecordDemand(now, m.limit.Workspace)
-	if i.limiter.Admit(now, m.limit.Workspace).Admitted {
-		m.admitted = append(m.admitted, now)
-		return
+// limits returns the limits of all workspaces.
+func (m *divisionModel) limits() []workspace.Limit {
+	return append([]workspace.Limit{m.limit}, m.others...)
+}
+
+// isIsolated reports whether an instance doesn't reach the other ones.
+func (i *modelInstance) isIsolated(now time.Time) bool {
+	return !now.After(i.isolatedUntil)
+}
+
+// delay returns the delay of the next message.
+func (m *divisionModel) delay() time.Duration {
+	if len(m.delays) == 0 {
+		return 0
 	}
-	for _, owner := range i.limiter.PoolOwners(now, m.limit.Workspace) {
-		for _, other := range m.instances {
-			if other.id != owner.Instance || !other.isRunning(now) {
-				continue
-			}
-			if given, _ := other.limiter.TakeFromPool(now, m.limit.Workspace, 1); given > 0 {
-				i.limiter.Add(now, m.limit.Workspace, given)
-				if i.limiter.Admit(now, m.limit.Workspace).Admitted {
-					m.admitted = append(m.admitted, now)
+	m.nextDelay++
+	return time.Duration(m.delays[m.nextDelay%len(m.delays)]) * modelTick
+}
+
+// perform carries out a step of an instance's admitter.
+func (m *divisionModel) perform(i *modelInstance, now time.Time, step workspace.Step) {
+	for _, outcome := range step.Decided {
+		if m.onDecided != nil {
+			m.onDecided(i, outcome, now)
+		}
+		if outcome.Decision.Admitted {
+			m.admitted = append(m.admitted, now)
+		}
+	}
+	for _, call := range step.Calls {
+		i.messages = append(i.messages, &modelMessage{call: call, sentAt: now, arrivesAt: now.Add(m.delay()), answerDelay: m.delay()})
+	}
+	i.wakeAt = step.WakeAt
+	m.deliver(i, now)
+}
+
+// deliver passes the calls of an instance to the owners and the answers to the instance.
+// An instance that was paused finds the answers that came meanwhile.
+func (m *divisionModel) deliver(i *modelInstance, now time.Time) {
+	for _, message := range slices.Clone(i.messages) {
+		owner := m.instances[slices.IndexFunc(m.instances, func(o *modelInstance) bool { return o.id == message.call.Owner })]
+		if !message.answered && !now.Before(message.arrivesAt) && owner.isRunning(now) && !owner.isIsolated(now) && !i.isIsolated(now) {
+			message.answered, message.answer, message.arrivesAt = true, owner.limiter.Grant(now, message.call.Takes), now.Add(message.answerDelay)
+		}
+		var step workspace.Step
+		switch {
+		case message.answered && !now.Before(message.arrivesAt) && i.isRunning(now):
+			for g := range message.answer {
+				if m.doubleGrants {
+					message.answer[g].Taken *= 2
+				}
+				if m.keepTokens && now.Before(start.Add(modelDuration/2)) {
+					message.answer[g].Delay += 3 * time.Second
 				}
-				return
 			}
+			i.messages = slices.DeleteFunc(i.messages, func(other *modelMessage) bool { return other == message })
+			step = i.admitter.Answered(now, message.call.ID, message.answer)
+		case now.Sub(message.sentAt) >= modelCallTimeout && i.isRunning(now):
+			i.messages = slices.DeleteFunc(i.messages, func(other *modelMessage) bool { return other == message })
+			step = i.admitter.Failed(now, message.call.ID)
+		default:
+			continue
 		}
+		m.perform(i, now, step)
+		return
 	}
 }
 
+// request sends one request to an instance.
+func (m *divisionModel) request(i *modelInstance, now time.Time) {
+	decision, _, step := i.admitter.Admit(now, workspace.Request{Priority: m.tick % 3, WaitUntil: now.Add(modelMaxWait), Workspace: m.limit.Workspace})
+	if decision.Admitted {
+		m.admitted = append(m.admitted, now)
+	}
+	m.perform(i, now, step)
+}
+
+// inBurst reports whether requests arrive in the current tick.
+func (m *divisionModel) inBurst() bool {
+	return m.burstTicks == 0 || m.tick/m.burstTicks%2 == 0
+}
+
 // maxInWindow returns the largest number of requests admitted in any window of
 // modelWindow.
 func (m *divisionModel) maxInWindow() int {
@@ -190,6 +304,9 @@
 	duration time.Duration
 }
 
+// modelShares are the processor shares of the instances.
+var modelShares = [2]float64{0.2, 0.8}
+
 const (
 	modelDuration = 40 * time.Second
 	// modelRequestsPerTick is the number of requests to each instance in one tick.
@@ -197,18 +314,24 @@
 	modelRequestsPerTick = 6
 )
 
-// run simulates modelDuration with the faults, which are ordered by time.
-func (m *divisionModel) run(instances int, faults []modelFault) {
-	now := start
+// create starts the instances.
+func (m *divisionModel) create(instances int, now time.Time) {
 	m.rows = map[fleet.InstanceID]modelRow{}
 	for n := range instances {
-		i := &modelInstance{id: fleet.InstanceID("i" + strconv.Itoa(n))}
+		i := &modelInstance{id: fleet.InstanceID("i" + strconv.Itoa(n)), dataCentre: fleet.DataCentre("d" + strconv.Itoa(n%3)), processorShare: modelShares[n%2]}
 		m.instances = append(m.instances, i)
 		m.restart(i, now)
 		i.nextRead = now.Add(time.Duration(n) * 100 * time.Millisecond)
 	}
+}
+
+// run simulates modelDuration with the faults, which are ordered by time.
+func (m *divisionModel) run(instances int, faults []modelFault) {
+	now := start
+	m.create(instances, now)
 	for now.Before(start.Add(modelDuration)) {
 		now = now.Add(modelTick)
+		m.tick++
 		for len(faults) > 0 && !now.Before(start.Add(faults[0].at)) {
 			m.start(faults[0], now)
 			faults = faults[1:]
@@ -217,18 +340,27 @@
 			if !i.isRunning(now) {
 				continue
 			}
-			if !i.stoppedUntil.IsZero() {
-				i.stoppedUntil = time.Time{}
-				m.restart(i, now)
-			}
-			m.step(i, now)
+			m.resume(i, now)
 			for range modelRequestsPerTick {
-				m.request(i, now)
+				if m.inBurst() {
+					m.request(i, now)
+				}
 			}
 		}
 	}
 }
 
+// resume does what is due at an instance that runs.
+func (m *divisionModel) resume(i *modelInstance, now time.Time) {
+	if !i.stoppedUntil.IsZero() {
+		i.stoppedUntil = time.Time{}
+		m.restart(i, now)
+	}
+	m.step(i, now)
+	m.deliver(i, now)
+	m.perform(i, now, i.admitter.Advance(now))
+}
+
 // start starts a fault, unless its instance is stopped or paused.
 func (m *divisionModel) start(fault modelFault, now time.Time) {
 	i := m.instances[fault.instance%len(m.instances)]
@@ -244,9 +376,16 @@
 		i.readsFailUntil = until
 	case "kill":
 		i.stoppedUntil = until
+	case "hush":
+		i.isolatedUntil = until
+	case "isolate":
+		i.disconnectedUntil, i.isolatedUntil = until, until
 	case "leave":
 		delete(m.rows, i.id)
 		i.stoppedUntil = until
+	case "resize":
+		i.stoppedUntil = until
+		i.processorShare = modelShares[0] + modelShares[1] - i.processorShare
 	case "pause":
 		i.pausedUntil = until
 	}
@@ -261,7 +400,7 @@
 		faults = append(faults, modelFault{
 			at:       time.Duration(at) * time.Millisecond,
 			instance: rapid.IntRange(0, 8).Draw(t, "instance"),
-			kind:     rapid.SampledFrom([]string{"cut", "deaf", "kill", "leave", "pause"}).Draw(t, "kind"),
+			kind:     rapid.SampledFrom([]string{"cut", "deaf", "hush", "isolate", "kill", "leave", "pause", "resize"}).Draw(t, "kind"),
 			duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "milliseconds")) * time.Millisecond,
 		})
 	}
@@ -276,10 +415,15 @@
 
 // TestDivisionModel guards against admitting more than a workspace's limit while
 // instances crash, restart, leave, resume after a pause, and lose access to the store,
-// either completely or for reads only.
+// either completely or for reads only, and while tokens of pools are granted ahead, late
+// and to instances that hold no shares.
 func TestDivisionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &divisionModel{limit: drawLimit(t)}
+		m := &divisionModel{
+			burstTicks: rapid.SampledFrom([]int{0, 2, 5, 11, 40}).Draw(t, "burst ticks"),
+			delays:     rapid.SliceOfN(rapid.IntRange(0, 3), 0, 7).Draw(t, "delays"),
+			limit:      drawLimit(t),
+		}
 		m.run(rapid.IntRange(2, 9).Draw(t, "instances"), drawFaults(t))
 		if got := m.maxInWindow(); float64(got) > m.maxAllowed() {
 			t.Fatalf("%d requests admitted in %v, want at most %.0f with limit %+v", got, modelWindow, m.maxAllowed(), m.limit)
@@ -297,6 +441,15 @@
 	}
 	joiningReadsFail = append(joiningReadsFail, joining...)
 	joiningReadsFail = append(joiningReadsFail, modelFault{at: 14 * time.Second, instance: 0, kind: "deaf", duration: 20 * time.Second})
+	// The small instances become large ones, while the reads of the large ones fail.
+	var resizing []modelFault
+	for n := range 9 {
+		fault := modelFault{at: 10 * time.Second, instance: n, kind: "resize", duration: 300 * time.Millisecond}
+		if n%2 == 1 {
+			fault.kind, fault.duration = "deaf", 9*time.Second
+		}
+		resizing = append(resizing, fault)
+	}
 	for _, test := range []struct {
 		name   string
 		model  divisionModel
@@ -305,7 +458,12 @@
 	}{
 		{name: "no fault", faults: joining},
 		{name: "no fault, reads of one instance fail", faults: joiningReadsFail},
+		{name: "no fault, resized while reads fail", faults: resizing},
+		{name: "resumes although resized", model: divisionModel{resumeResized: true}, faults: resizing, found: true},
 		{name: "holds shares immediately after joining", model: divisionModel{joinImmediately: true}, faults: joining, found: true},
+		{name: "no fault, bursts and delays", model: divisionModel{burstTicks: 40, delays: []int{0, 1, 2}}, faults: joining},
+		{name: "counts the tokens of an answer twice", model: divisionModel{doubleGrants: true}, found: true},
+		{name: "uses tokens later", model: divisionModel{keepTokens: true}, found: true},
 		{name: "admits on stale rows", model: divisionModel{admitOnStaleRows: true}, faults: joiningReadsFail, found: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -20,6 +20,8 @@
 // Decision says whether a request is admitted.
 type Decision struct {
 	Admitted bool
+	// Reason is why an Admitter refused the request.
+	Reason RefusalReason
 	// RetryAfter is the time after which a retry can succeed. It is zero if the
 	// request was admitted.
 	RetryAfter time.Duration
@@ -35,6 +37,8 @@
 
 // bucket is a share with the time up to which it was refilled.
 type bucket struct {
+	// debt is the number of tokens that were granted before they were refilled.
+	debt     float64
 	filledAt time.Time
 	share    Share
 }
@@ -72,6 +76,75 @@
 	return 1 + more, 0
 }
 
+// Reserve takes tokens from the workspace's share for another instance, as whole tokens.
+// Those wanted for waiting requests may be tokens of the near future, up to
+// maxReservation. They must fall in the validity, outside of which the share is not
+// refilled. Extra tokens come only from the upper half of the bucket. While the workspace
+// is over its rate, some tokens are kept for more urgent requests.
+func (l *Limiter) Reserve(now time.Time, take TakeRequest, demand *poolDemand) TakeGrant {
+	grant := TakeGrant{Workspace: take.Workspace}
+	b := l.buckets[take.Workspace]
+	if b == nil || !now.Before(l.validUntil) || b.share.Rate <= 0 {
+		grant.RetryAfter, grant.Unknown = defaultRetryAfter, b == nil || b.share.Capacity <= 0 || !now.Before(l.validUntil)
+		return grant
+	}
+	b.fill(now, l.validUntil)
+	demand.record(now, take, b.share.Rate)
+	keep, urgent := demand.restriction(take.Class, b.share.Rate)
+	keep = math.Min(keep, b.share.Capacity/2)
+	want := math.Floor(take.Want)
+	horizon := min(take.MaxWait, maxReservation, l.validUntil.Sub(now))
+	if urgent {
+		horizon = min(horizon, lessUrgentReservation)
+	}
+	grant.Taken = b.withdraw(want, keep)
+	if grant.Taken == 0 && keep == 0 {
+		grant.Taken, grant.Delay = b.reserve(want, horizon)
+	}
+	if grant.Taken == 0 && keep > 0 && demand.floor >= 1 {
+		grant.Taken, grant.Delay = b.reserve(math.Min(want, math.Floor(demand.floor)), min(take.MaxWait, maxReservation, l.validUntil.Sub(now)))
+		demand.floor -= grant.Taken
+	}
+	if grant.Taken == want {
+		if grant.Delay == 0 {
+			grant.Taken += b.withdraw(math.Floor(take.Extra), b.share.Capacity/2)
+		}
+		return grant
+	}
+	// Other callers return as well. Of those of a workspace over its rate, only some
+	// will be admitted.
+	wait := float64(b.retryAfter()) + keep/b.share.Rate*float64(time.Second)
+	grant.RetryAfter = time.Duration(min(wait*math.Max(1, demand.pressure(b.share.Rate)), float64(maxRetryAfter)))
+	return grant
+}
+
+// withdraw takes up to want whole tokens and leaves the given level.
+func (b *bucket) withdraw(want, leave float64) float64 {
+	taken := math.Min(want, math.Floor(b.share.Level-leave+admissionTolerance))
+	if taken <= 0 {
+		return 0
+	}
+	b.share.Level = math.Max(0, b.share.Level-taken)
+	return taken
+}
+
+// reserve takes up to want tokens that will be refilled within the horizon, and returns
+// the time after which all of them are.
+func (b *bucket) reserve(want float64, horizon time.Duration) (taken float64, delay time.Duration) {
+	available := b.share.Level - b.debt + b.share.Rate*horizon.Seconds()
+	taken = math.Min(want, math.Floor(available))
+	if taken <= 0 {
+		return 0, 0
+	}
+	if taken <= b.share.Level {
+		b.share.Level -= taken
+		return taken, 0
+	}
+	b.debt += taken - b.share.Level
+	b.share.Level = 0
+	return taken, time.Duration(math.Ceil(b.debt / b.share.Rate * float64(time.Second)))
+}
+
 // Remove removes the share of a workspace.
 func (l *Limiter) Remove(workspace fleet.WorkspaceID) {
 	delete(l.buckets, workspace)
@@ -109,6 +182,17 @@
 	return b.share
 }
 
+// TimeToToken returns the time until the workspace's share holds a whole token, or
+// defaultRetryAfter if that isn't known.
+func (l *Limiter) TimeToToken(now time.Time, workspace fleet.WorkspaceID) time.Duration {
+	b := l.buckets[workspace]
+	if b == nil || !now.Before(l.validUntil) {
+		return defaultRetryAfter
+	}
+	b.fill(now, l.validUntil)
+	return max(0, b.retryAfter())
+}
+
 // ValidUntil returns the end of the validity.
 func (l *Limiter) ValidUntil() time.Time {
 	return l.validUntil
@@ -125,7 +209,10 @@
 		end = validUntil
 	}
 	if end.After(b.filledAt) {
-		b.share.Level += b.share.Rate * end.Sub(b.filledAt).Seconds()
+		refill := b.share.Rate * end.Sub(b.filledAt).Seconds()
+		repaid := math.Min(b.debt, refill)
+		b.debt -= repaid
+		b.share.Level += refill - repaid
 	}
 	b.filledAt = now
 	b.share = b.share.clamped()
@@ -136,7 +223,7 @@
 	if b.share.Rate <= 0 {
 		return defaultRetryAfter
 	}
-	seconds := (1 - b.share.Level) / b.share.Rate
+	seconds := (1 - b.share.Level + b.debt) / b.share.Rate
 	if seconds > defaultRetryAfter.Seconds() && b.share.Capacity < 1 {
 		return defaultRetryAfter
 	}
