fix: relays send changes and read for the others after the store lost its history

A complete answer about a table that is known is applied as changes: rows that differ, and tombstones of rows that are missing. An instance that gets a 410 itself asks its relay until its copy is 2.5 to 3 s old, and reads the table only then; its leases of 4.5 s stay valid meanwhile.

The base of a changed part is sent only to readers that certainly have it, and a reader that has read the row itself ignores the part instead of taking the relay as lost.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -55,29 +55,41 @@
 	revision   Revision
 	rows       map[string]Row
 	// replaced holds the version that the row with the same key replaced.
-	replaced  map[string]RowVersion
+	replaced  map[string]replacedVersion
 	storeTime time.Duration
 }
 
+// replacedVersion is an earlier version of a row.
+type replacedVersion struct {
+	RowVersion
+	// currentUntil is the last revision of the table as of which this was certainly the
+	// current version of the row. Later versions may have been skipped.
+	currentUntil Revision
+}
+
 // maxTombstones is the number of deleted rows that are kept for ChangesSince.
 // Rows of instances and servers are deleted a few times a minute.
 const maxTombstones = 256
 
 // NewMirror returns an empty copy that has not been loaded yet.
 func NewMirror() *Mirror {
-	return &Mirror{tombstones: map[string]Row{}, rows: map[string]Row{}, replaced: map[string]RowVersion{}}
+	return &Mirror{tombstones: map[string]Row{}, rows: map[string]Row{}, replaced: map[string]replacedVersion{}}
 }
 
 // Apply processes an answer that shows the table as it was at verifiedAt or
 // later. It returns the rows that changed, with deleted ones marked. An answer
-// that is older than the copy is ignored.
+// that is older than the copy is ignored. A complete answer about a table that is
+// already known is applied as changes, so that ChangesSince goes on returning changes
+// after the store has lost its history.
 func (m *Mirror) Apply(snapshot Snapshot, verifiedAt time.Time) []Row {
 	if snapshot.Revision < m.revision {
 		return nil
 	}
 	var changed []Row
 	if snapshot.Complete {
-		changed = m.deleteMissing(snapshot.Rows)
+		changed = m.deleteMissing(snapshot)
+	}
+	if snapshot.Complete && !m.loaded {
 		m.changesKnownFrom = snapshot.Revision
 		clear(m.tombstones)
 	}
@@ -87,7 +99,7 @@
 		if found && known.Revision >= row.Revision {
 			continue
 		}
-		m.replaced[row.Key] = RowVersion{Revision: known.Revision, Value: known.Value}
+		m.replaced[row.Key] = replacedVersion{RowVersion: RowVersion{Revision: known.Revision, Value: known.Value}, currentUntil: m.revision}
 		if row.Deleted {
 			delete(m.replaced, row.Key)
 			delete(m.rows, row.Key)
@@ -112,12 +124,21 @@
 }
 
 // deleteMissing deletes the rows that a complete answer does not contain, and
-// returns them marked as deleted.
-func (m *Mirror) deleteMissing(rows []Row) []Row {
-	present := make(map[string]bool, len(rows))
-	for _, row := range rows {
+// returns them marked as deleted. They count as deleted as of the answer's revision,
+// which is not earlier than the deletion.
+func (m *Mirror) deleteMissing(snapshot Snapshot) []Row {
+	present := make(map[string]bool, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
+	for key, row := range m.tombstones {
+		if row.Revision == m.revision && !present[key] {
+			// The last answer consisted of several responses, of which a later one may
+			// have shown this deletion.
+			row.Revision = snapshot.Revision
+			m.tombstones[key] = row
+		}
+	}
 	var deleted []Row
 	for key, row := range m.rows {
 		if !present[key] {
@@ -125,6 +146,7 @@
 			deleted = append(deleted, row)
 			delete(m.rows, key)
 			delete(m.replaced, key)
+			m.tombstones[key] = Row{Deleted: true, Key: key, Revision: snapshot.Revision}
 		}
 	}
 	return deleted
@@ -147,8 +169,8 @@
 	for _, rows := range []map[string]Row{m.rows, m.tombstones} {
 		for _, row := range rows {
 			if row.Revision > after || (snapshot.Complete && !row.Deleted) {
-				if base := m.replaced[row.Key]; !snapshot.Complete && !row.Deleted && base.Revision <= after {
-					row.Base = base
+				if base := m.replaced[row.Key]; !snapshot.Complete && !row.Deleted && base.Revision <= after && after <= base.currentUntil {
+					row.Base = base.RowVersion
 				}
 				snapshot.Rows = append(snapshot.Rows, row)
 			}
--- a/feed/since_test.go
+++ b/feed/since_test.go
@@ -1,6 +1,8 @@
 package feed_test
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -74,3 +76,58 @@
 		t.Errorf("local time %v is after the arrival of the answer", got)
 	}
 }
+
+// TestChangesAfterLostHistory guards against a relay that sends whole tables to all its
+// readers after the store has lost its history, and against a deletion that they miss.
+func TestChangesAfterLostHistory(t *testing.T) {
+	const instances = 300
+	value := make([]byte, 330)
+	rows := map[string]feed.Row{}
+	for i := range instances {
+		key := strconv.Itoa(i)
+		rows[key] = feed.Row{Key: key, Revision: feed.Revision(i + 1), Value: value}
+	}
+	complete := func(revision feed.Revision) feed.Snapshot {
+		return feed.Snapshot{Complete: true, Revision: revision, Rows: slices.Collect(maps.Values(rows))}
+	}
+	source := feed.NewMirror()
+	source.Apply(complete(instances), begin)
+	rows["3"] = feed.Row{Key: "3", Revision: 400, Value: value}
+	rows["7"] = feed.Row{Key: "7", Revision: 401, Value: value}
+	delete(rows, "9")
+	source.Apply(complete(402), begin)
+	snapshot := source.ChangesSince(instances)
+	bytes := 0
+	got := map[string]bool{}
+	for _, row := range snapshot.Rows {
+		bytes += len(row.Value)
+		got[row.Key] = row.Deleted
+	}
+	if diff := cmp.Diff(map[string]bool{"3": false, "7": false, "9": true}, got); diff != "" || snapshot.Complete {
+		t.Errorf("complete: %t, rows and whether they are deleted (-want +got):\n%s", snapshot.Complete, diff)
+	}
+	if want := 2 * len(value); bytes != want {
+		t.Errorf("%d bytes of values, want %d", bytes, want)
+	}
+	// A later response of the same answer may have shown the deletion of a row that a
+	// reader of revision 403 still has.
+	source.Apply(complete(410), begin)
+	if snapshot := source.ChangesSince(403); len(snapshot.Rows) != 1 || !snapshot.Rows[0].Deleted {
+		t.Errorf("changes since 403: %+v, want the deletion", snapshot.Rows)
+	}
+}
+
+// TestBaseIsCertain guards against a change that a reader can't apply because it has a
+// version of the row that its relay never had.
+func TestBaseIsCertain(t *testing.T) {
+	source := feed.NewMirror()
+	source.Apply(feed.Snapshot{Complete: true, Revision: 5, Rows: []feed.Row{{Key: "a", Revision: 4}}}, begin)
+	source.Apply(feed.Snapshot{Revision: 9, Rows: []feed.Row{{Key: "a", Revision: 9}}}, begin)
+	got := map[feed.Revision]feed.Revision{}
+	for after := feed.Revision(3); after <= 8; after++ {
+		got[after] = source.ChangesSince(after).Rows[0].Base.Revision
+	}
+	if diff := cmp.Diff(map[feed.Revision]feed.Revision{3: 0, 4: 0, 5: 4, 6: 0, 7: 0, 8: 0}, got); diff != "" {
+		t.Errorf("base by the reader's revision (-want +got):\n%s", diff)
+	}
+}
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -48,6 +47,10 @@
 
 	// partitions are the partitions of the table that hold rows.
 	partitions []Partition
+	// historyLost is true after the store has lost the changes that this copy lacks,
+	// until the next response. historyWaitFraction is the argument of mayAwaitRelay.
+	historyLost         bool
+	historyWaitFraction float64
 	// loadRefusals counts the requests for the whole table that the relay refused.
 	loadRefusals int
 	// useRelay is true if the copy may be read from a relay, and may be relayed to
@@ -95,7 +98,7 @@
 		if err != nil && f.isInterrupted() {
 			continue
 		}
-		if isRelayRefusal(err) {
+		if isRelayRefusal(err) || isHistoryLost(err) {
 			f.gateway.jitteredSleep(ctx, relayPollInterval)
 			continue
 		}
@@ -186,6 +189,9 @@
 // returns them.
 func (f *tableFollower) fetch(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	now := f.gateway.config.Clock()
+	if peer, awaits := f.awaitsRelay(now); awaits {
+		return f.awaitRelay(ctx, peer)
+	}
 	peer, useRelay := f.gateway.currentRelay(now)
 	if useRelay && f.useRelay && !f.bypassRelay {
 		if !f.mirror.Loaded() {
@@ -215,6 +221,19 @@
 	return changed, err
 }
 
+// awaitRelay asks the relay for a newer response than this copy has. Without one it
+// returns the error that the store's history is lost.
+func (f *tableFollower) awaitRelay(ctx context.Context, peer relayPeer) ([]feed.Row, error) {
+	storeTimeBefore := f.mirror.StoreTime()
+	changed, err := f.fetchFromRelay(ctx, peer, 0)
+	if err != nil || f.mirror.StoreTime() <= storeTimeBefore {
+		return nil, &Error{Err: err, Kind: KindHistory, Op: "await relay"}
+	}
+	f.historyLost = false
+	f.gateway.recordRelayRecovered(peer)
+	return changed, nil
+}
+
 // fetchFromStore reads changes from the store and applies them. It reads the whole
 // table if there is no copy yet, or if the store no longer has the changes.
 func (f *tableFollower) fetchFromStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
@@ -226,8 +245,11 @@
 		callCtx, cancel := f.interruptibleContext(ctx, wait+longPollGrace)
 		snapshot, err = f.gateway.config.Store.Changes(callCtx, f.table, f.mirror.Revision(), wait)
 		cancel()
-		var storeErr *Error
-		if errors.As(err, &storeErr) && storeErr.Kind == KindHistory {
+		if isHistoryLost(err) {
+			f.recordHistoryLost()
+			if _, awaits := f.awaitsRelay(clock()); awaits {
+				return nil, err
+			}
 			sent = clock()
 			snapshot, err = f.readTable(ctx)
 		}
@@ -240,9 +262,20 @@
 	f.gateway.mu.Lock()
 	verifiedAt := f.gateway.storeClock.Observe(sent, clock(), snapshot.StoreTime)
 	f.gateway.mu.Unlock()
+	f.historyLost = false
 	return f.apply(snapshot, verifiedAt, true), nil
 }
 
+// recordHistoryLost records that the store no longer has the changes that this copy lacks.
+func (f *tableFollower) recordHistoryLost() {
+	if f.historyLost {
+		return
+	}
+	f.gateway.mu.Lock()
+	f.historyLost, f.historyWaitFraction = true, f.gateway.random.Float64()
+	f.gateway.mu.Unlock()
+}
+
 // readTable reads the whole table from the store.
 func (f *tableFollower) readTable(ctx context.Context) (feed.Snapshot, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -254,7 +287,7 @@
 // again. In the second case it also requests a write of this instance's row if that
 // is overdue.
 func (f *tableFollower) logAvailability(err error) {
-	if (err != nil) == f.unavailable || isRelayRefusal(err) {
+	if (err != nil) == f.unavailable || isRelayRefusal(err) || isHistoryLost(err) {
 		return
 	}
 	f.unavailable = err != nil
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -238,6 +238,9 @@
 			nextPoll = now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
+			if isHistoryLost(err) {
+				nextPoll = now.Add(relayPollInterval)
+			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,6 +41,10 @@
 	// again that can't serve it, before it reads the store. The relay may just have
 	// started too.
 	maxLoadRefusals = 4
+	// maxHistoryWait is how old the last verification of a copy may become while its
+	// instance waits for the relay to read the table that the store has lost the history
+	// of. It leaves 1.5 s of the leases to read the table from the store.
+	maxHistoryWait = 3 * time.Second
 	// relayStartSpread and relayMinAge say when an instance may be a relay: if it has
 	// started together with the first ones, or long enough ago to have read the tables.
 	relayStartSpread = 3 * time.Second
@@ -181,6 +185,30 @@
 	}
 }
 
+// mayAwaitRelay reports whether an instance that needs a whole table, because the store
+// has lost its history, leaves the read to the relay for now. The fraction, between 0 and
+// 1, spreads the instances over the last half second, in case the relay stays away.
+func mayAwaitRelay(now, verifiedAt time.Time, fraction float64) bool {
+	const spread = 500 * time.Millisecond
+	return now.Sub(verifiedAt) < maxHistoryWait-time.Duration(fraction*float64(spread))
+}
+
+// awaitsRelay reports whether this instance waits for its relay to read the table that
+// the store has lost the history of, and returns the relay.
+func (f *tableFollower) awaitsRelay(now time.Time) (peer relayPeer, awaits bool) {
+	peer, found := f.gateway.currentRelay(time.Time{})
+	if !f.historyLost || !f.useRelay || !found || !f.mirror.Loaded() {
+		return relayPeer{}, false
+	}
+	return peer, mayAwaitRelay(now, f.mirror.VerifiedAt(), f.historyWaitFraction)
+}
+
+// isHistoryLost reports whether the store no longer has the requested changes.
+func isHistoryLost(err error) bool {
+	var storeErr *Error
+	return errors.As(err, &storeErr) && storeErr.Kind == KindHistory
+}
+
 // isRelayRefusal reports whether the relay answered that it can't serve the request.
 func isRelayRefusal(err error) bool {
 	var relayErr *relay.Error
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -166,6 +166,11 @@
 	if message.GetBaseRevision() == 0 {
 		return row, nil
 	}
+	if base.Revision >= row.Revision {
+		// The receiver read this version or a later one itself.
+		row.Value = base.Value
+		return row, nil
+	}
 	prefix, suffix, length := message.GetPrefixLength(), message.GetSuffixLength(), uint64(len(base.Value))
 	if base.Revision != feed.Revision(message.GetBaseRevision()) || prefix > length || suffix > length-prefix {
 		return feed.Row{}, errors.New("row " + row.Key + ": the changed part does not apply to the known value")
