feat: choose relays and owners by the network link

New setting LinkMegabits, in the template and in the instance's row. Of the instances with enough processor time, those with at least half of the fastest link are chosen. A link that is not known counts as fast enough, so deployments without the setting choose as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,6 +296,7 @@
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
 	}
+	g.members.linkMegabits = config.Settings.LinkMegabits
 	g.members.processorShare = config.Settings.ProcessorShare
 	g.pool = pool.New(config.Dialer, config.Clock)
 	return g
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -86,6 +86,9 @@
 	Epoch fleet.Epoch
 	// Left lists the primaries that the instance has stopped using.
 	Left []GroupLeft `json:",omitempty"`
+	// LinkMegabits is the speed of the instance's network link in Mbit/s, or zero if it is
+	// not known.
+	LinkMegabits float64 `json:",omitempty"`
 	// Phase is whether the instance holds shares of the rate limits.
 	Phase workspace.Phase
 	// ProcessorShare is the processor time that the instance may use, in cores.
@@ -114,6 +117,8 @@
 	left map[fleet.GroupID]primacy.Generation
 	// lossLogged is true once an expiry of this instance's row has been logged.
 	lossLogged bool
+	// linkMegabits is that of this instance.
+	linkMegabits float64
 	// members holds the rows of all instances, this one included.
 	members     map[fleet.InstanceID]*member
 	ownRevision feed.Revision
@@ -474,7 +479,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, LinkMegabits: g.config.Settings.LinkMegabits, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -32,7 +32,7 @@
 		if (id != g.members.self && !g.members.isLive(m)) || row.Address == "" || row.Draining {
 			continue
 		}
-		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
+		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, LinkMegabits: row.LinkMegabits, ProcessorShare: row.ProcessorShare}
 		all = append(all, candidate)
 		if row.Phase == workspace.PhaseHolding {
 			holding = append(holding, candidate)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -154,13 +154,13 @@
 		if startedLater(row.Since) || row.Address == "" || row.Draining {
 			continue
 		}
-		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
+		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, LinkMegabits: row.LinkMegabits, ProcessorShare: row.ProcessorShare}
 		all = append(all, candidate)
 		if row.DataCentre == dataCentre {
 			local = append(local, candidate)
 		}
 	}
-	if own := (owner.Candidate{DataCentre: dataCentre, Instance: v.self, ProcessorShare: v.processorShare}); len(all) == 0 || (v.rowSince != 0 && !startedLater(v.rowSince)) {
+	if own := (owner.Candidate{DataCentre: dataCentre, Instance: v.self, LinkMegabits: v.linkMegabits, ProcessorShare: v.processorShare}); len(all) == 0 || (v.rowSince != 0 && !startedLater(v.rowSince)) {
 		local, all = append(local, own), append(all, own)
 	}
 	if len(local) < minLocalRelayGroup {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,8 +16,12 @@
 	// KeyLease is how long keys are accepted after the sheet was last verified
 	// to be the latest version.
 	KeyLease time.Duration
-	Listen   Listen
-	Log      LogSettings
+	// LinkMegabits is the speed of the instance's network link in Mbit/s. Zero means that
+	// it is not known. It bounds the whole tables that the instance relays, and relays and
+	// owners are chosen by it.
+	LinkMegabits float64
+	Listen       Listen
+	Log          LogSettings
 	// MemoryLimit is the memory limit of the instance in megabytes. The soft
 	// memory limit of the Go runtime is set to half of it.
 	MemoryLimit int
@@ -63,6 +67,7 @@
 		{Path: "DataCentre", Format: document.FormatName, Required: true},
 		{Path: "Instance", Format: document.FormatName, Required: true},
 		{Path: "KeyLease", Default: "4.5s", Min: float64(100 * time.Millisecond), Max: float64(time.Minute)},
+		{Path: "LinkMegabits", Default: "0", Min: 0, Max: 1_000_000},
 		{Path: "Listen.Callers", Format: document.FormatAddress, Required: true},
 		{Path: "Listen.Metrics", Format: document.FormatAddress},
 		{Path: "Listen.Peers", Format: document.FormatAddress},
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -23,7 +23,7 @@
 	text := strings.NewReplacer(
 		"{{zone|json}}", `"mixco"`, "{{node|json}}", `"front-mixco-1"`, "{{listen.front|json}}", `"10.1.0.26:8465"`,
 		"{{listen.ready|json}}", `"10.1.0.26:8460"`, "{{ip}}", "10.1.0.26", "{{internal_ports.0}}", "7560", "{{internal_ports.1}}", "7575",
-		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{cloud.addr|json}}", `"10.200.0.2:8466"`, "{{bounds.grace_s}}", "6",
+		"{{limits.cpu_share}}", "0.4", "{{limits.link_mbps}}", "20", "{{limits.memory_mb}}", "284", "{{cloud.addr|json}}", `"10.200.0.2:8466"`, "{{bounds.grace_s}}", "6",
 		"{{platform.addr|json}}", `"10.200.1.7:8466"`,
 	).Replace(string(template))
 	if placeholder := regexp.MustCompile(`\{\{[^}]*\}\}`).FindString(text); placeholder != "" {
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	want := gateway.Settings{
-		DataCentre: "mixco", Instance: "front-mixco-1", KeyLease: 4500 * time.Millisecond,
+		DataCentre: "mixco", Instance: "front-mixco-1", KeyLease: 4500 * time.Millisecond, LinkMegabits: 20,
 		Listen: gateway.Listen{Callers: "10.1.0.26:8465", Metrics: "10.1.0.26:7560", Peers: "10.1.0.26:7575", Ready: "10.1.0.26:8460"},
 		Log:    gateway.LogSettings{LinesPerSecond: 20}, MemoryLimit: 284, ProcessorShare: 0.4, PromotionAddress: "10.200.0.2:8466",
 		StopBound: 6 * time.Second, StoreAddress: "10.200.1.7:8466", TransactionIdle: 3 * time.Second,
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -19,14 +19,17 @@
 type Candidate struct {
 	DataCentre fleet.DataCentre
 	Instance   fleet.InstanceID
+	// LinkMegabits is the speed of the instance's network link in Mbit/s, or zero if it is
+	// not known.
+	LinkMegabits float64
 	// ProcessorShare is the processor time that the instance may use, in cores.
 	ProcessorShare float64
 }
 
 // Choose returns the owners of a group in order of rank. All instances that know the
 // same candidates choose the same ones. The owners of a group are in different data
-// centres if possible. Instances with less than half of the largest processor share
-// are chosen only if there are few others, because an owner also works for the
+// centres if possible. Instances with less than half of the largest processor share or
+// link are chosen only if there are few others, because an owner also works for the
 // sessions of the others.
 func Choose(group fleet.GroupID, candidates []Candidate) []fleet.InstanceID {
 	eligible := Large(candidates, minLargeCandidates)
@@ -60,16 +63,23 @@
 	return witnesses
 }
 
-// Large returns the candidates with at least half of the largest processor share, or all
-// of them if these are fewer than atLeast.
+// Large returns the candidates with at least half of the largest processor share and of
+// the fastest link, or all of them if these are fewer than atLeast. A link that is not
+// known counts as fast enough. If no instance is large in both, the link is left out,
+// because the processor is what limits most of them.
 func Large(candidates []Candidate, atLeast int) []Candidate {
-	largest := 0.0
+	largest, fastest := 0.0, 0.0
 	for _, candidate := range candidates {
-		largest = max(largest, candidate.ProcessorShare)
+		largest, fastest = max(largest, candidate.ProcessorShare), max(fastest, candidate.LinkMegabits)
 	}
 	large := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.ProcessorShare < largest/2 })
-	if len(large) < atLeast {
+	wellConnected := slices.DeleteFunc(slices.Clone(large), func(c Candidate) bool { return c.LinkMegabits > 0 && c.LinkMegabits < fastest/2 })
+	switch {
+	case len(wellConnected) >= atLeast:
+		return wellConnected
+	case len(large) >= atLeast:
+		return large
+	default:
 		return candidates
 	}
-	return large
 }
