feat: pack relayed rows, and send whole tables as fast as the link allows

Callers saw instances at a start or after a 410 lose their relay, because it sent 78 to 124 kB to each of 100 readers within two seconds.

A reader names the version of packed rows that it understands; others get plain rows as before. Packed rows contain only what differs from the version that the reader has: changed numbers, or any number of changed parts. A relay packs a revision once and reuses it, and compresses whole tables. Whole tables occupy at most half of its link; a reader beyond that is told when to ask again, and asks for 2.5 s before it reads the store. A reader that lacks the version of a row asks for the whole row instead of reading the store.

Metrics ControlBytes and ControlMessages, here for relays (package traffic). In TestRelayedDelta a mismatch now has to end in the whole row; that it is an error with a relay of an earlier version is checked in TestEarlierVersions.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -242,7 +242,7 @@
 	config.RelayClient = relay.NewClient(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}})
 	gw = gateway.New(config)
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewServer(endpoint.Secret(), gw).Handler())
+	mux.Handle(relay.NewServer(endpoint.Secret(), gw, settings.LinkMegabits).Handler())
 	mux.Handle(owner.NewServer(endpoint.Secret(), gw).Handler())
 	return gw, mux
 }
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -51,6 +51,8 @@
 	// until the next response. historyWaitFraction is the argument of mayAwaitRelay.
 	historyLost         bool
 	historyWaitFraction float64
+	// loadStartedAt is when the relay was first asked for the whole table in vain.
+	loadStartedAt time.Time
 	// loadRefusals counts the requests for the whole table that the relay refused.
 	loadRefusals int
 	// useRelay is true if the copy may be read from a relay, and may be relayed to
@@ -98,8 +100,8 @@
 		if err != nil && f.isInterrupted() {
 			continue
 		}
-		if isRelayRefusal(err) || isHistoryLost(err) {
-			f.gateway.jitteredSleep(ctx, relayPollInterval)
+		if delay, mayRetry := relayRetryDelay(err); mayRetry {
+			f.gateway.jitteredSleep(ctx, delay)
 			continue
 		}
 		if err != nil {
@@ -201,6 +203,12 @@
 		if err == nil || ctx.Err() != nil {
 			return changed, err
 		}
+		if f.loadStartedAt.IsZero() {
+			f.loadStartedAt = now
+		}
+		if since := f.mirror.VerifiedAt(); mayAwaitLoad(f.gateway.config.Clock(), later(since, f.loadStartedAt), err) {
+			return nil, err
+		}
 		if !f.mirror.Loaded() && isRelayRefusal(err) && f.loadRefusals < maxLoadRefusals {
 			f.loadRefusals++
 			return nil, err
@@ -221,6 +229,14 @@
 	return changed, err
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // awaitRelay asks the relay for a newer response than this copy has. Without one it
 // returns the error that the store's history is lost.
 func (f *tableFollower) awaitRelay(ctx context.Context, peer relayPeer) ([]feed.Row, error) {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -71,7 +71,9 @@
 // to read.
 type MemberRow struct {
 	// At is the store's monotonic time at which the row was sent. The fields that
-	// change with each write come first, because only the changed part is relayed.
+	// change with each write come first, because only the changed part is relayed. It is
+	// rounded down to milliseconds, which shortens the relayed change and is well within
+	// primacy.LeaseMargin.
 	At time.Duration
 	// Beat is a heartbeat counter that changes with each write.
 	Beat uint64
@@ -243,8 +245,8 @@
 			nextPoll = now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
-			if isHistoryLost(err) {
-				nextPoll = now.Add(relayPollInterval)
+			if delay, mayRetry := relayRetryDelay(err); mayRetry && delay < memberPollInterval {
+				nextPoll = now.Add(delay)
 			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
@@ -479,7 +481,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, LinkMegabits: g.config.Settings.LinkMegabits, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now).Truncate(time.Millisecond), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, LinkMegabits: g.config.Settings.LinkMegabits, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,9 @@
 	// relayLoadTimeout is the timeout of a request for a whole table. When all instances
 	// start together, the relay sends it to each of them at the same time.
 	relayLoadTimeout = 2 * time.Second
+	// maxLoadWait is how long an instance that starts asks a relay that is sending whole
+	// tables to others. It leaves time to read the store and to serve within 4 s.
+	maxLoadWait = 2500 * time.Millisecond
 	// relayPollTimeout is the timeout of a request that the relay serves without
 	// waiting for a change.
 	relayPollTimeout = 300 * time.Millisecond
@@ -203,6 +206,24 @@
 	return peer, mayAwaitRelay(now, f.mirror.VerifiedAt(), f.historyWaitFraction)
 }
 
+// relayRetryDelay returns after which time a relay that refused a request may be asked
+// again, and whether it may.
+func relayRetryDelay(err error) (delay time.Duration, mayRetry bool) {
+	var relayErr *relay.Error
+	if errors.As(err, &relayErr) && relayErr.RetryAfter > 0 {
+		return min(relayErr.RetryAfter, maxLoadWait), true
+	}
+	return relayPollInterval, isRelayRefusal(err) || isHistoryLost(err)
+}
+
+// mayAwaitLoad reports whether an instance that the relay told to ask again for a whole
+// table does so, and does not read it from the store. It started to load the table, or
+// last verified its copy, at the given time.
+func mayAwaitLoad(now, since time.Time, err error) bool {
+	var relayErr *relay.Error
+	return errors.As(err, &relayErr) && relayErr.RetryAfter > 0 && now.Sub(since) < maxLoadWait
+}
+
 // isHistoryLost reports whether the store no longer has the requested changes.
 func isHistoryLost(err error) bool {
 	var storeErr *Error
--- a/relay/error.go
+++ b/relay/error.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
+	"strconv"
+	"time"
 
 	"connectrpc.com/connect"
 )
@@ -31,6 +34,9 @@
 	Kind Kind
 	// Op is the operation that failed.
 	Op string
+	// RetryAfter is set if the instance can serve the table later, because it is sending
+	// whole tables to others.
+	RetryAfter time.Duration
 }
 
 // Error returns the text of the error.
@@ -56,3 +62,16 @@
 		return KindUnavailable
 	}
 }
+
+// retryAfterOf returns when a refused caller may ask again, or zero.
+func retryAfterOf(err error) time.Duration {
+	var connectErr *connect.Error
+	if !errors.As(err, &connectErr) {
+		return 0
+	}
+	milliseconds, err := strconv.Atoi(connectErr.Meta().Get(retryHeader))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,18 +11,26 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/nutmegpier/nutmegpier/feed"
 	nutmegpierv1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
 	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
+	"github.com/nutmegpier/nutmegpier/traffic"
 )
 
 // secretHeader is the header with the secret of the instance that is called.
 const secretHeader = "Nutmegpier-Secret"
 
+// retryHeader is the header of a refusal that says after how many milliseconds the caller
+// may ask again.
+const retryHeader = "Nutmegpier-Retry-After-Ms"
+
 // Request asks for a newer answer of the store about a table.
 type Request struct {
 	// After is the revision up to which the caller knows the table.
@@ -70,15 +78,21 @@
 
 // Server serves the calls of other instances.
 type Server struct {
+	packed *packedCache
 	secret string
 	source Source
+
+	// mu guards pacer.
+	mu    sync.Mutex
+	pacer *Pacer
 }
 
 var _ nutmegpierv1connect.RelayServiceHandler = &Server{}
 
-// NewServer returns a server for callers that know the secret.
-func NewServer(secret []byte, source Source) *Server {
-	return &Server{secret: base64.StdEncoding.EncodeToString(secret), source: source}
+// NewServer returns a server for callers that know the secret. It sends whole tables no
+// faster than the link allows; zero means that the link is not known.
+func NewServer(secret []byte, source Source, linkMegabits float64) *Server {
+	return &Server{packed: newPackedCache(), pacer: NewPacer(linkMegabits), secret: base64.StdEncoding.EncodeToString(secret), source: source}
 }
 
 // Handler returns the path and the HTTP handler of the service.
@@ -102,12 +116,43 @@
 	answer := &nutmegpierv1.ChangesResponse{
 		Complete: snapshot.Complete, Revision: uint64(snapshot.Revision), StoreTimeNs: int64(snapshot.StoreTime),
 	}
-	for _, row := range snapshot.Rows {
-		answer.Rows = append(answer.Rows, encodeRow(row))
+	if message.GetAccepts() < packedVersion {
+		for _, row := range snapshot.Rows {
+			answer.Rows = append(answer.Rows, encodeRow(row))
+		}
+		countChanges(request.Msg, answer, traffic.In, traffic.Out)
+		return connect.NewResponse(answer), nil
+	}
+	answer.Packed, answer.Compressed = s.packed.rows(message, snapshot)
+	if answer.GetCompressed() {
+		if retryAfter, admitted := s.admitCopy(len(answer.GetPacked())); !admitted {
+			refusal := connect.NewError(connect.CodeAborted, errors.New("other instances are loading the table"))
+			refusal.Meta().Set(retryHeader, strconv.FormatInt(retryAfter.Milliseconds(), 10))
+			return nil, refusal
+		}
 	}
+	countChanges(request.Msg, answer, traffic.In, traffic.Out)
 	return connect.NewResponse(answer), nil
 }
 
+// admitCopy reports whether a copy of a table may be sent now, and otherwise when to ask
+// again.
+func (s *Server) admitCopy(bytes int) (retryAfter time.Duration, admitted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacer.Admit(time.Now(), bytes)
+}
+
+// countChanges counts a request for changes and its answer.
+func countChanges(request *nutmegpierv1.ChangesRequest, answer *nutmegpierv1.ChangesResponse, requested, answered traffic.Direction) {
+	kind := traffic.KindRelayChanges
+	if answer.GetComplete() {
+		kind = traffic.KindRelayLoad
+	}
+	traffic.Count(kind, requested, proto.Size(request))
+	traffic.Count(kind, answered, proto.Size(answer))
+}
+
 // WriteRow serves one call.
 func (s *Server) WriteRow(ctx context.Context, request *connect.Request[nutmegpierv1.WriteRowRequest]) (*connect.Response[nutmegpierv1.WriteRowResponse], error) {
 	if err := s.authenticate(request.Header()); err != nil {
@@ -124,6 +169,8 @@
 	if !result.Applied {
 		response.Current = encodeRow(result.Current)
 	}
+	traffic.Count(traffic.KindRowWrite, traffic.In, proto.Size(message))
+	traffic.Count(traffic.KindRowWrite, traffic.Out, proto.Size(response))
 	return connect.NewResponse(response), nil
 }
 
@@ -205,6 +252,8 @@
 	if err != nil {
 		return RowWriteResult{}, &Error{Err: err, Kind: kindOf(err), Op: "write row"}
 	}
+	traffic.Count(traffic.KindRowWrite, traffic.Out, proto.Size(message.Msg))
+	traffic.Count(traffic.KindRowWrite, traffic.In, proto.Size(answer.Msg))
 	result := RowWriteResult{Applied: answer.Msg.GetApplied(), Revision: feed.Revision(answer.Msg.GetRevision())}
 	if !result.Applied {
 		result.Current, err = decodeRow(answer.Msg.GetCurrent(), feed.RowVersion{})
@@ -218,23 +267,53 @@
 // Changes calls the instance at an address, with the secret of that instance. The
 // function known returns the value of a row that the caller has.
 func (c *Client) Changes(ctx context.Context, address string, secret []byte, request Request, known func(key string) feed.RowVersion) (feed.Snapshot, error) {
+	snapshot, err := c.changes(ctx, address, secret, request, known, false)
+	var relayErr *Error
+	if errors.As(err, &relayErr) && relayErr.Kind == KindInvalid {
+		// The called instance assumed a version of a row that the caller doesn't have.
+		return c.changes(ctx, address, secret, request, known, true)
+	}
+	return snapshot, err
+}
+
+func (c *Client) changes(ctx context.Context, address string, secret []byte, request Request, known func(key string) feed.RowVersion, whole bool) (feed.Snapshot, error) {
 	message := connect.NewRequest(&nutmegpierv1.ChangesRequest{
-		After: uint64(request.After), StoreTimeNs: int64(request.StoreTime), Table: request.Table, Wait: request.Wait,
+		Accepts: packedVersion, After: uint64(request.After), StoreTimeNs: int64(request.StoreTime), Table: request.Table, Wait: request.Wait, Whole: whole,
 	})
 	message.Header().Set(secretHeader, base64.StdEncoding.EncodeToString(secret))
 	answer, err := c.newClient(address).Changes(ctx, message)
 	if err != nil {
-		return feed.Snapshot{}, &Error{Err: err, Kind: kindOf(err), Op: "changes"}
+		return feed.Snapshot{}, &Error{Err: err, Kind: kindOf(err), Op: "changes", RetryAfter: retryAfterOf(err)}
 	}
+	countChanges(message.Msg, answer.Msg, traffic.Out, traffic.In)
 	snapshot := feed.Snapshot{
 		Complete: answer.Msg.GetComplete(), Revision: feed.Revision(answer.Msg.GetRevision()), StoreTime: time.Duration(answer.Msg.GetStoreTimeNs()),
 	}
-	for _, message := range answer.Msg.GetRows() {
+	if snapshot.Rows, err = decodeRows(answer.Msg, known); err != nil {
+		return feed.Snapshot{}, &Error{Err: err, Kind: KindInvalid, Op: "changes"}
+	}
+	return snapshot, nil
+}
+
+// decodeRows decodes the rows of an answer.
+func decodeRows(answer *nutmegpierv1.ChangesResponse, known func(key string) feed.RowVersion) ([]feed.Row, error) {
+	packed := answer.GetPacked()
+	if answer.GetCompressed() {
+		var err error
+		if packed, err = decompress(packed); err != nil {
+			return nil, err
+		}
+	}
+	rows, err := unpackRows(packed, known)
+	if err != nil {
+		return nil, err
+	}
+	for _, message := range answer.GetRows() {
 		row, err := decodeRow(message, known(message.GetKey()))
 		if err != nil {
-			return feed.Snapshot{}, &Error{Err: err, Kind: KindInvalid, Op: "changes"}
+			return nil, err
 		}
-		snapshot.Rows = append(snapshot.Rows, row)
+		rows = append(rows, row)
 	}
-	return snapshot, nil
+	return rows, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,9 +9,12 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/nutmegpier/nutmegpier/feed"
+	nutmegpierv1 "github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1"
+	"github.com/nutmegpier/nutmegpier/gen/nutmegpier/v1/nutmegpierv1connect"
 	"github.com/nutmegpier/nutmegpier/relay"
 )
 
@@ -40,7 +43,7 @@
 func serve(t *testing.T, s *source) (address string) {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewServer([]byte("secret"), s).Handler())
+	mux.Handle(relay.NewServer([]byte("secret"), s, 0).Handler())
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -93,8 +96,8 @@
 }
 
 // TestRelayedDelta guards against a row that is sent whole although only its heartbeat
-// changed, and against a changed part that is applied to another value than the one it
-// was made for.
+// changed, and against a reader without the version that it is made for, which reads the
+// store instead of getting the whole row.
 func TestRelayedDelta(t *testing.T) {
 	before := feed.RowVersion{Revision: 4, Value: []byte(`{"At":100,"Beat":7,"Address":"10.0.0.1:7561"}`)}
 	after := []byte(`{"At":2100,"Beat":8,"Address":"10.0.0.1:7561"}`)
@@ -113,6 +116,49 @@
 	}
 	for name, known := range map[string]feed.RowVersion{
 		"no value": {}, "later value": {Revision: 6, Value: before.Value}, "shorter value": {Revision: 4, Value: []byte("{}")},
+	} {
+		snapshot, err := changes(known)
+		if diff := cmp.Diff(want, snapshot); diff != "" || err != nil {
+			t.Errorf("%s: error %v, snapshot (-want +got):\n%s", name, err, diff)
+		}
+	}
+	// A reader that has the version itself, or a later one, needs no value.
+	own := feed.RowVersion{Revision: 8, Value: after}
+	if snapshot, err := changes(own); err != nil || len(snapshot.Rows) != 1 || string(snapshot.Rows[0].Value) != string(after) {
+		t.Errorf("own version: error %v, rows %+v", err, snapshot.Rows)
+	}
+}
+
+// earlierServer is a relay of an earlier version of the program, which sends no packed
+// rows.
+type earlierServer struct {
+	nutmegpierv1connect.UnimplementedRelayServiceHandler
+}
+
+func (earlierServer) Changes(context.Context, *connect.Request[nutmegpierv1.ChangesRequest]) (*connect.Response[nutmegpierv1.ChangesResponse], error) {
+	return connect.NewResponse(&nutmegpierv1.ChangesResponse{Revision: 9, Rows: []*nutmegpierv1.RelayedRow{
+		{Key: "i", Revision: 8, Value: []byte("2"), BaseRevision: 4, PrefixLength: 1, SuffixLength: 1},
+	}}), nil
+}
+
+// TestEarlierVersions guards against instances of two versions of the program that can't
+// read each other's rows during an update, and against a changed part that is applied to
+// another value than the one it was made for.
+func TestEarlierVersions(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(nutmegpierv1connect.NewRelayServiceHandler(earlierServer{}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	changes := func(known feed.RowVersion) (feed.Snapshot, error) {
+		return relay.NewClient(http.DefaultClient).Changes(t.Context(), strings.TrimPrefix(server.URL, "http://"), nil, relay.Request{}, func(string) feed.RowVersion { return known })
+	}
+	snapshot, err := changes(feed.RowVersion{Revision: 4, Value: []byte("[1]")})
+	want := feed.Snapshot{Revision: 9, Rows: []feed.Row{{Key: "i", Revision: 8, Value: []byte("[2]")}}}
+	if diff := cmp.Diff(want, snapshot); diff != "" || err != nil {
+		t.Errorf("error %v, snapshot (-want +got):\n%s", err, diff)
+	}
+	for name, known := range map[string]feed.RowVersion{
+		"no value": {}, "later value": {Revision: 6, Value: []byte("[1]")}, "shorter value": {Revision: 4, Value: []byte("1")},
 	} {
 		_, err := changes(known)
 		var relayErr *relay.Error
@@ -120,6 +166,17 @@
 			t.Errorf("%s: error %v, want kind Invalid", name, err)
 		}
 	}
+	// A caller of an earlier version gets plain rows.
+	s := &source{snapshot: feed.Snapshot{Revision: 9, Rows: []feed.Row{{Key: "i", Revision: 8, Value: []byte("[2]"), Base: feed.RowVersion{Revision: 4, Value: []byte("[1]")}}}}}
+	request := connect.NewRequest(&nutmegpierv1.ChangesRequest{})
+	request.Header().Set("Nutmegpier-Secret", "c2VjcmV0")
+	answer, err := nutmegpierv1connect.NewRelayServiceClient(http.DefaultClient, "http://"+serve(t, s)).Changes(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rows := answer.Msg.GetRows(); len(rows) != 1 || string(rows[0].GetValue()) != "2" || rows[0].GetPrefixLength() != 1 {
+		t.Errorf("plain rows %v", rows)
+	}
 }
 
 // TestWriteRow guards against fields of a write or its result that are lost on the way,
