--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegpier/nutmegpier/platform"
 	"github.com/nutmegpier/nutmegpier/relay"
 	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/traffic"
 )
 
 const (
@@ -236,14 +237,15 @@
 	}
 	endpoint := datagram.New(peers)
 	config.PeerTransport = endpoint
-	config.OwnerClient = owner.NewClient(&http.Client{Transport: &http.Transport{
+	config.OwnerClient = owner.NewClient(&http.Client{Transport: traffic.NewRoundTripper(traffic.KindOwnerCall, &http.Transport{
 		DialContext: newOwnerDialer(), DisableCompression: true, MaxIdleConnsPerHost: maxIdleOwnerConnections,
-	}})
+	})})
 	config.RelayClient = relay.NewClient(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}})
 	gw = gateway.New(config)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewServer(endpoint.Secret(), gw, settings.LinkMegabits).Handler())
-	mux.Handle(owner.NewServer(endpoint.Secret(), gw).Handler())
+	ownerPath, ownerHandler := owner.NewServer(endpoint.Secret(), gw).Handler()
+	mux.Handle(ownerPath, traffic.NewHandler(traffic.KindOwnerCall, ownerHandler))
 	return gw, mux
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -277,6 +277,9 @@
 
 // New returns an instance that has not read anything from the store yet.
 func New(config Config) *Gateway {
+	if config.PeerTransport != nil {
+		config.PeerTransport = &countingTransport{PeerTransport: config.PeerTransport}
+	}
 	g := &Gateway{
 		stateChanged:       make(chan struct{}),
 		config:             config,
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -10,13 +10,14 @@
 // Kinds of control messages.
 const (
 	KindOwnerCall    Kind = "OwnerCall"
-	KindPeer         Kind = "Peer"
+	KindProbe        Kind = "Probe"
 	KindRelayChanges Kind = "RelayChanges"
 	KindRelayLoad    Kind = "RelayLoad"
 	KindRowWrite     Kind = "RowWrite"
 	KindStoreFeed    Kind = "StoreFeed"
 	KindStoreRead    Kind = "StoreRead"
 	KindStoreWrite   Kind = "StoreWrite"
+	KindTokens       Kind = "Tokens"
 )
 
 // Direction is the direction of a message, as seen by this instance.
