--- a/relay/pack.go
+++ b/relay/pack.go
@@ -135,17 +135,7 @@
 	return err
 }
 
-// compress compresses a packed copy of a table.
-func compress(packed []byte) []byte {
-	var compressed bytes.Buffer
-	writer := gzip.NewWriter(&compressed)
-	// A bytes.Buffer returns no errors.
-	_, _ = writer.Write(packed)
-	_ = writer.Close()
-	return compressed.Bytes()
-}
-
-// decompress is the inverse of compress.
+// decompress returns the content of compressed rows.
 func decompress(compressed []byte) ([]byte, error) {
 	content, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
--- a/relay/packedcache.go
+++ b/relay/packedcache.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"slices"
 	"sync"
 
@@ -12,19 +15,30 @@
 // readers know the same one or two revisions.
 const maxPackedForms = 8
 
+// minCompressedBytes is the length from which on packed rows are compressed.
+const minCompressedBytes = 256
+
 // packedCache keeps the packed rows of the last revision of each table, so that a relay
 // encodes them once and not for each of its readers. It is safe for concurrent use.
 type packedCache struct {
 	mu     sync.Mutex
 	tables map[string]*packedTable
+	// writer is reused, because a new one allocates more than a megabyte.
+	writer *gzip.Writer
 }
 
 // packedTable holds the packed rows of one revision of a table.
 type packedTable struct {
-	forms    map[packedKey][]byte
+	forms    map[packedKey]packedForm
 	revision feed.Revision
 }
 
+// packedForm is what is sent for the rows of a snapshot.
+type packedForm struct {
+	compressed bool
+	packed     []byte
+}
+
 // packedKey identifies the packed changes since a revision. A complete copy has none.
 type packedKey struct {
 	after    feed.Revision
@@ -33,10 +47,10 @@
 }
 
 func newPackedCache() *packedCache {
-	return &packedCache{tables: map[string]*packedTable{}}
+	return &packedCache{tables: map[string]*packedTable{}, writer: gzip.NewWriter(io.Discard)}
 }
 
-// rows returns the packed rows of a snapshot, compressed if they are the whole table.
+// rows returns the packed rows of a snapshot, and whether they are compressed.
 func (c *packedCache) rows(request *nutmegpierv1.ChangesRequest, snapshot feed.Snapshot) (packed []byte, compressed bool) {
 	if len(snapshot.Rows) == 0 {
 		return nil, false
@@ -49,22 +63,23 @@
 	defer c.mu.Unlock()
 	table := c.tables[request.GetTable()]
 	if table == nil || table.revision < snapshot.Revision {
-		table = &packedTable{forms: map[packedKey][]byte{}, revision: snapshot.Revision}
+		table = &packedTable{forms: map[packedKey]packedForm{}, revision: snapshot.Revision}
 		c.tables[request.GetTable()] = table
 	}
-	if packed, found := table.forms[key]; found && table.revision == snapshot.Revision {
-		return packed, snapshot.Complete
+	form, found := table.forms[key]
+	if !found || table.revision != snapshot.Revision {
+		form = c.pack(snapshot, key.whole)
 	}
-	packed = packSnapshot(snapshot, key.whole)
 	if table.revision == snapshot.Revision && len(table.forms) < maxPackedForms {
-		table.forms[key] = packed
+		table.forms[key] = form
 	}
-	return packed, snapshot.Complete
+	return form.packed, form.compressed
 }
 
-// packSnapshot returns the packed rows of a snapshot. If whole is true, they don't refer
-// to versions that the receiver has.
-func packSnapshot(snapshot feed.Snapshot, whole bool) []byte {
+// pack packs the rows of a snapshot, and compresses them if that makes them shorter. If
+// whole is true, they don't refer to versions that the receiver has. The caller holds
+// c.mu.
+func (c *packedCache) pack(snapshot feed.Snapshot, whole bool) packedForm {
 	if whole {
 		snapshot.Rows = slices.Clone(snapshot.Rows)
 		for i := range snapshot.Rows {
@@ -72,8 +87,16 @@
 		}
 	}
 	packed := packRows(snapshot.Rows)
-	if snapshot.Complete {
-		return compress(packed)
+	if len(packed) < minCompressedBytes {
+		return packedForm{packed: packed}
+	}
+	var compressed bytes.Buffer
+	c.writer.Reset(&compressed)
+	// A bytes.Buffer returns no errors.
+	_, _ = c.writer.Write(packed)
+	_ = c.writer.Close()
+	if compressed.Len() >= len(packed) {
+		return packedForm{packed: packed}
 	}
-	return packed
+	return packedForm{compressed: true, packed: compressed.Bytes()}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -124,7 +124,7 @@
 		return connect.NewResponse(answer), nil
 	}
 	answer.Packed, answer.Compressed = s.packed.rows(message, snapshot)
-	if answer.GetCompressed() {
+	if answer.GetComplete() {
 		if retryAfter, admitted := s.admitCopy(len(answer.GetPacked())); !admitted {
 			refusal := connect.NewError(connect.CodeAborted, errors.New("other instances are loading the table"))
 			refusal.Meta().Set(retryHeader, strconv.FormatInt(retryAfter.Milliseconds(), 10))
