fix: many instances that start together read the rows through their relay

At a simultaneous start each instance read the rows of all others from the store every 400 ms until it held shares of the limits: 750 calls a second at 300 instances, each with the changed rows of all. Above 16 instances it now waits for the relay's next read, which the relay makes within 400 ms while others wait. A read counts only if it includes the instance's own phase, as before, and the readers of one relay see the same state. Up to 16 instances nothing changes.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -187,6 +187,14 @@
 	return timeoutCtx, cancel
 }
 
+// fetchWithin is fetch, but waits only for a relay, and not for a change at the store.
+func (f *tableFollower) fetchWithin(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
+	if _, found := f.gateway.currentRelay(f.gateway.config.Clock()); !found || !f.useRelay || f.bypassRelay {
+		wait = 0
+	}
+	return f.fetch(ctx, wait)
+}
+
 // fetch reads changes from the relay or the store, applies them to the copy and
 // returns them.
 func (f *tableFollower) fetch(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,7 @@
 	pool       *pool.Pool
 
 	// mu guards the fields below, except for the channels discovered, joined,
-	// memberPollRequests and heartbeatRequests.
+	// memberPollRequests, memberReadRequests and heartbeatRequests.
 	mu sync.Mutex
 	// stateChanged is closed and replaced by notifyStateChange.
 	stateChanged chan struct{}
@@ -224,7 +224,10 @@
 	// heartbeatRequests tells the membership controller to write this instance's
 	// row and to read those of all instances now.
 	heartbeatRequests chan struct{}
-	draining          bool
+	// memberReadRequests tells the membership controller that other instances wait for a
+	// read of the instances' rows.
+	memberReadRequests chan struct{}
+	draining           bool
 	// drainingSince is when Drain was called.
 	drainingSince time.Time
 	// owners says which instances own the servers of each group. It is written by
@@ -291,6 +294,7 @@
 		rateLimits:         workspace.NewDistributedLimiter(config.Instance),
 		members:            newMemberView(config.Instance, config.Epoch),
 		memberPollRequests: make(chan struct{}, 1),
+		memberReadRequests: make(chan struct{}, 1),
 		heartbeatRequests:  make(chan struct{}, 1),
 		owners:             owner.NewDirectory(),
 		peerLeases:         newPeerLeases(),
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -58,6 +58,10 @@
 	// startupPollInterval replaces memberPollInterval for an instance that is about
 	// to hold shares of the rate limits.
 	startupPollInterval = 400 * time.Millisecond
+	// maxDirectReaders is the number of instances up to which one that is about to hold
+	// shares reads the rows from the store itself. At 300 instances, the rows of all would
+	// be sent 750 times a second.
+	maxDirectReaders = 16
 )
 
 // GroupLeft confirms that an instance has stopped using a group's primary, as of a
@@ -224,7 +228,7 @@
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
 	nextHeartbeat, nextPoll := g.discoverMembers(ctx, f), time.Time{}
-	retryDelay := conflictRetry
+	lastPoll, retryDelay := time.Time{}, conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
 		if !now.Before(nextHeartbeat) {
@@ -242,7 +246,7 @@
 		}
 		g.renewLeadership(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextPoll) {
-			nextPoll = now.Add(memberPollInterval)
+			lastPoll, nextPoll = now, now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
 			if delay, mayRetry := relayRetryDelay(err); mayRetry && delay < memberPollInterval {
@@ -260,32 +264,19 @@
 			}
 		}
 		g.renewLimitLease(now)
-		if g.waitForHeartbeatRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		switch g.waitForRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		case heartbeatRequested:
 			g.leaveChangingPrimaries(g.config.Clock())
 			nextHeartbeat, nextPoll = time.Time{}, time.Time{}
+		case readRequested:
+			if requested := lastPoll.Add(startupPollInterval); requested.Before(nextPoll) {
+				nextPoll = requested
+			}
 		}
 	}
 	return nil
 }
 
-// waitForHeartbeatRequest waits until the timeout or a heartbeat request, and at
-// least for minHeartbeatSpacing. It reports whether there was a request.
-func (g *Gateway) waitForHeartbeatRequest(ctx context.Context, timeout time.Duration) bool {
-	if !sleep(ctx, minHeartbeatSpacing) {
-		return false
-	}
-	timer := time.NewTimer(max(0, timeout-minHeartbeatSpacing))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-g.heartbeatRequests:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // leaveChangingPrimaries stops the use of primaries that are being replaced, and
 // records the generations for this instance's row. If transactions may still go on
 // at a primary, it requests a heartbeat so as to try again shortly.
@@ -542,10 +533,16 @@
 func (g *Gateway) pollMembers(ctx context.Context, f *tableFollower) error {
 	g.mu.Lock()
 	// Instances that start together begin to hold shares at the same moment only if
-	// their reads are equally recent. The others wait until they have joined.
-	f.bypassRelay = f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	// their reads are equally recent. The others wait until they have joined. If they are
+	// many, the relay reads for them at the interval of a start.
+	needsFreshRead := f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	f.bypassRelay = needsFreshRead && g.members.liveCount() <= maxDirectReaders
 	g.mu.Unlock()
-	changed, err := f.fetch(ctx, 0)
+	wait := time.Duration(0)
+	if needsFreshRead {
+		wait = startupPollInterval
+	}
+	changed, err := f.fetchWithin(ctx, wait)
 	if err != nil {
 		return err
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -92,6 +92,9 @@
 		if err != nil || snapshot.StoreTime > request.StoreTime || !request.Wait {
 			return snapshot, err
 		}
+		if f.table == memberTable {
+			g.requestMemberRead()
+		}
 		select {
 		case <-nextResponse:
 		case <-ctx.Done():
@@ -100,6 +103,15 @@
 	}
 }
 
+// requestMemberRead tells the membership controller that another instance waits for a
+// read of the instances' rows.
+func (g *Gateway) requestMemberRead() {
+	select {
+	case g.memberReadRequests <- struct{}{}:
+	default:
+	}
+}
+
 // relaySnapshot returns the changes since a revision, and a channel that is closed at
 // the next response or failure. It fails unless the last response came from the
 // store itself.
@@ -244,15 +256,15 @@
 }
 
 // fetchFromRelay sends one request to the relay and applies the response. If wait is
-// not zero, the request is a long poll, with a timeout of relayLongPollWait plus
-// relayGrace.
+// not zero, the request is a long poll, with a timeout of wait or relayLongPollWait,
+// whichever is shorter, plus relayGrace.
 func (f *tableFollower) fetchFromRelay(ctx context.Context, peer relayPeer, wait time.Duration) ([]feed.Row, error) {
 	timeout := relayPollTimeout
 	if !f.mirror.Loaded() {
 		timeout = relayLoadTimeout
 	}
 	if wait > 0 {
-		timeout = relayLongPollWait + relayGrace
+		timeout = min(wait, relayLongPollWait) + relayGrace
 	}
 	callCtx, cancel := f.interruptibleContext(ctx, timeout)
 	defer cancel()
