fix: a restart of all instances doesn't make each read all tables from the store

After a kill of all instances, the rows of their earlier runs are live for 4.5 s. A reader called its relay with the secret of the earlier run, took the refusal as a lost relay, and read the store for 3 s: the rows of all instances at each poll. Now a row of a new run ends that period, and an instance without a copy of a table waits for the relay's new secret for up to four attempts. Instances of deployments of up to 16 read at once, as before.

TestRestartOfAllInstances fails without the change.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/relay"
 )
 
 const (
@@ -100,7 +102,7 @@
 		if err != nil && f.isInterrupted() {
 			continue
 		}
-		if delay, mayRetry := relayRetryDelay(err); mayRetry {
+		if delay, mayRetry := relayRetryDelay(err); mayRetry || (err != nil && !f.mirror.Loaded() && f.awaitsNewSecret(err)) {
 			f.gateway.jitteredSleep(ctx, delay)
 			continue
 		}
@@ -217,7 +219,7 @@
 		if since := f.mirror.VerifiedAt(); mayAwaitLoad(f.gateway.config.Clock(), later(since, f.loadStartedAt), err) {
 			return nil, err
 		}
-		if !f.mirror.Loaded() && isRelayRefusal(err) && f.loadRefusals < maxLoadRefusals {
+		if !f.mirror.Loaded() && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
 			f.loadRefusals++
 			return nil, err
 		}
@@ -237,6 +239,16 @@
 	return changed, err
 }
 
+// awaitsNewSecret reports whether the relay failed because it has restarted, and the rows
+// of the instances, which another follower reads, are about to show its new secret.
+func (f *tableFollower) awaitsNewSecret(err error) bool {
+	f.gateway.mu.Lock()
+	defer f.gateway.mu.Unlock()
+	var relayErr *relay.Error
+	return f.table != memberTable && f.gateway.members.liveCount() > maxDirectReaders &&
+		errors.As(err, &relayErr) && relayErr.Kind == relay.KindUnauthorized
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -621,6 +621,10 @@
 	if known != nil && known.revision >= row.Revision {
 		return false
 	}
+	if known != nil && known.row.Epoch != decoded.Epoch {
+		// Its failure as a relay was that of its earlier run, whose secret it had.
+		delete(g.relayBackoffUntil, id)
+	}
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 	return known == nil || known.row.Address != decoded.Address || known.row.Epoch != decoded.Epoch ||
 		known.row.Since != decoded.Since || decoded.isNews(known.row)
--- a/gateway/startreads_test.go
+++ b/gateway/startreads_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -30,6 +31,10 @@
 	mu sync.Mutex
 	// ownRow is the row of the instance under test.
 	ownRow []byte
+	// restarted is true if the first read shows the rows of the instances' earlier runs.
+	restarted bool
+	// sheetReads counts the reads of the sheet from the store.
+	sheetReads int
 	// relayed counts the relayed answers, and read the calls to the store, about the
 	// instances' rows.
 	read, relayed int
@@ -40,8 +45,12 @@
 // rows returns the rows of all instances. The caller holds s.mu.
 func (s *startingFleet) rows() feed.Snapshot {
 	snapshot := feed.Snapshot{Revision: feed.Revision(s.now()), StoreTime: s.now()}
+	run := fleet.Epoch(2)
+	if s.restarted && s.read == 1 {
+		run = 1
+	}
 	for i := range s.instances {
-		row, err := json.Marshal(gateway.MemberRow{Address: "10.0.0.1:1", At: s.now(), Epoch: 1, Phase: workspace.PhaseStarting, Since: time.Hour})
+		row, err := json.Marshal(gateway.MemberRow{Address: "10.0.0.1:1", At: s.now(), Epoch: run, Phase: workspace.PhaseStarting, Secret: []byte{byte(run)}, Since: time.Hour - 4*time.Second*time.Duration(2-run)})
 		if err != nil {
 			panic(err)
 		}
@@ -57,6 +66,9 @@
 	time.Sleep(storeLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if table == sheetTable {
+		s.sheetReads++
+	}
 	if table != instanceTable {
 		return feed.Snapshot{Complete: true, Revision: 1, StoreTime: s.now()}, nil
 	}
@@ -91,7 +103,10 @@
 // fleetRelay is the relay of a startingFleet.
 type fleetRelay struct{ *startingFleet }
 
-func (r fleetRelay) Changes(ctx context.Context, _ string, _ []byte, request relay.Request, _ func(string) feed.RowVersion) (feed.Snapshot, error) {
+func (r fleetRelay) Changes(ctx context.Context, _ string, secret []byte, request relay.Request, _ func(string) feed.RowVersion) (feed.Snapshot, error) {
+	if !slices.Equal(secret, []byte{2}) {
+		return feed.Snapshot{}, &relay.Error{Err: errors.New("the secret is not that of this instance"), Kind: relay.KindUnauthorized, Op: "changes"}
+	}
 	if request.Wait {
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -140,6 +155,25 @@
 	}
 }
 
+// TestRestartOfAllInstances guards against instances that read all tables from the store,
+// and go on doing so for seconds, because the row of their relay is that of its earlier
+// run.
+func TestRestartOfAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &startingFleet{instances: 299, restarted: true, startedAt: time.Now()}
+		runGateway(t, s, time.Now, fleetRelay{s})
+		const observed = 2500 * time.Millisecond
+		time.Sleep(observed)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// The rows of the instances are read once to find the relay, and once more to find
+		// its new secret.
+		if s.sheetReads != 0 || s.read > 2 || s.relayed == 0 {
+			t.Errorf("%d reads of the sheet and %d of the rows from the store, %d of the rows from the relay; want none, at most 2 and some", s.sheetReads, s.read, s.relayed)
+		}
+	})
+}
+
 // TestWaitingReaders guards against a start that takes longer because the relay reads the
 // rows at its regular interval while others wait, and against waiting readers that make
 // it read the store all the time.
