feat: copy the rest of a row after its last changed number

A reader of 300 instances spent 63% of the time of a call in applyNumbers, mostly looking for digits after the last change, and 24% now (profile of BenchmarkChanges, both ends; the total time varied from 0.30 to 0.49 ms on a busy machine).

--- a/relay/delta.go
+++ b/relay/delta.go
@@ -56,6 +56,11 @@
 		next = r.length()
 	}
 	for i := 0; i < len(base); {
+		if next == -1 && !r.failed {
+			// The numbers that change with each heartbeat come first.
+			value = append(value, base[i:]...)
+			break
+		}
 		count := digits(base[i:])
 		if count == 0 {
 			value = append(value, base[i])
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -198,3 +198,37 @@
 		}
 	}
 }
+
+// BenchmarkChanges measures the changes of the rows of 300 instances between two polls,
+// for one of many readers: at the relay alone, and at both ends.
+func BenchmarkChanges(b *testing.B) {
+	table := newMemberTable(300)
+	s := &mirrorSource{mirror: feed.NewMirror()}
+	s.mirror.Apply(table.complete(), time.Time{})
+	copied := feed.NewMirror()
+	copied.Apply(table.complete(), time.Time{})
+	table.advance(3000*time.Second, 3000*time.Second+pollInterval)
+	s.mirror.Apply(feed.Snapshot{Revision: table.revision, Rows: table.versions}, time.Time{})
+	client := newHandlerClient(s, 1000)
+	for name, call := range map[string]func() error{
+		"both ends": func() error {
+			_, err := relay.NewClient(client).Changes(b.Context(), "relay", []byte("secret"), relay.Request{After: copied.Revision(), Table: "t"}, copied.Version)
+			return err
+		},
+		"relay": func() error {
+			request := connect.NewRequest(&nutmegpierv1.ChangesRequest{Accepts: 1, After: uint64(copied.Revision()), Table: "t"})
+			request.Header().Set("Nutmegpier-Secret", "c2VjcmV0")
+			_, err := nutmegpierv1connect.NewRelayServiceClient(client, "http://relay", connect.WithAcceptCompression("gzip", nil, nil)).Changes(b.Context(), request)
+			return err
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := call(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
