--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,7 +174,7 @@
 	pool       *pool.Pool
 
 	// mu guards the fields below, except for the channels discovered, joined,
-	// memberPollRequests and heartbeatRequests.
+	// memberPollRequests, memberReadRequests and heartbeatRequests.
 	mu sync.Mutex
 	// stateChanged is closed and replaced by notifyStateChange.
 	stateChanged chan struct{}
@@ -225,7 +225,10 @@
 	// heartbeatRequests tells the membership controller to write this instance's
 	// row and to read those of all instances now.
 	heartbeatRequests chan struct{}
-	draining          bool
+	// memberReadRequests tells the membership controller that other instances wait for a
+	// read of the instances' rows.
+	memberReadRequests chan struct{}
+	draining           bool
 	// drainingSince is when Drain was called.
 	drainingSince time.Time
 	// owners says which instances own the servers of each group. It is written by
@@ -278,6 +281,9 @@
 
 // New returns an instance that has not read anything from the store yet.
 func New(config Config) *Gateway {
+	if config.PeerTransport != nil {
+		config.PeerTransport = &countingTransport{PeerTransport: config.PeerTransport}
+	}
 	g := &Gateway{
 		stateChanged:       make(chan struct{}),
 		config:             config,
@@ -289,6 +295,7 @@
 		rateLimits:         workspace.NewDistributedLimiter(config.Instance),
 		members:            newMemberView(config.Instance, config.Epoch),
 		memberPollRequests: make(chan struct{}, 1),
+		memberReadRequests: make(chan struct{}, 1),
 		heartbeatRequests:  make(chan struct{}, 1),
 		owners:             owner.NewDirectory(),
 		peerLeases:         newPeerLeases(),
@@ -297,6 +304,7 @@
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
 	}
+	g.members.linkMegabits = config.Settings.LinkMegabits
 	g.members.processorShare = config.Settings.ProcessorShare
 	g.tokens = newTokenExchange(config.Clock, config.Instance, g.rateLimits, g.takeTokens)
 	g.pool = pool.New(config.Dialer, config.Clock)
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -58,6 +58,10 @@
 	// startupPollInterval replaces memberPollInterval for an instance that is about
 	// to hold shares of the rate limits.
 	startupPollInterval = 400 * time.Millisecond
+	// maxDirectReaders is the number of instances up to which one that is about to hold
+	// shares reads the rows from the store itself. At 300 instances, the rows of all would
+	// be sent 750 times a second.
+	maxDirectReaders = 16
 )
 
 // GroupLeft confirms that an instance has stopped using a group's primary, as of a
@@ -71,7 +75,9 @@
 // to read.
 type MemberRow struct {
 	// At is the store's monotonic time at which the row was sent. The fields that
-	// change with each write come first, because only the changed part is relayed.
+	// change with each write come first, because only the changed part is relayed. It is
+	// rounded down to milliseconds, which shortens the relayed change and is well within
+	// primacy.LeaseMargin.
 	At time.Duration
 	// Beat is a heartbeat counter that changes with each write.
 	Beat uint64
@@ -86,6 +92,9 @@
 	Epoch fleet.Epoch
 	// Left lists the primaries that the instance has stopped using.
 	Left []GroupLeft `json:",omitempty"`
+	// LinkMegabits is the speed of the instance's network link in Mbit/s, or zero if it is
+	// not known.
+	LinkMegabits float64 `json:",omitempty"`
 	// Phase is whether the instance holds shares of the rate limits.
 	Phase workspace.Phase
 	// ProcessorShare is the processor time that the instance may use, in cores.
@@ -114,6 +123,8 @@
 	left map[fleet.GroupID]primacy.Generation
 	// lossLogged is true once an expiry of this instance's row has been logged.
 	lossLogged bool
+	// linkMegabits is that of this instance.
+	linkMegabits float64
 	// members holds the rows of all instances, this one included.
 	members     map[fleet.InstanceID]*member
 	ownRevision feed.Revision
@@ -217,7 +228,7 @@
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
 	nextHeartbeat, nextPoll := g.discoverMembers(ctx, f), time.Time{}
-	retryDelay := conflictRetry
+	lastPoll, retryDelay := time.Time{}, conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
 		if !now.Before(nextHeartbeat) {
@@ -235,9 +246,12 @@
 		}
 		g.renewLeadership(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextPoll) {
-			nextPoll = now.Add(memberPollInterval)
+			lastPoll, nextPoll = now, now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
+			if delay, mayRetry := relayRetryDelay(err); mayRetry && delay < memberPollInterval {
+				nextPoll = now.Add(delay)
+			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
@@ -250,32 +264,19 @@
 			}
 		}
 		g.renewLimitLease(now)
-		if g.waitForHeartbeatRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		switch g.waitForRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		case heartbeatRequested:
 			g.leaveChangingPrimaries(g.config.Clock())
 			nextHeartbeat, nextPoll = time.Time{}, time.Time{}
+		case readRequested:
+			if requested := lastPoll.Add(startupPollInterval); requested.Before(nextPoll) {
+				nextPoll = requested
+			}
 		}
 	}
 	return nil
 }
 
-// waitForHeartbeatRequest waits until the timeout or a heartbeat request, and at
-// least for minHeartbeatSpacing. It reports whether there was a request.
-func (g *Gateway) waitForHeartbeatRequest(ctx context.Context, timeout time.Duration) bool {
-	if !sleep(ctx, minHeartbeatSpacing) {
-		return false
-	}
-	timer := time.NewTimer(max(0, timeout-minHeartbeatSpacing))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-g.heartbeatRequests:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // leaveChangingPrimaries stops the use of primaries that are being replaced, and
 // records the generations for this instance's row. If transactions may still go on
 // at a primary, it requests a heartbeat so as to try again shortly.
@@ -471,7 +472,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now).Truncate(time.Millisecond), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, LinkMegabits: g.config.Settings.LinkMegabits, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
@@ -532,10 +533,16 @@
 func (g *Gateway) pollMembers(ctx context.Context, f *tableFollower) error {
 	g.mu.Lock()
 	// Instances that start together begin to hold shares at the same moment only if
-	// their reads are equally recent. The others wait until they have joined.
-	f.bypassRelay = f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	// their reads are equally recent. The others wait until they have joined. If they are
+	// many, the relay reads for them at the interval of a start.
+	needsFreshRead := f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	f.bypassRelay = needsFreshRead && g.members.liveCount() <= maxDirectReaders
 	g.mu.Unlock()
-	changed, err := f.fetch(ctx, 0)
+	wait := time.Duration(0)
+	if needsFreshRead {
+		wait = startupPollInterval
+	}
+	changed, err := f.fetchWithin(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -614,6 +621,10 @@
 	if known != nil && known.revision >= row.Revision {
 		return false
 	}
+	if known != nil && known.row.Epoch != decoded.Epoch {
+		// Its failure as a relay was that of its earlier run, whose secret it had.
+		delete(g.relayBackoffUntil, id)
+	}
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 	return known == nil || known.row.Address != decoded.Address || known.row.Epoch != decoded.Epoch ||
 		known.row.Since != decoded.Since || decoded.isNews(known.row)
