feat: windows, counts and the holder's decisions of usage reports

The platform requires a report of the statements that servers began for each tenant in each window of true time.

--- /dev/null
+++ b/usage/row.go
@@ -0,0 +1,134 @@
+package usage
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+)
+
+// Counts are numbers of units by workspace.
+type Counts map[fleet.WorkspaceID]int64
+
+// Add adds the counts of another map.
+func (c Counts) Add(other Counts) {
+	for workspace, count := range other {
+		c[workspace] += count
+	}
+}
+
+// Total returns the sum over all workspaces.
+func (c Counts) Total() int64 {
+	total := int64(0)
+	for _, count := range c {
+		total += count
+	}
+	return total
+}
+
+// Run is one run of the process of an instance.
+type Run struct {
+	Epoch    fleet.Epoch
+	Instance fleet.InstanceID
+}
+
+// Row holds the counts of one run of an instance, as they are kept in the store.
+type Row struct {
+	Counts map[Window]Counts `json:",omitempty"`
+	// Final says that the run counts nothing more, because the instance stops.
+	Final bool `json:",omitempty"`
+	// First is the window in which the run began to count.
+	First Window
+	// Open is the first window that is not complete yet.
+	Open Window
+	Run  Run
+}
+
+// Encode returns the form of the row in the store.
+func (r Row) Encode() ([]byte, error) {
+	content, err := json.Marshal(r)
+	if err != nil {
+		return nil, &Error{Err: err, Kind: KindMalformed, Op: "encode row"}
+	}
+	return content, nil
+}
+
+// DecodeRow parses the form of a row in the store.
+func DecodeRow(content []byte) (Row, error) {
+	var row Row
+	if err := json.Unmarshal(content, &row); err != nil {
+		return Row{}, &Error{Err: err, Kind: KindMalformed, Op: "decode row"}
+	}
+	return row, nil
+}
+
+// Report is what is reported about a window.
+type Report struct {
+	Counts Counts
+	// Missing are the instances whose counts may be incomplete.
+	Missing []fleet.InstanceID `json:",omitempty"`
+	Window  Window
+}
+
+// Ledger is the state of the reports in the store. A change of holder continues with it.
+type Ledger struct {
+	// Next is the first window whose counts are not fixed yet.
+	Next Window
+	// Pending are the reports whose counts are fixed, and which are not known to be
+	// accepted, in order of their windows.
+	Pending []Report `json:",omitempty"`
+}
+
+// Encode returns the form of the ledger in the store.
+func (l Ledger) Encode() ([]byte, error) {
+	content, err := json.Marshal(l)
+	if err != nil {
+		return nil, &Error{Err: err, Kind: KindMalformed, Op: "encode ledger"}
+	}
+	return content, nil
+}
+
+// DecodeLedger parses the form of a ledger in the store.
+func DecodeLedger(content []byte) (Ledger, error) {
+	var ledger Ledger
+	if err := json.Unmarshal(content, &ledger); err != nil {
+		return Ledger{}, &Error{Err: err, Kind: KindMalformed, Op: "decode ledger"}
+	}
+	return ledger, nil
+}
+
+// merge returns the report about a window from the rows of all runs. There may be two rows
+// of a run, its own and the one that its keeper has written. The counts of a run only
+// increase, so that the larger one is the later one.
+func merge(window Window, rows []Row, expected []Run) Report {
+	counts, open := map[Run]Counts{}, map[Run]Window{}
+	for _, row := range rows {
+		if row.Final {
+			row.Open = max(row.Open, window+1)
+		}
+		open[row.Run] = max(open[row.Run], row.Open)
+		if counts[row.Run] == nil {
+			counts[row.Run] = Counts{}
+		}
+		for workspace, count := range row.Counts[window] {
+			counts[row.Run][workspace] = max(counts[row.Run][workspace], count)
+		}
+	}
+	report := Report{Counts: Counts{}, Window: window}
+	missing := map[fleet.InstanceID]bool{}
+	for run, counted := range counts {
+		report.Counts.Add(counted)
+		if open[run] == window {
+			// The run has ended or failed within the window.
+			missing[run.Instance] = true
+		}
+	}
+	for _, run := range expected {
+		if open[run] <= window {
+			missing[run.Instance] = true
+		}
+	}
+	report.Missing = slices.Sorted(maps.Keys(missing))
+	return report
+}
