feat: report usage to the platform

The instance of a session counts what a server began for it, writes the counts at the end of each window through its relay's batches, and leaves them with a large instance of another data centre three times in a window, which writes them if it falls silent. The leader that orders promotions reads them, fixes the counts of a window in the store and sends them until they are accepted. Without Usage.Window there is no row, no call and no goroutine.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -229,6 +229,8 @@
 		Settings: settings,
 		Source:   platform.Source{},
 		Store:    platform.NewStore(client, settings.StoreAddress),
+
+		UsageReporter: platform.NewUsageClient(client, settings.PromotionAddress),
 	}
 	if peers == nil {
 		gw = gateway.New(config)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -50,6 +50,8 @@
 	MembershipGained     Number = 333
 	RelayLost            Number = 334
 	PeerSilent           Number = 335
+	UsageReported        Number = 340
+	UsageNotReported     Number = 341
 	PrimarySuspected     Number = 401
 	PrimaryHeard         Number = 402
 	PromotionStarted     Number = 403
@@ -123,6 +125,8 @@
 		entry(MembershipGained, "MembershipGained", LevelInfo, "The instance wrote its membership row again, or for the first time."),
 		entry(RelayLost, "RelayLost", LevelWarning, "The instance that relays the contents of the store to this instance did not answer. For a while, this instance reads the store directly.", "Text"),
 		entry(PeerSilent, "PeerSilent", LevelWarning, "Another instance did not answer, or can't do what was asked. Text names it and the request: a notification of the leader, which then reads the rows at its next regular poll; a request to the owner of a group, which is then avoided for a while; or a request to check a server.", "Database", "Server", "Text"),
+		entry(UsageReported, "UsageReported", LevelInfo, "This instance reported the usage of a window to the platform. Text holds the window, the counts, how long after its end the report was accepted, and the instances whose counts may be missing.", "Text"),
+		entry(UsageNotReported, "UsageNotReported", LevelWarning, "A usage report was not accepted and is repeated, or a window is too old to be reported. Text holds the window and the reason.", "Text"),
 		entry(PrimarySuspected, "PrimarySuspected", LevelWarning, "The primary of a database may have failed, or is about to be replaced. Text holds the reason.", "Database", "Server", "Term", "Text"),
 		entry(PrimaryHeard, "PrimaryHeard", LevelInfo, "The primary of a database is healthy: a suspected primary answers again, or a new primary answers.", "Database", "Server", "Term"),
 		entry(PromotionStarted, "PromotionStarted", LevelWarning, "This instance began a promotion and asks the backend servers to promise the new term.", "Database", "Term", "Text"),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,6 +163,11 @@
 	Settings    Settings
 	Source      Source
 	Store       Store
+	// UsageReporter reports usage to the platform. It may be nil if Settings.Usage says
+	// that nothing is reported.
+	UsageReporter UsageReporter
+	// WallClock returns the calendar time. If it is nil, time.Now is used.
+	WallClock session.Clock
 }
 
 // Gateway is one proxy instance. Its controllers run concurrently and share the
@@ -171,6 +176,8 @@
 	config     Config
 	rateLimits *workspace.DistributedLimiter
 	pool       *pool.Pool
+	// usage counts what is reported. It is nil if nothing is.
+	usage *usageState
 
 	// mu guards the fields below, except for the channels discovered, joined,
 	// memberPollRequests and heartbeatRequests.
@@ -298,6 +305,7 @@
 	}
 	g.members.processorShare = config.Settings.ProcessorShare
 	g.pool = pool.New(config.Dialer, config.Clock)
+	g.usage = newUsageState(config)
 	return g
 }
 
@@ -313,6 +321,10 @@
 	tasks.Go(func() error { return g.runHealthChecks(ctx) })
 	tasks.Go(func() error { return g.runCleanup(ctx) })
 	tasks.Go(func() error { return g.servePeers(ctx) })
+	if g.usage != nil {
+		tasks.Go(func() error { return g.maintainUsageRow(ctx) })
+		tasks.Go(func() error { return g.runUsageReports(ctx) })
+	}
 	err := tasks.Wait()
 	g.pool.Close()
 	return err
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/usage"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
@@ -98,6 +99,9 @@
 	Secret []byte `json:",omitempty"`
 	// Unreachable lists the primaries that the instance can't use.
 	Unreachable []fleet.ServerID `json:",omitempty"`
+	// WallOffset is the offset of the instance's wall clock from the store's clock. It is
+	// missing if usage is not reported.
+	WallOffset usage.Offset `json:",omitempty"`
 }
 
 // memberView is what this instance knows about all instances. It is guarded by the
@@ -471,7 +475,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince, WallOffset: g.publishedWallOffset(now)}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
@@ -626,6 +630,7 @@
 	write := Write{Key: string(g.members.self), Partition: memberPartition(g.config.Settings.DataCentre), Remove: true, Revision: g.members.ownRevision, Table: memberTable}
 	g.presence.Reset()
 	g.mu.Unlock()
+	defer g.leaveUsage(ctx)()
 	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
 		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "delete this instance's row at shutdown: " + err.Error()})
 	}
--- a/gateway/memberwrite.go
+++ b/gateway/memberwrite.go
@@ -12,8 +12,12 @@
 // itself, which takes less time than through the relay.
 const maxDirectWriters = 16
 
-// WriteRow writes the membership row of another instance together with those of others.
+// WriteRow writes the membership row of another instance, or the row with its counts,
+// together with those of others.
 func (g *Gateway) WriteRow(ctx context.Context, write relay.RowWrite) (relay.RowWriteResult, error) {
+	if g.usage != nil && write.Table == string(usageTable) {
+		return g.writePeerUsage(ctx, write)
+	}
 	if !slices.Contains(memberPartitions(), Partition(write.Partition)) {
 		return relay.RowWriteResult{}, &Error{Err: errors.New("the row is not in a partition of the instances' rows"), Kind: KindInvalid, Op: "write row"}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,9 @@
 	expvar.Publish("LimitPhase", expvar.Func(func() any { return g.limitPhase() }))
 	expvar.Publish("Owners", expvar.Func(func() any { return g.allOwners() }))
 	expvar.Publish("Relay", expvar.Func(func() any { return g.relayState() }))
+	if g.usage != nil {
+		expvar.Publish("Usage", expvar.Func(func() any { return g.usage.metrics() }))
+	}
 }
 
 // RelayState says from where an instance reads the tables.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,8 +56,7 @@
 	// of the called instance. The function known returns the version of a row that
 	// this instance has.
 	Changes(ctx context.Context, address string, secret []byte, request relay.Request, known func(key string) feed.RowVersion) (feed.Snapshot, error)
-	// WriteRow writes this instance's membership row through the instance at an
-	// address.
+	// WriteRow writes a row of this instance through the instance at an address.
 	WriteRow(ctx context.Context, address string, secret []byte, write relay.RowWrite) (relay.RowWriteResult, error)
 }
 
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -39,9 +39,11 @@
 	ended bool
 	// exclusive is the result of Exclusive at the other instance, as of the last
 	// response.
-	exclusive    bool
-	gateway      *Gateway
-	id           owner.LeaseID
+	exclusive bool
+	gateway   *Gateway
+	id        owner.LeaseID
+	// lost is true if the other instance did not respond to the last batch.
+	lost         bool
 	peer         relayPeer
 	requirements session.Requirements
 	server       fleet.ServerID
@@ -118,6 +120,7 @@
 	}
 	l.started = true
 	response, err := l.call(deadline, request)
+	l.lost = err != nil
 	l.ended = batch.Final || err != nil || (opens && response.Failure != nil)
 	if err != nil {
 		return session.Reply{}, l.lostResponse(deadline, err)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -36,9 +36,13 @@
 // owner, or else on one of this instance.
 func (g *Gateway) Acquire(requirements session.Requirements) (session.Lease, *session.Error) {
 	if l, found := g.remoteLease(requirements); found {
-		return l, nil
+		return g.countUsage(l, requirements.Workspace), nil
+	}
+	l, err := g.acquire(requirements, false)
+	if err != nil {
+		return nil, err
 	}
-	return g.acquire(requirements, false)
+	return g.countUsage(l, requirements.Workspace), nil
 }
 
 // acquire returns a connection to a server that meets the requirements: the primary
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,6 +34,16 @@
 	// TransactionIdle is the idle timeout of transactions. It applies if the sheet
 	// sets none.
 	TransactionIdle time.Duration
+	Usage           UsageSettings
+}
+
+// UsageSettings holds the settings of the usage reports.
+type UsageSettings struct {
+	// Late is how long after the end of a window its report is due.
+	Late time.Duration
+	// Window is the length of the windows of true time. If it is zero, no usage is
+	// reported.
+	Window time.Duration
 }
 
 // Listen holds the listen addresses of the instance.
@@ -74,6 +84,8 @@
 		{Path: "StopBound", Default: "6s", Min: float64(time.Second), Max: float64(time.Hour)},
 		{Path: "StoreAddress", Format: document.FormatAddress, Required: true},
 		{Path: "TransactionIdle", Default: "3s", Min: float64(100 * time.Millisecond), Max: float64(time.Hour)},
+		{Path: "Usage.Late", Default: "10s", Min: float64(2 * time.Second), Max: float64(time.Hour)},
+		{Path: "Usage.Window", Default: "0s", Min: 0, Max: float64(time.Hour)},
 	}
 }
 
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -15,6 +15,15 @@
 // renderTemplate returns the settings template, rendered with the values of one
 // instance.
 func renderTemplate(t *testing.T) string {
+	t.Helper()
+	return renderTemplateWith(t, nil)
+}
+
+// section matches a section of the template, which is rendered if its value is present.
+var section = regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/([^}]*)\}\}`)
+
+// renderTemplateWith also renders values that most deployments do not have.
+func renderTemplateWith(t *testing.T, values map[string]string) string {
 	t.Helper()
 	template, err := os.ReadFile("../deploy/gateway.hujson")
 	if err != nil {
@@ -26,6 +35,19 @@
 		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{cloud.addr|json}}", `"10.200.0.2:8466"`, "{{bounds.grace_s}}", "6",
 		"{{platform.addr|json}}", `"10.200.1.7:8466"`,
 	).Replace(string(template))
+	text = section.ReplaceAllStringFunc(text, func(found string) string {
+		parts := section.FindStringSubmatch(found)
+		if parts[1] != parts[3] {
+			t.Fatalf("section %s ends as %s", parts[1], parts[3])
+		}
+		if _, present := values[parts[1]]; !present {
+			return ""
+		}
+		return parts[2]
+	})
+	for name, value := range values {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
 	if placeholder := regexp.MustCompile(`\{\{[^}]*\}\}`).FindString(text); placeholder != "" {
 		t.Fatalf("the test has no value for the placeholder %s of the template", placeholder)
 	}
@@ -44,12 +66,33 @@
 		Listen: gateway.Listen{Callers: "10.1.0.26:8465", Metrics: "10.1.0.26:7560", Peers: "10.1.0.26:7575", Ready: "10.1.0.26:8460"},
 		Log:    gateway.LogSettings{LinesPerSecond: 20}, MemoryLimit: 284, ProcessorShare: 0.4, PromotionAddress: "10.200.0.2:8466",
 		StopBound: 6 * time.Second, StoreAddress: "10.200.1.7:8466", TransactionIdle: 3 * time.Second,
+		Usage: gateway.UsageSettings{Late: 10 * time.Second},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
 	}
 }
 
+// TestUsageTemplate guards against a deployment that asks for usage reports and gets none,
+// and against one that does not and gets some.
+func TestUsageTemplate(t *testing.T) {
+	for _, test := range []struct {
+		values map[string]string
+		want   gateway.UsageSettings
+	}{
+		{values: nil, want: gateway.UsageSettings{Late: 10 * time.Second}},
+		{values: map[string]string{"bounds.report_window_s": "5", "bounds.usage_late_s": "12"}, want: gateway.UsageSettings{Late: 12 * time.Second, Window: 5 * time.Second}},
+	} {
+		got, err := gateway.ParseSettings("node", []byte(renderTemplateWith(t, test.values)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(test.want, got.Usage); diff != "" {
+			t.Errorf("values %v (-want +got):\n%s", test.values, diff)
+		}
+	}
+}
+
 // TestBadSettings guards against invalid settings that are accepted, and against an
 // error that does not name the file and the key.
 func TestBadSettings(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,13 +35,18 @@
 	Wait bool
 }
 
-// RowWrite is a conditional write of the membership row of the calling instance.
+// RowWrite is a conditional write of a row of the calling instance.
 type RowWrite struct {
+	// Hold makes the called instance only keep the row, and write it if the calling one
+	// is silent for a while. An empty value discards it.
+	Hold      bool
 	Key       string
 	Partition string
 	// Revision is the revision that the row must have. Zero means that it must not
 	// exist.
 	Revision feed.Revision
+	// Table is the table of the row. Empty means that of the instances' rows.
+	Table string
 	// Urgent says that other instances wait for what the row says.
 	Urgent bool
 	Value  []byte
@@ -63,7 +68,7 @@
 	// ReadChanges returns the changes of a table since a revision. It returns
 	// an error if this instance does not read the table from the store itself.
 	ReadChanges(ctx context.Context, request Request) (feed.Snapshot, error)
-	// WriteRow writes a membership row. After an error the row may have been written,
+	// WriteRow writes a row. After an error the row may have been written,
 	// or may be written later if the condition still holds.
 	WriteRow(ctx context.Context, write RowWrite) (RowWriteResult, error)
 }
@@ -115,7 +120,8 @@
 	}
 	message := request.Msg
 	result, err := s.source.WriteRow(ctx, RowWrite{
-		Key: message.GetKey(), Partition: message.GetPartition(), Revision: feed.Revision(message.GetRevision()), Urgent: message.GetUrgent(), Value: message.GetValue(),
+		Hold: message.GetHold(), Key: message.GetKey(), Partition: message.GetPartition(), Revision: feed.Revision(message.GetRevision()),
+		Table: message.GetTable(), Urgent: message.GetUrgent(), Value: message.GetValue(),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
@@ -193,7 +199,7 @@
 // WriteRow calls the instance at an address, with the secret of that instance.
 func (c *Client) WriteRow(ctx context.Context, address string, secret []byte, write RowWrite) (RowWriteResult, error) {
 	message := connect.NewRequest(&nutmegpierv1.WriteRowRequest{
-		Key: write.Key, Partition: write.Partition, Revision: uint64(write.Revision), Urgent: write.Urgent, Value: write.Value,
+		Hold: write.Hold, Key: write.Key, Partition: write.Partition, Revision: uint64(write.Revision), Table: write.Table, Urgent: write.Urgent, Value: write.Value,
 	})
 	message.Header().Set(secretHeader, base64.StdEncoding.EncodeToString(secret))
 	answer, err := c.newClient(address).WriteRow(ctx, message)
