test: counts of usage under crashes, outages and steps of clocks

A fleet of 16 instances in virtual time loses its holder, an instance, a data centre, the store or the endpoint. A holder now waits for rows for 2 s after its first read, unless the report would be late.

--- /dev/null
+++ b/gateway/usage_test.go
@@ -0,0 +1,133 @@
+//go:build !race
+
+package gateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/gateway"
+)
+
+// TestUsageReportsUnderFaults guards against reports that are late or more than 5% off the
+// truth because an instance, the holder, a data centre, the store, the platform's endpoint
+// or a wall clock fails.
+func TestUsageReportsUnderFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		during time.Duration
+		begin  func(f *usageFleet)
+		end    func(f *usageFleet)
+	}{
+		{name: "none"},
+		{name: "holder crashes", begin: func(f *usageFleet) { f.holder().crash() }},
+		{name: "another instance crashes", begin: func(f *usageFleet) {
+			if victim := f.instances[3]; victim != f.holder() {
+				victim.crash()
+				return
+			}
+			f.instances[4].crash()
+		}},
+		{name: "data centre crashes", begin: func(f *usageFleet) {
+			for _, instance := range f.instances {
+				if instance.dataCentre == f.holder().dataCentre {
+					defer instance.crash()
+				}
+			}
+		}},
+		{
+			name: "store down across the end of a window", during: 6 * time.Second,
+			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
+		},
+		{
+			name: "endpoint down", during: 7 * time.Second,
+			begin: func(f *usageFleet) { f.setEndpointDown(true) }, end: func(f *usageFleet) { f.setEndpointDown(false) },
+		},
+		{name: "wall clocks are set", begin: func(f *usageFleet) {
+			f.holder().setWall(time.Hour)
+			f.instances[5].setWall(-time.Minute)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The fault begins 3.5 s into a window.
+				const before, after = 23500 * time.Millisecond, 40 * time.Second
+				f := startUsageFleet(t)
+				time.Sleep(before)
+				if test.begin != nil {
+					test.begin(f)
+				}
+				time.Sleep(test.during)
+				if test.end != nil {
+					test.end(f)
+				}
+				time.Sleep(after)
+				f.check()
+				f.stop()
+			})
+		})
+	}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (f *usageFleet) setEndpointDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpointDown = down
+}
+
+func (i *usageInstance) setWall(step time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.wallStep = step
+}
+
+// TestUsageStoreCalls guards against store calls for usage that grow with the number of
+// instances: one write for each data centre, a read and a write of the holder.
+func TestUsageStoreCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const windows, perWindow = 8, 4 + 1 + 1
+		f := startUsageFleet(t)
+		time.Sleep(4 * fleetWindow)
+		before := f.store.usageCallCount()
+		time.Sleep(windows * fleetWindow)
+		if calls := f.store.usageCallCount() - before; calls > windows*perWindow {
+			t.Errorf("%d calls in %d windows, want at most %d in each", calls, windows, perWindow)
+		}
+		f.stop()
+	})
+}
+
+func (s *memoryStore) usageCallCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usageCalls
+}
+
+// TestNoUsageReports guards against rows, calls and leases for counting in deployments that
+// ask for no reports.
+func TestNoUsageReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{revision: 1, rows: map[string]memoryRow{}, startedAt: time.Now()}
+		runGateway(t, store, time.Now, nil)
+		time.Sleep(4 * fleetWindow)
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		for _, row := range store.rows {
+			if row.table == usageTable {
+				t.Errorf("row %s was written", row.Key)
+			}
+		}
+		if store.usageCalls > 0 {
+			t.Errorf("%d calls for usage", store.usageCalls)
+		}
+	})
+}
+
+var _ gateway.Store = &memoryStore{}
--- /dev/null
+++ b/gateway/usagefleet_test.go
@@ -0,0 +1,371 @@
+//go:build !race
+
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/primacy"
+	"github.com/nutmegpier/nutmegpier/relay"
+	"github.com/nutmegpier/nutmegpier/usage"
+)
+
+const (
+	usageTable      = gateway.Table("nutmegpier-usage")
+	fleetLatency    = 4 * time.Millisecond
+	fleetWindow     = 5 * time.Second
+	fleetLate       = 10 * time.Second
+	requestInterval = 50 * time.Millisecond
+)
+
+var (
+	errFleetDown  = errors.New("not reachable")
+	fleetSchedule = usage.Schedule{Late: fleetLate, Length: fleetWindow}
+)
+
+// memoryRow is a row of a memoryStore.
+type memoryRow struct {
+	feed.Row
+	partition gateway.Partition
+	table     gateway.Table
+}
+
+// memoryStore is a store in memory.
+type memoryStore struct {
+	startedAt time.Time
+
+	mu       sync.Mutex
+	down     bool
+	revision feed.Revision
+	rows     map[string]memoryRow
+	// usageCalls counts the calls for usageTable.
+	usageCalls int
+}
+
+func rowID(table gateway.Table, partition gateway.Partition, key string) string {
+	return string(table) + "\x00" + string(partition) + "\x00" + key
+}
+
+// call waits for the latency of a call and then runs it.
+func (s *memoryStore) call(ctx context.Context, run func()) error {
+	select {
+	case <-time.After(fleetLatency):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errFleetDown
+	}
+	run()
+	return nil
+}
+
+// snapshot returns the rows that were changed after a revision. The caller holds mu.
+func (s *memoryStore) snapshot(table gateway.Table, after feed.Revision, matches func(memoryRow) bool) feed.Snapshot {
+	snapshot := feed.Snapshot{Revision: s.revision, StoreTime: time.Since(s.startedAt)}
+	for _, row := range s.rows {
+		if row.table == table && row.Revision > after && matches(row) {
+			snapshot.Rows = append(snapshot.Rows, row.Row)
+		}
+	}
+	return snapshot
+}
+
+func (s *memoryStore) Changes(ctx context.Context, table gateway.Table, after feed.Revision, wait time.Duration) (snapshot feed.Snapshot, err error) {
+	const pollInterval = 100 * time.Millisecond
+	for started := time.Now(); ; {
+		err := s.call(ctx, func() {
+			snapshot = s.snapshot(table, after, func(memoryRow) bool { return true })
+		})
+		if err != nil || len(snapshot.Rows) > 0 || time.Since(started) >= wait {
+			return snapshot, err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (s *memoryStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (snapshot feed.Snapshot, err error) {
+	err = s.call(ctx, func() {
+		if table == usageTable {
+			s.usageCalls++
+		}
+		snapshot = s.snapshot(table, 0, func(row memoryRow) bool {
+			for _, partition := range partitions {
+				if row.partition == partition && !row.Deleted {
+					return true
+				}
+			}
+			return false
+		})
+		snapshot.Complete = true
+	})
+	return snapshot, err
+}
+
+func (s *memoryStore) Write(ctx context.Context, writes []gateway.Write) (result gateway.WriteResult, err error) {
+	err = s.call(ctx, func() {
+		if writes[0].Table == usageTable {
+			s.usageCalls++
+		}
+		result.Applied = true
+		for _, write := range writes {
+			row := s.rows[rowID(write.Table, write.Partition, write.Key)]
+			current := row.Revision
+			if row.Deleted {
+				current = 0
+			}
+			result.Applied = result.Applied && current == write.Revision
+			result.Current = append(result.Current, gateway.CurrentRow{Row: feed.Row{Key: write.Key, Revision: current, Value: row.Value}, Table: write.Table})
+		}
+		if !result.Applied {
+			return
+		}
+		s.revision++
+		result = gateway.WriteResult{Applied: true, Revision: s.revision}
+		for _, write := range writes {
+			s.rows[rowID(write.Table, write.Partition, write.Key)] = memoryRow{
+				Row:       feed.Row{Deleted: write.Remove, Key: write.Key, Revision: s.revision, Value: write.Value},
+				partition: write.Partition, table: write.Table,
+			}
+		}
+	})
+	return result, err
+}
+
+// usageFleet is a fleet of instances that report usage, with a store and an endpoint.
+type usageFleet struct {
+	instances []*usageInstance
+	store     *memoryStore
+	t         *testing.T
+
+	mu sync.Mutex
+	// begun are the numbers of statements that servers have begun in each window.
+	begun        map[usage.Window]int64
+	endpointDown bool
+	reports      map[usage.Window]reportedWindow
+}
+
+// reportedWindow is the first report of a window.
+type reportedWindow struct {
+	at     time.Time
+	counts usage.Counts
+	holder fleet.InstanceID
+}
+
+// usageInstance is one instance of a usageFleet. It is its own PeerTransport, and its
+// address is its name.
+type usageInstance struct {
+	cancel     context.CancelFunc
+	dataCentre fleet.DataCentre
+	done       chan struct{}
+	fleet      *usageFleet
+	gateway    *gateway.Gateway
+	name       string
+
+	// clockReads makes the clock advance with each read, as a real one does: a wait for
+	// the rest of a nanosecond would not end otherwise.
+	clockReads atomic.Int64
+
+	mu   sync.Mutex
+	dead bool
+	// wallStep is the error of the wall clock.
+	wallStep time.Duration
+}
+
+func (i *usageInstance) Address() string { return i.name }
+func (i *usageInstance) Secret() []byte  { return []byte(i.name) }
+func (i *usageInstance) Call(context.Context, string, []byte, []byte) ([]byte, error) {
+	return nil, errFleetDown
+}
+
+func (i *usageInstance) Serve(ctx context.Context, _ func([]byte) []byte) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (i *usageInstance) clock() time.Time {
+	return time.Now().Add(time.Duration(i.clockReads.Add(1)))
+}
+
+func (i *usageInstance) isDead() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.dead
+}
+
+func (i *usageInstance) wall() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Now().Add(i.wallStep)
+}
+
+// crash stops an instance without a last write.
+func (i *usageInstance) crash() {
+	i.mu.Lock()
+	i.dead = true
+	i.mu.Unlock()
+	i.cancel()
+}
+
+// target returns the live instance with a name, after the latency of a call.
+func (f *usageFleet) target(address string) (*gateway.Gateway, error) {
+	time.Sleep(fleetLatency)
+	for _, instance := range f.instances {
+		if instance.name == address && !instance.isDead() {
+			return instance.gateway, nil
+		}
+	}
+	return nil, &relay.Error{Err: errFleetDown, Kind: relay.KindUnavailable, Op: "call"}
+}
+
+func (f *usageFleet) Changes(ctx context.Context, address string, _ []byte, request relay.Request, _ func(string) feed.RowVersion) (feed.Snapshot, error) {
+	target, err := f.target(address)
+	if err != nil {
+		return feed.Snapshot{}, err
+	}
+	snapshot, err := target.ReadChanges(ctx, request)
+	if err != nil {
+		return snapshot, &relay.Error{Err: err, Kind: relay.KindRefused, Op: "changes"}
+	}
+	return snapshot, nil
+}
+
+func (f *usageFleet) WriteRow(ctx context.Context, address string, _ []byte, write relay.RowWrite) (relay.RowWriteResult, error) {
+	target, err := f.target(address)
+	if err != nil {
+		return relay.RowWriteResult{}, err
+	}
+	result, err := target.WriteRow(ctx, write)
+	if err != nil {
+		return result, &relay.Error{Err: err, Kind: relay.KindStoreFailed, Op: "write row"}
+	}
+	return result, nil
+}
+
+// ReportUsage is the platform's endpoint.
+func (f *usageFleet) ReportUsage(_ context.Context, window usage.Window, counts usage.Counts, holder fleet.InstanceID, _ primacy.Token) error {
+	time.Sleep(fleetLatency)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.endpointDown {
+		return errFleetDown
+	}
+	if _, repeated := f.reports[window]; !repeated {
+		f.reports[window] = reportedWindow{at: time.Now(), counts: counts, holder: holder}
+	}
+	return nil
+}
+
+// startUsageFleet starts four instances in each of four data centres. Each one runs twenty
+// statements a second.
+func startUsageFleet(t *testing.T) *usageFleet {
+	t.Helper()
+	f := &usageFleet{
+		begun: map[usage.Window]int64{}, reports: map[usage.Window]reportedWindow{}, t: t,
+		store: &memoryStore{revision: 1, rows: map[string]memoryRow{}, startedAt: time.Now().Add(-time.Hour)},
+	}
+	for n := range 16 {
+		instance := &usageInstance{
+			dataCentre: fleet.DataCentre("z" + strconv.Itoa(n%4)), done: make(chan struct{}), fleet: f, name: "i" + strconv.Itoa(n),
+			wallStep: time.Duration(n%5) * time.Millisecond,
+		}
+		recorder := event.New(fleet.InstanceID(instance.name), 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
+		instance.gateway = gateway.New(gateway.Config{
+			Clock: instance.clock, Epoch: fleet.Epoch(n + 1), Instance: fleet.InstanceID(instance.name), Log: gateway.NewLog(recorder, 1),
+			PeerTransport: instance, RelayClient: f, Source: emptySource{}, Store: f.store, UsageReporter: f, WallClock: instance.wall,
+			Settings: gateway.Settings{DataCentre: instance.dataCentre, KeyLease: time.Second, ProcessorShare: 1, Usage: gateway.UsageSettings{Late: fleetLate, Window: fleetWindow}},
+		})
+		f.instances = append(f.instances, instance)
+	}
+	for _, instance := range f.instances {
+		ctx, cancel := context.WithCancel(t.Context())
+		instance.cancel = cancel
+		go func() {
+			defer close(instance.done)
+			_ = instance.gateway.Run(ctx)
+		}()
+		go f.runStatements(ctx, instance)
+	}
+	return f
+}
+
+// runStatements runs the statements of an instance, once it has joined.
+func (f *usageFleet) runStatements(ctx context.Context, instance *usageInstance) {
+	const joinTime = 2 * time.Second
+	time.Sleep(joinTime)
+	for ctx.Err() == nil {
+		instance.gateway.CountUsage("w")
+		f.mu.Lock()
+		f.begun[fleetSchedule.Window(time.Now())]++
+		f.mu.Unlock()
+		time.Sleep(requestInterval)
+	}
+}
+
+// stop stops all instances and waits for them and their last calls.
+func (f *usageFleet) stop() {
+	const lastCalls = 10 * time.Second
+	for _, instance := range f.instances {
+		instance.cancel()
+		<-instance.done
+	}
+	time.Sleep(lastCalls)
+}
+
+// check checks the reports of all windows that are due.
+func (f *usageFleet) check() {
+	const tolerance, minWindows = 0.05, 9
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.reports) < minWindows {
+		f.t.Errorf("%d windows were reported, want at least %d", len(f.reports), minWindows)
+	}
+	for window, begun := range f.begun {
+		if time.Now().Before(fleetSchedule.Due(window)) {
+			continue
+		}
+		report, found := f.reports[window]
+		late := report.at.Sub(fleetSchedule.End(window))
+		if !found || late > fleetLate {
+			f.t.Errorf("window %d: reported %t, %v after its end", window, found, late)
+			continue
+		}
+		reported := report.counts["w"]
+		if deviation := float64(reported-begun) / float64(begun); deviation > tolerance || deviation < -tolerance {
+			f.t.Errorf("window %d: %d reported, %d begun", window, reported, begun)
+		}
+	}
+}
+
+// holder returns the instance that has sent the last report.
+func (f *usageFleet) holder() *usageInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var last reportedWindow
+	for _, report := range f.reports {
+		if report.at.After(last.at) {
+			last = report
+		}
+	}
+	for _, instance := range f.instances {
+		if fleet.InstanceID(instance.name) == last.holder {
+			return instance
+		}
+	}
+	f.t.Fatal("nothing was reported")
+	return nil
+}
--- a/gateway/usagerow.go
+++ b/gateway/usagerow.go
@@ -21,13 +21,14 @@
 	// the responses of its last statements have arrived.
 	usageGrace = 150 * time.Millisecond
 	// usageKeepsPerWindow is how often in a window an instance sends its counts to its
-	// keeper. A crash loses what was counted since then.
-	usageKeepsPerWindow = 3
+	// keeper. A crash loses what was counted since then: of one of four data centres, at
+	// most a quarter of a sixth of a window, which is less than the tolerance of 5%.
+	usageKeepsPerWindow = 6
 	// usageKeepTimeout is the timeout of a call to the keeper.
 	usageKeepTimeout = 300 * time.Millisecond
 	// usageSilentKeeps is the number of intervals without a call after which the keeper
 	// writes the row of an instance.
-	usageSilentKeeps = 2
+	usageSilentKeeps = 4
 	// usageWriteRetry is the delay after a failed write of the row.
 	usageWriteRetry = 400 * time.Millisecond
 	// maxKeptRows bounds the memory of a keeper.
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -35,6 +35,8 @@
 	maxFixedAtOnce = 4
 	// maxRemovals bounds the rows of ended runs that are deleted in one write.
 	maxRemovals = 20
+	// sendReserve is the time before a report is due in which it is sent.
+	sendReserve = time.Second
 	// fixPart is the part of Schedule.Late after which a window is fixed although rows
 	// are missing. The rest is for a change of holder, which takes 4 s, or for repeated
 	// calls.
@@ -110,8 +112,10 @@
 	// since is the window in which this instance became the holder.
 	since Window
 
-	// loaded is true if the ledger is known as it is in the store.
+	// loaded is true if the ledger is known as it is in the store, and begun if there is
+	// one there.
 	loaded   bool
+	begun    bool
 	ledger   Ledger
 	revision feed.Revision
 	// rows are those of all runs as of readAt, a true time.
@@ -124,7 +128,8 @@
 	// the delays before it.
 	nextRead, nextSend   time.Time
 	readRetry, sendRetry time.Duration
-	// recoveredAt is when the store became available again, a true time.
+	// recoveredAt is when the store became available again, or the first read of this
+	// holder, which may have begun because of an outage. It is a true time.
 	recoveredAt time.Time
 	// fixedTotals are the totals of the windows that this holder fixed, including those
 	// that were found to be late.
@@ -214,6 +219,9 @@
 		step.Dropped = append(step.Dropped, next.Next)
 		next.Next = oldest
 	}
+	if !h.begun {
+		next.Next = h.firstWindow(s.Members)
+	}
 	firstToFix := next.Next
 	for next.Next < firstToFix+maxFixedAtOnce {
 		settled := h.schedule.End(next.Next).Add(settleTime)
@@ -246,10 +254,17 @@
 	return step
 }
 
-// fixAt returns the true time at which a window is fixed although rows are missing.
+// fixAt returns the true time at which a window is fixed although rows are missing. If the
+// store has just become available, the rows of other instances follow, and are waited for
+// unless the report would be late by that.
 func (h *Holder) fixAt(window Window) time.Time {
 	at := h.schedule.End(window).Add(time.Duration(fixPart * float64(h.schedule.Late)))
-	if recovered := h.recoveredAt.Add(recoveryTime); at.Before(recovered) {
+	latest := h.schedule.Due(window).Add(-sendReserve)
+	recovered := h.recoveredAt.Add(recoveryTime)
+	if h.recoveredAt.Before(latest) && recovered.After(latest) {
+		recovered = latest
+	}
+	if at.Before(recovered) {
 		return recovered
 	}
 	return at
@@ -291,14 +306,15 @@
 // means that there is none. It returns the number of units of fixed windows that were not
 // known when these were fixed.
 func (h *Holder) ReadDone(sent time.Time, ledger *Ledger, revision feed.Revision, rows []StoredRow) (late int64) {
-	if h.readRetry > 0 {
+	if h.readRetry > 0 || h.recoveredAt.IsZero() {
 		h.recoveredAt = sent
 	}
 	h.readRetry, h.nextRead = 0, time.Time{}
 	h.rows, h.readAt = rows, sent
 	h.loaded, h.revision = true, revision
+	h.begun = ledger != nil
 	if ledger == nil {
-		ledger = &Ledger{Next: h.firstWindow()}
+		ledger = &Ledger{Next: h.since}
 	}
 	h.ledger = *ledger
 	maps.DeleteFunc(h.accepted, func(w Window, _ bool) bool {
@@ -309,13 +325,16 @@
 
 // firstWindow returns the first window to report if nothing was reported yet: that in
 // which the first run began.
-func (h *Holder) firstWindow() Window {
+func (h *Holder) firstWindow(members []Member) Window {
 	first := h.since
 	for _, row := range h.rows {
 		if row.Row.Open >= h.since-maxWindowAge {
 			first = min(first, row.Row.First)
 		}
 	}
+	for _, member := range members {
+		first = min(first, h.schedule.Window(member.From))
+	}
 	return max(first, h.since-maxWindowAge)
 }
 
@@ -351,7 +370,7 @@
 			h.fixedTotals[report.Window] = report.Counts.Total()
 		}
 	}
-	h.ledger, h.revision = step.Ledger, revision
+	h.ledger, h.revision, h.begun = step.Ledger, revision, true
 	removed := map[string]bool{}
 	for _, row := range step.Remove {
 		removed[row.Key] = true
