fix: counts of an instance whose keeper has crashed before it

In a fleet of which an instance crashes every 2 s, a window lacked up to 101 of 950 statements: a crashed keeper seems to be live for 4.5 s, and instances that crashed meanwhile had left their counts with nobody. They now turn to the next of four large instances in other data centres, and then to one of their own. The keeper writes after two silent intervals instead of four, without collecting rows for 700 ms. Rows name each workspace once for all windows. A relay that does not answer in time is called again instead of the store, which a slow store would otherwise pay for with a write of each instance.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -40,7 +40,10 @@
 // usageState counts what servers began for the callers of this instance, and keeps the
 // counts of others.
 type usageState struct {
-	schedule usage.Schedule
+	// keeperSilentUntil is when a keeper that did not answer is called again. It is used
+	// only by maintainUsageRow.
+	keeperSilentUntil map[fleet.InstanceID]time.Time
+	schedule          usage.Schedule
 
 	// mu guards the fields below. It may be locked while the gateway's mu is held.
 	mu      sync.Mutex
@@ -84,7 +87,8 @@
 		return nil
 	}
 	return &usageState{
-		counter: usage.NewCounter(usage.Run{Epoch: config.Epoch, Instance: config.Instance}), kept: map[string]keptUsage{}, schedule: schedule,
+		counter: usage.NewCounter(usage.Run{Epoch: config.Epoch, Instance: config.Instance}), kept: map[string]keptUsage{},
+		keeperSilentUntil: map[fleet.InstanceID]time.Time{}, schedule: schedule,
 	}
 }
 
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -11,8 +11,8 @@
 )
 
 // TestUsageReportsUnderFaults guards against reports that are late or more than 5% off the
-// truth because an instance, the holder, a data centre, the store, the platform's endpoint
-// or a wall clock fails.
+// truth because instances, the holder, relays, a data centre, the store, the platform's
+// endpoint or wall clocks fail.
 func TestUsageReportsUnderFaults(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -36,6 +36,19 @@
 				}
 			}
 		}},
+		{name: "instances crash one after another, holder, keepers and relays among them", begin: func(f *usageFleet) {
+			const interval, crashes = 2 * time.Second, 8
+			// A holder takes 4 s to be replaced, so that only one crashes.
+			f.holder().crash()
+			crashed := 0
+			for _, instance := range f.instances {
+				time.Sleep(interval)
+				if crashed < crashes && !instance.isDead() && !instance.leads() {
+					crashed++
+					instance.crash()
+				}
+			}
+		}},
 		{
 			name: "store down across the end of a window", during: 6 * time.Second,
 			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
@@ -82,6 +95,8 @@
 	f.endpointDown = down
 }
 
+func (i *usageInstance) leads() bool { return i.gateway.Leads() }
+
 func (i *usageInstance) setWall(step time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/gateway/usagerow.go
+++ b/gateway/usagerow.go
@@ -26,9 +26,12 @@
 	usageKeepsPerWindow = 6
 	// usageKeepTimeout is the timeout of a call to the keeper.
 	usageKeepTimeout = 300 * time.Millisecond
+	// usageKeeperBackoff is how long a keeper that did not answer is not called.
+	usageKeeperBackoff = 3 * time.Second
 	// usageSilentKeeps is the number of intervals without a call after which the keeper
-	// writes the row of an instance.
-	usageSilentKeeps = 4
+	// writes the row of an instance. When instances crash one after another, the keeper
+	// may be the next one.
+	usageSilentKeeps = 2
 	// usageWriteRetry is the delay after a failed write of the row.
 	usageWriteRetry = 400 * time.Millisecond
 	// maxKeptRows bounds the memory of a keeper.
@@ -154,12 +157,9 @@
 	if err == nil {
 		return WriteResult{Applied: result.Applied, Current: []CurrentRow{{Row: result.Current, Table: usageTable}}, Revision: result.Revision}, nil
 	}
-	var relayErr *relay.Error
-	if ctx.Err() != nil || (errors.As(err, &relayErr) && relayErr.Kind == relay.KindStoreFailed) {
-		return WriteResult{}, &Error{Err: err, Kind: KindUnknown, Op: "write row"}
-	}
-	g.recordRelayLost(g.config.Clock(), peer, err)
-	return g.write(ctx, write)
+	// The relay may have written the row, and a slow store is not called by all of its
+	// instances at once. The membership rows tell soon if the relay is lost.
+	return WriteResult{}, &Error{Err: err, Kind: KindUnknown, Op: "write row"}
 }
 
 func relayUsageWrite(write Write) relay.RowWrite {
@@ -205,11 +205,11 @@
 		}
 		delete(u.kept, key)
 		go func() {
-			result, err := g.rowBatcher.Write(ctx, kept.write, false)
+			result, err := g.rowBatcher.Write(ctx, kept.write, true)
 			if err == nil && !result.Applied {
 				// A keeper has written such a row before.
 				kept.write.Revision = result.currentRow().Revision
-				_, err = g.rowBatcher.Write(ctx, kept.write, false)
+				_, err = g.rowBatcher.Write(ctx, kept.write, true)
 			}
 			if err != nil && ctx.Err() == nil {
 				u.keep(g.config.Clock(), kept.write)
@@ -229,10 +229,10 @@
 		return false
 	}
 	g.mu.Lock()
-	peer, found := g.members.usageKeeper(g.config.Settings.DataCentre)
+	keepers := g.members.usageKeepers(g.config.Settings.DataCentre)
 	g.mu.Unlock()
-	if !found || g.config.RelayClient == nil {
-		return leftAtKeeper
+	if g.config.RelayClient == nil {
+		return false
 	}
 	// The row has a key of its own, so that it does not replace the instance's own row.
 	held := relayUsageWrite(g.usageWrite(g.usageKey()+"-kept", row, 0))
@@ -240,41 +240,56 @@
 	if len(row.Counts) == 0 {
 		held.Value = nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, usageKeepTimeout)
-	defer cancel()
-	_, err := g.config.RelayClient.WriteRow(callCtx, peer.address, peer.secret, held)
-	countRelayCall(err)
-	return err != nil || len(row.Counts) > 0
+	for _, peer := range keepers {
+		if g.config.Clock().Before(g.usage.keeperSilentUntil[peer.instance]) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, usageKeepTimeout)
+		_, err := g.config.RelayClient.WriteRow(callCtx, peer.address, peer.secret, held)
+		cancel()
+		countRelayCall(err)
+		if err == nil {
+			return len(row.Counts) > 0
+		}
+		g.usage.keeperSilentUntil[peer.instance] = g.config.Clock().Add(usageKeeperBackoff)
+	}
+	return leftAtKeeper
 }
 
-// usageKeeper returns the instance that keeps the counts of those in a data centre: a
-// large one in another data centre if possible, so that it does not fail together with
-// them.
-func (v *memberView) usageKeeper(dataCentre fleet.DataCentre) (relayPeer, bool) {
-	var remote, all []owner.Candidate
+// usageKeepers returns the instance that keeps the counts of those in a data centre, and
+// the ones that take its place while it does not answer, in order: large ones in other data
+// centres if possible, so that they do not fail together with them, and then one here, in
+// case that this data centre is cut off.
+func (v *memberView) usageKeepers(dataCentre fleet.DataCentre) []relayPeer {
+	// Of instances that crash one after another, three may seem to be live.
+	const remoteCount, localCount = 4, 1
+	var remote, local []owner.Candidate
 	for id, row := range v.otherLive() {
 		if row.Address == "" || row.Draining {
 			continue
 		}
 		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
-		all = append(all, candidate)
-		if row.DataCentre != dataCentre {
+		if row.DataCentre == dataCentre {
+			local = append(local, candidate)
+		} else {
 			remote = append(remote, candidate)
 		}
 	}
-	if len(remote) == 0 {
-		remote = all
-	}
+	return append(v.rankKeepers(dataCentre, remote, remoteCount), v.rankKeepers(dataCentre, local, localCount)...)
+}
+
+// rankKeepers returns the first keepers among the large candidates.
+func (v *memberView) rankKeepers(dataCentre fleet.DataCentre, candidates []owner.Candidate, count int) []relayPeer {
 	var instances []fleet.InstanceID
-	for _, candidate := range owner.Large(remote, 1) {
+	for _, candidate := range owner.Large(candidates, count) {
 		instances = append(instances, candidate.Instance)
 	}
-	chosen := fleet.Owners("usage "+string(dataCentre), instances, 1)
-	if len(chosen) == 0 {
-		return relayPeer{}, false
+	var keepers []relayPeer
+	for _, instance := range fleet.Owners("usage "+string(dataCentre), instances, count) {
+		row := v.members[instance].row
+		keepers = append(keepers, relayPeer{address: row.Address, instance: instance, secret: row.Secret})
 	}
-	row := v.members[chosen[0]].row
-	return relayPeer{address: row.Address, instance: chosen[0], secret: row.Secret}, true
+	return keepers
 }
 
 // leaveUsage writes this instance's last counts at a planned stop. The returned function
--- a/usage/row.go
+++ b/usage/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 
@@ -33,11 +34,11 @@
 	Instance fleet.InstanceID
 }
 
-// Row holds the counts of one run of an instance, as they are kept in the store.
+// Row holds the counts of one run of an instance.
 type Row struct {
-	Counts map[Window]Counts `json:",omitempty"`
+	Counts map[Window]Counts
 	// Final says that the run counts nothing more, because the instance stops.
-	Final bool `json:",omitempty"`
+	Final bool
 	// First is the window in which the run began to count.
 	First Window
 	// Open is the first window that is not complete yet.
@@ -45,9 +46,32 @@
 	Run  Run
 }
 
+// storedRow is the form of a Row in the store. The names of the workspaces, which are most
+// of it, are written once for all windows.
+type storedRow struct {
+	// Counts are in the order of Workspaces.
+	Counts     map[Window][]int64 `json:",omitempty"`
+	Final      bool               `json:",omitempty"`
+	First      Window
+	Open       Window
+	Run        Run
+	Workspaces []fleet.WorkspaceID `json:",omitempty"`
+}
+
 // Encode returns the form of the row in the store.
 func (r Row) Encode() ([]byte, error) {
-	content, err := json.Marshal(r)
+	stored := storedRow{Counts: make(map[Window][]int64, len(r.Counts)), Final: r.Final, First: r.First, Open: r.Open, Run: r.Run}
+	workspaces := Counts{}
+	for _, counts := range r.Counts {
+		maps.Copy(workspaces, counts)
+	}
+	stored.Workspaces = slices.Sorted(maps.Keys(workspaces))
+	for window, counts := range r.Counts {
+		for _, workspace := range stored.Workspaces {
+			stored.Counts[window] = append(stored.Counts[window], counts[workspace])
+		}
+	}
+	content, err := json.Marshal(stored)
 	if err != nil {
 		return nil, &Error{Err: err, Kind: KindMalformed, Op: "encode row"}
 	}
@@ -56,9 +80,22 @@
 
 // DecodeRow parses the form of a row in the store.
 func DecodeRow(content []byte) (Row, error) {
-	var row Row
-	if err := json.Unmarshal(content, &row); err != nil {
-		return Row{}, &Error{Err: err, Kind: KindMalformed, Op: "decode row"}
+	const op = "decode row"
+	var stored storedRow
+	if err := json.Unmarshal(content, &stored); err != nil {
+		return Row{}, &Error{Err: err, Kind: KindMalformed, Op: op}
+	}
+	row := Row{Counts: make(map[Window]Counts, len(stored.Counts)), Final: stored.Final, First: stored.First, Open: stored.Open, Run: stored.Run}
+	for window, counts := range stored.Counts {
+		if len(counts) != len(stored.Workspaces) {
+			return Row{}, &Error{Err: errors.New("the numbers of counts and workspaces differ"), Kind: KindMalformed, Op: op}
+		}
+		row.Counts[window] = Counts{}
+		for i, count := range counts {
+			if count != 0 {
+				row.Counts[window][stored.Workspaces[i]] = count
+			}
+		}
 	}
 	return row, nil
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -196,3 +196,25 @@
 		t.Errorf("counts that are not written = %v, want those of the last window", got)
 	}
 }
+
+// TestRowEncoding guards against counts that are attributed to another workspace after a
+// row was in the store, and against a damaged row that ends the holder.
+func TestRowEncoding(t *testing.T) {
+	want := usage.Row{
+		Counts: map[usage.Window]usage.Counts{7: {"a": 1, "c": 3}, 8: {"b": 2}}, Final: true, First: 6, Open: 8,
+		Run: usage.Run{Epoch: 1 << 63, Instance: "i"},
+	}
+	content, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := usage.DecodeRow(content)
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("error %v, row (-want +got):\n%s", err, diff)
+	}
+	for _, damaged := range []string{"", "[]", `{"Counts":{"7":[1,2]},"Workspaces":["a"]}`, `{"Counts":{"x":[1]},"Workspaces":["a"]}`} {
+		if _, err := usage.DecodeRow([]byte(damaged)); err == nil {
+			t.Errorf("%q was decoded", damaged)
+		}
+	}
+}
