--- a/gateway/history_test.go
+++ b/gateway/history_test.go
@@ -19,8 +19,8 @@
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
-// storeLatency is the time that compactedStore takes for a response.
-const storeLatency = 4 * time.Millisecond
+// storeResponseTime is the time that compactedStore takes for a response.
+const storeResponseTime = 4 * time.Millisecond
 
 // compactedStore has no history, so that each call for changes fails. It records when
 // the sheet is read.
@@ -37,7 +37,7 @@
 func (s *compactedStore) now() time.Duration { return time.Hour + time.Since(s.startedAt) }
 
 func (s *compactedStore) Read(_ context.Context, table gateway.Table, _ []gateway.Partition) (feed.Snapshot, error) {
-	time.Sleep(storeLatency)
+	time.Sleep(storeResponseTime)
 	snapshot := feed.Snapshot{Complete: true, Revision: 5, StoreTime: s.now()}
 	if table == instanceTable {
 		row, err := json.Marshal(gateway.MemberRow{Address: "10.0.0.1:1", At: s.now(), Epoch: 1, Phase: workspace.PhaseHolding})
@@ -53,7 +53,7 @@
 }
 
 func (s *compactedStore) Changes(context.Context, gateway.Table, feed.Revision, time.Duration) (feed.Snapshot, error) {
-	time.Sleep(storeLatency)
+	time.Sleep(storeResponseTime)
 	return feed.Snapshot{}, &gateway.Error{Kind: gateway.KindHistory, Op: "rows-feed"}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,9 @@
 	expvar.Publish("Owners", expvar.Func(func() any { return g.allOwners() }))
 	expvar.Publish("Relay", expvar.Func(func() any { return g.relayState() }))
 	expvar.Publish("Servers", expvar.Func(func() any { return g.pool.Gauges(g.config.Clock()) }))
+	if g.usage != nil {
+		expvar.Publish("Usage", expvar.Func(func() any { return g.usage.metrics() }))
+	}
 }
 
 // RelayState says from where an instance reads the tables.
--- a/gateway/startreads_test.go
+++ b/gateway/startreads_test.go
@@ -63,7 +63,7 @@
 }
 
 func (s *startingFleet) Read(_ context.Context, table gateway.Table, _ []gateway.Partition) (feed.Snapshot, error) {
-	time.Sleep(storeLatency)
+	time.Sleep(storeResponseTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if table == sheetTable {
@@ -79,7 +79,7 @@
 }
 
 func (s *startingFleet) Changes(ctx context.Context, table gateway.Table, _ feed.Revision, wait time.Duration) (feed.Snapshot, error) {
-	time.Sleep(storeLatency + wait)
+	time.Sleep(storeResponseTime + wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if table != instanceTable {
@@ -90,7 +90,7 @@
 }
 
 func (s *startingFleet) Write(_ context.Context, writes []gateway.Write) (gateway.WriteResult, error) {
-	time.Sleep(storeLatency)
+	time.Sleep(storeResponseTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if writes[0].Key != "i" {
