--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-func (s *memoryStore) setDown(down bool) {
+func (s *usageStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
@@ -119,7 +119,7 @@
 	})
 }
 
-func (s *memoryStore) usageCallCount() int {
+func (s *usageStore) usageCallCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.usageCalls
@@ -129,7 +129,7 @@
 // ask for no reports.
 func TestNoUsageReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &memoryStore{revision: 1, rows: map[string]memoryRow{}, startedAt: time.Now()}
+		store := &usageStore{revision: 1, rows: map[string]usageRow{}, startedAt: time.Now()}
 		runGateway(t, store, time.Now, nil)
 		time.Sleep(4 * fleetWindow)
 		store.mu.Lock()
@@ -145,4 +145,4 @@
 	})
 }
 
-var _ gateway.Store = &memoryStore{}
+var _ gateway.Store = &usageStore{}
--- a/gateway/usagefleet_test.go
+++ b/gateway/usagefleet_test.go
@@ -34,21 +34,21 @@
 	fleetSchedule = usage.Schedule{Late: fleetLate, Length: fleetWindow}
 )
 
-// memoryRow is a row of a memoryStore.
-type memoryRow struct {
+// usageRow is a row of a usageStore.
+type usageRow struct {
 	feed.Row
 	partition gateway.Partition
 	table     gateway.Table
 }
 
-// memoryStore is a store in memory.
-type memoryStore struct {
+// usageStore is a store in memory.
+type usageStore struct {
 	startedAt time.Time
 
 	mu       sync.Mutex
 	down     bool
 	revision feed.Revision
-	rows     map[string]memoryRow
+	rows     map[string]usageRow
 	// usageCalls counts the calls for usageTable.
 	usageCalls int
 }
@@ -58,7 +58,7 @@
 }
 
 // call waits for the latency of a call and then runs it.
-func (s *memoryStore) call(ctx context.Context, run func()) error {
+func (s *usageStore) call(ctx context.Context, run func()) error {
 	select {
 	case <-time.After(fleetLatency):
 	case <-ctx.Done():
@@ -74,7 +74,7 @@
 }
 
 // snapshot returns the rows that were changed after a revision. The caller holds mu.
-func (s *memoryStore) snapshot(table gateway.Table, after feed.Revision, matches func(memoryRow) bool) feed.Snapshot {
+func (s *usageStore) snapshot(table gateway.Table, after feed.Revision, matches func(usageRow) bool) feed.Snapshot {
 	snapshot := feed.Snapshot{Revision: s.revision, StoreTime: time.Since(s.startedAt)}
 	for _, row := range s.rows {
 		if row.table == table && row.Revision > after && matches(row) {
@@ -84,11 +84,11 @@
 	return snapshot
 }
 
-func (s *memoryStore) Changes(ctx context.Context, table gateway.Table, after feed.Revision, wait time.Duration) (snapshot feed.Snapshot, err error) {
+func (s *usageStore) Changes(ctx context.Context, table gateway.Table, after feed.Revision, wait time.Duration) (snapshot feed.Snapshot, err error) {
 	const pollInterval = 100 * time.Millisecond
 	for started := time.Now(); ; {
 		err := s.call(ctx, func() {
-			snapshot = s.snapshot(table, after, func(memoryRow) bool { return true })
+			snapshot = s.snapshot(table, after, func(usageRow) bool { return true })
 		})
 		if err != nil || len(snapshot.Rows) > 0 || time.Since(started) >= wait {
 			return snapshot, err
@@ -97,12 +97,12 @@
 	}
 }
 
-func (s *memoryStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (snapshot feed.Snapshot, err error) {
+func (s *usageStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (snapshot feed.Snapshot, err error) {
 	err = s.call(ctx, func() {
 		if table == usageTable {
 			s.usageCalls++
 		}
-		snapshot = s.snapshot(table, 0, func(row memoryRow) bool {
+		snapshot = s.snapshot(table, 0, func(row usageRow) bool {
 			for _, partition := range partitions {
 				if row.partition == partition && !row.Deleted {
 					return true
@@ -115,7 +115,7 @@
 	return snapshot, err
 }
 
-func (s *memoryStore) Write(ctx context.Context, writes []gateway.Write) (result gateway.WriteResult, err error) {
+func (s *usageStore) Write(ctx context.Context, writes []gateway.Write) (result gateway.WriteResult, err error) {
 	err = s.call(ctx, func() {
 		if writes[0].Table == usageTable {
 			s.usageCalls++
@@ -136,7 +136,7 @@
 		s.revision++
 		result = gateway.WriteResult{Applied: true, Revision: s.revision}
 		for _, write := range writes {
-			s.rows[rowID(write.Table, write.Partition, write.Key)] = memoryRow{
+			s.rows[rowID(write.Table, write.Partition, write.Key)] = usageRow{
 				Row:       feed.Row{Deleted: write.Remove, Key: write.Key, Revision: s.revision, Value: write.Value},
 				partition: write.Partition, table: write.Table,
 			}
@@ -148,7 +148,7 @@
 // usageFleet is a fleet of instances that report usage, with a store and an endpoint.
 type usageFleet struct {
 	instances []*usageInstance
-	store     *memoryStore
+	store     *usageStore
 	t         *testing.T
 
 	mu sync.Mutex
@@ -275,7 +275,7 @@
 	t.Helper()
 	f := &usageFleet{
 		begun: map[usage.Window]int64{}, reports: map[usage.Window]reportedWindow{}, t: t,
-		store: &memoryStore{revision: 1, rows: map[string]memoryRow{}, startedAt: time.Now().Add(-time.Hour)},
+		store: &usageStore{revision: 1, rows: map[string]usageRow{}, startedAt: time.Now().Add(-time.Hour)},
 	}
 	for n := range 16 {
 		instance := &usageInstance{
