fix: an instance is not ready before it can admit and route requests

An instance reported ready as soon as it knew a sheet, a server and any group, and then refused all requests for up to a second or more ("its limits are not known to be in force"), because the rows of the instances were read later. It is now ready once it has read a primary record and its limits are in force. The new conditions apply only until they hold for the first time.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -42,10 +42,11 @@
 type testFleet struct {
 	instances []*testInstance
 	// relay is the instance that read tables for others last.
-	relay   *testInstance
-	servers *testServers
-	store   *memoryStore
-	t       *testing.T
+	relay     *testInstance
+	servers   *testServers
+	slowTable gateway.Table
+	store     *memoryStore
+	t         *testing.T
 }
 
 // testInstance is an instance, its link to the store, and its links to the others.
@@ -65,9 +66,20 @@
 
 // runFleet starts instances on a sheet, waits until they serve, and runs a test.
 func runFleet(t *testing.T, instances int, update gateway.SheetUpdate, test func(*testFleet)) {
+	t.Helper()
+	startFleet(t, instances, update, "", func(f *testFleet) {
+		const startTime = 12 * time.Second
+		time.Sleep(startTime)
+		test(f)
+	})
+}
+
+// startFleet starts instances on a sheet and runs a test at once. The store is slow for
+// one table, unless that is empty.
+func startFleet(t *testing.T, instances int, update gateway.SheetUpdate, slowTable gateway.Table, test func(*testFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &testFleet{servers: newTestServers(), store: newMemoryStore(), t: t}
+		f := &testFleet{servers: newTestServers(), slowTable: slowTable, store: newMemoryStore(), t: t}
 		// Calls that are under way when the instances stop end within this time.
 		t.Cleanup(func() { time.Sleep(time.Minute) })
 		f.publish(update)
@@ -81,8 +93,6 @@
 		for i := range instances {
 			f.start(t.Context(), fmt.Sprintf("i-%d", i))
 		}
-		const startTime = 12 * time.Second
-		time.Sleep(startTime)
 		test(f)
 	})
 }
@@ -97,6 +107,7 @@
 
 func (f *testFleet) start(ctx context.Context, name string) *testInstance {
 	i := &testInstance{address: name, fleet: f, link: f.store.connect()}
+	i.link.slowTable = f.slowTable
 	recorder := event.New(fleet.InstanceID(name), 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
 	i.Gateway = gateway.New(gateway.Config{
 		Clock: time.Now, Control: f.servers, Dialer: f.servers, Epoch: fleet.Epoch(len(f.instances) + 1), Instance: fleet.InstanceID(name),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,9 @@
 	mu sync.Mutex
 	// stateChanged is closed and replaced by notifyStateChange.
 	stateChanged chan struct{}
+	// startComplete is true once requests could be run. Requests that are refused
+	// after that, for example because a primary is replaced, need no other instance.
+	startComplete bool
 	// routing is the sheet in force, or nil. It is written by followSheet.
 	routing *sheet.Routing
 	// sheetVerifiedAt is a time at which routing was verified to be the latest
@@ -328,11 +331,35 @@
 }
 
 // Ready reports whether the instance should get new callers: it is not draining,
-// its key lease is valid, and it knows a sheet, a backend server and a group.
+// its key lease is valid, it knows a sheet and a backend server, and it has been able
+// to run requests since its start.
 func (g *Gateway) Ready(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining && g.routing != nil && g.keyLeaseValid(now) && len(g.servers) > 0 && len(g.groups) > 0
+	if g.draining || g.routing == nil || !g.keyLeaseValid(now) || len(g.servers) == 0 {
+		return false
+	}
+	g.startComplete = g.startComplete || (g.knowsPrimary() && g.limitsInForce(now))
+	return g.startComplete
+}
+
+// knowsPrimary reports whether a primary record has been read. The caller holds g.mu.
+func (g *Gateway) knowsPrimary() bool {
+	for _, state := range g.groups {
+		if state.primaryLease.Record().Generation != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// limitsInForce reports whether operations of workspaces can be admitted. All limits come
+// into force together, so that one is checked. The caller holds g.mu.
+func (g *Gateway) limitsInForce(now time.Time) bool {
+	for id := range g.routing.Limits() {
+		return len(g.rateLimits.PoolOwners(now, id)) > 0
+	}
+	return true
 }
 
 // TransactionIdle returns the idle timeout of transactions: the one in the sheet,
--- a/gateway/memorystore_test.go
+++ b/gateway/memorystore_test.go
@@ -16,6 +16,9 @@
 // storeLatency is the time that the memory store takes for each call.
 const storeLatency = 4 * time.Millisecond
 
+// slowLatency is the additional time of responses for a slow table.
+const slowLatency = 500 * time.Millisecond
+
 // memoryStore is a store in memory, whose clock starts at an hour.
 type memoryStore struct {
 	startedAt time.Time
@@ -83,12 +86,15 @@
 	return snapshot, s.changed
 }
 
-// storeLink is the connection of one instance to the store. Its faults affect only the
-// sheet, so that leases on primaries and limits, which depend on other tables, hide no
+// storeLink is the connection of one instance to the store. Its faults below mu affect
+// only the sheet, so that leases on primaries and limits, which depend on other tables, hide no
 // failure of the check of keys.
 type storeLink struct {
 	store *memoryStore
 
+	// slowTable is a table whose responses take slowLatency more.
+	slowTable gateway.Table
+
 	mu sync.Mutex
 	// delay is added to the way of each response, also after the call has timed out, as
 	// if the instance had been suspended meanwhile.
@@ -107,6 +113,9 @@
 // transmit stands for the way of a request or response.
 func (l *storeLink) transmit(ctx context.Context, table gateway.Table, response bool) error {
 	time.Sleep(storeLatency / 2)
+	if response && table == l.slowTable {
+		time.Sleep(slowLatency)
+	}
 	if table != sheetTable {
 		return nil
 	}
