--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
@@ -63,6 +64,7 @@
 		{name: "connection", isolated: all, slow: connect},
 		{name: "connection of the owner", forwarded: true, isolated: all, slow: connect},
 		{name: "connection of an owner with the newer sheet", forwarded: true, isolated: justCaller, slow: connect},
+		{name: "connection of an owner with the older sheet", forwarded: true, isolated: justOwner, slow: connect},
 		{name: "variables", isolated: all, set: true, slow: func(s *testServers) { s.dialTime, s.setupTime = 0, wait }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -101,6 +103,27 @@
 	return []*testInstance{caller}
 }
 
+func justOwner(f *testFleet, _ *testInstance) []*testInstance {
+	return []*testInstance{f.owner()}
+}
+
+// TestPeerProofIsBounded guards against a proof of another instance that holds for longer
+// than any proof can, because the clock of the store was set back.
+func TestPeerProofIsBounded(t *testing.T) {
+	runFleet(t, 3, keySheet(1, "k"), func(f *testFleet) {
+		f.servers.set(func(s *testServers) { s.dialTime = 7 * time.Second })
+		storeTime := time.Since(f.store.startedAt)
+		batch := session.Batch{Authorization: session.Authorization{SheetVersion: 9}, Commands: []session.Command{{Statement: write("far")}}, Final: true}
+		response := f.owner().RunForPeer(owner.Request{
+			AuthorizedUntil: storeTime + time.Hour, Batch: batch, Deadline: storeTime + time.Minute, RequirementsDeadline: storeTime + time.Minute,
+			Requirements: &session.Requirements{Route: keySheet(1).Sheet.Routes[0], Workspace: "w", Write: true},
+		})
+		if response.Failure == nil || response.Failure.Kind != session.KindBusy || len(f.servers.runs("far")) > 0 {
+			t.Errorf("failure %+v, ran %v, want a refusal as not run", response.Failure, f.servers.runs("far"))
+		}
+	})
+}
+
 // TestKeyProofOutlived guards against a statement of a valid key that is refused because
 // it waited for longer than its proof was valid.
 func TestKeyProofOutlived(t *testing.T) {
