--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -286,6 +286,9 @@
 type fakeRouter struct {
 	primary *fakeServer
 	replica *fakeServer
+	// waiting, if set, receives a value when a request starts to wait for a connection,
+	// which it then does until its context ends.
+	waiting chan struct{}
 
 	mu       sync.Mutex
 	idle     map[fleet.ServerID]*backend.Conn
@@ -294,6 +297,11 @@
 
 // Acquire returns the idle connection to the selected server, or opens one.
 func (r *fakeRouter) Acquire(ctx context.Context, request caller.Request) (caller.Lease, error) {
+	if r.waiting != nil {
+		r.waiting <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requests = append(r.requests, request)
--- a/caller/key_test.go
+++ b/caller/key_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// TestWithdrawnKeyWhileWaiting guards against a statement that goes on waiting for a
+// connection after its key was withdrawn, and runs when it gets one.
+func TestWithdrawnKeyWhileWaiting(t *testing.T) {
+	d := deploy(t, scriptedPrimary, nil, func(config *caller.Config) { config.WithdrawalTimeout = time.Millisecond })
+	conn := d.connect(t)
+	d.router.waiting = make(chan struct{})
+	ended := make(chan error)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select late")
+		ended <- err
+	}()
+	<-d.router.waiting
+	d.policy.revoke("k2")
+	d.server.RecheckKeys()
+	if diff := cmp.Diff("Outcome: NotRun", errorFields(t, <-ended)[1]); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	if d.primary.ran("late") {
+		t.Error("the statement ran")
+	}
+}
+
 // TestWithdrawnKeyPipelined guards against statements that run for a withdrawn key because
 // they were sent together with an earlier one.
 func TestWithdrawnKeyPipelined(t *testing.T) {
