feat: a pool of each limit in each of up to four data centres

With three data centres and three pools, each data centre has one, so that a partition between data centres leaves each side a third of the limit for each of its data centres. A fourth data centre gets a fourth pool. The size of a pool is that for the larger number of owners, now or soon. A pool of the instance itself is not passed over after it was empty, because asking it costs no message.

--- a/workspace/account.go
+++ b/workspace/account.go
@@ -118,8 +118,9 @@
 	return now.Before(block.until) && block.class <= class
 }
 
-// block records that a pool was empty for requests of a class.
-func (a *account) block(now time.Time, owner fleet.InstanceID, class Class, grant TakeGrant) {
+// block records that a pool was empty for requests of a class, and is not to be asked again
+// for a time.
+func (a *account) block(now time.Time, owner fleet.InstanceID, class Class, grant TakeGrant, backoff time.Duration) {
 	if a.isBlocked(now, owner, class) {
 		return
 	}
@@ -127,7 +128,7 @@
 		class:   class,
 		retryAt: now.Add(grant.RetryAfter),
 		unknown: grant.Unknown,
-		until:   now.Add(max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))),
+		until:   now.Add(backoff),
 	}
 }
 
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -261,7 +261,11 @@
 		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
 	}
 	if grant.Taken < take.Want {
-		account.block(now, owner, take.Class, grant)
+		backoff := max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))
+		if owner == a.self {
+			backoff = 0
+		}
+		account.block(now, owner, take.Class, grant, backoff)
 	}
 }
 
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -141,9 +141,12 @@
 		if holdsShare {
 			direct = (1 - pooled) / float64(len(members))
 		}
-		// Mostly, no other instance is about to hold a share.
-		if slices.Contains(owners, d.self) && (len(mayHoldSoon) == len(holding) || slices.Contains(PoolOwners(limit.Workspace, mayHoldSoon), d.self)) {
-			pool = pooled / float64(len(owners))
+		soon := owners
+		if len(mayHoldSoon) > len(holding) {
+			soon = PoolOwners(limit.Workspace, mayHoldSoon)
+		}
+		if slices.Contains(owners, d.self) && slices.Contains(soon, d.self) {
+			pool = pooled / float64(max(len(owners), len(soon)))
 		}
 		fillLimit := fill || (fillNewLimits && !d.divided[limit.Workspace])
 		d.divided[limit.Workspace] = true
--- a/workspace/poollocation.go
+++ b/workspace/poollocation.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -12,3 +13,13 @@
 	Lifetime time.Duration
 	Owners   []fleet.InstanceID
 }
+
+// askOrder returns the owners in the order in which to ask them, which begins with another
+// one at each rotation.
+func (p PoolLocation) askOrder(rotation int) []fleet.InstanceID {
+	if len(p.Owners) == 0 {
+		return nil
+	}
+	first := rotation % len(p.Owners)
+	return slices.Concat(p.Owners[first:], p.Owners[:first])
+}
--- a/workspace/poolowners.go
+++ b/workspace/poolowners.go
@@ -19,24 +19,32 @@
 	return cmp.Or(cmp.Compare(other.score, r.score), cmp.Compare(r.Instance, other.Instance))
 }
 
-// poolsPerWorkspace is the number of pools of a workspace. Limits are about 1.6 times the
-// usual demand. With three pools, the other two still hold slightly more than the usual
-// demand if an owner dies, until its lease has expired, also of a limit without direct
-// shares; with two, they would hold 0.8 of it.
-const poolsPerWorkspace = 3
+const (
+	// minPools is the number of pools of a workspace in up to three data centres.
+	// Limits are about 1.6 times the usual demand. With three pools, the other two
+	// still hold slightly more than the usual demand if an owner dies, until its lease
+	// has expired, also of a limit without direct shares; with two, they would hold 0.8
+	// of it.
+	minPools = 3
+	// maxPools bounds the number of pools, because a small limit can't be divided into
+	// many. Up to it, each data centre has a pool.
+	maxPools = 4
+)
 
 // PoolOwners returns the instances that own the pools of a workspace, in order of rank.
 // The pools are of equal size. Owners are chosen by weighted rendezvous hashing: if an
 // instance joins or leaves, pools move only to or from it, and at most one does.
 //
 // The owners are in different data centres as far as possible, so that each side of a
-// network partition between data centres more often reaches one: of each data centre the
-// instance with the highest rank, and then the others.
+// network partition between data centres reaches pools: of each data centre the instance
+// with the highest rank, and then the others.
 func PoolOwners(workspace fleet.WorkspaceID, holders []Member) []fleet.InstanceID {
-	ranked := highestRanked(workspace, holders)
+	centres := highestRanked(workspace, holders)
+	pools := min(max(minPools, len(centres)), maxPools, len(holders))
+	ranked := slices.Concat(centres...)
 	var owners []fleet.InstanceID
 	var used []fleet.DataCentre
-	for len(owners) < min(poolsPerWorkspace, len(holders)) {
+	for len(owners) < pools {
 		next := slices.MinFunc(ranked, func(a, b rankedMember) int {
 			usedA, usedB := slices.Contains(used, a.DataCentre), slices.Contains(used, b.DataCentre)
 			if usedA != usedB {
@@ -53,9 +61,9 @@
 	return owners
 }
 
-// highestRanked returns the poolsPerWorkspace members of each data centre that rank
-// highest, among which the owners are.
-func highestRanked(workspace fleet.WorkspaceID, holders []Member) []rankedMember {
+// highestRanked returns the minPools members of each data centre that rank highest, among
+// which the owners are.
+func highestRanked(workspace fleet.WorkspaceID, holders []Member) [][]rankedMember {
 	hasher := fleet.NewOwnerHasher(string(workspace))
 	var centres [][]rankedMember
 	for _, m := range holders {
@@ -67,7 +75,7 @@
 		}
 		// The logarithm takes most of the time. It is at least 1-uniform.
 		highest := centres[i]
-		if len(highest) == poolsPerWorkspace && ownerWeight(m)/(1-uniform) < highest[poolsPerWorkspace-1].score {
+		if len(highest) == minPools && ownerWeight(m)/(1-uniform) < highest[minPools-1].score {
 			continue
 		}
 		// Each instance has the highest score with a probability that is proportional
@@ -75,9 +83,9 @@
 		r := rankedMember{Member: m, score: ownerWeight(m) / -math.Log(uniform)}
 		at, _ := slices.BinarySearchFunc(highest, r, rankedMember.compare)
 		highest = slices.Insert(highest, at, r)
-		centres[i] = highest[:min(poolsPerWorkspace, len(highest))]
+		centres[i] = highest[:min(minPools, len(highest))]
 	}
-	return slices.Concat(centres...)
+	return centres
 }
 
 // ownerWeight returns the weight of an instance: the third power of its processor share.
--- a/workspace/tokencalls.go
+++ b/workspace/tokencalls.go
@@ -44,10 +44,10 @@
 }
 
 // canAskOther reports whether there is another pool that can be asked for requests of a
-// class.
+// class. This instance is asked first anyway, because that costs no message.
 func (a *Admitter) canAskOther(now time.Time, account *account, location PoolLocation, owner fleet.InstanceID, class Class) bool {
 	return slices.ContainsFunc(location.Owners, func(other fleet.InstanceID) bool {
-		return other != owner && !account.isBlocked(now, other, class) && account.calls[other] == nil && !a.peer(other).isSuspect(now)
+		return other != owner && other != a.self && !account.isBlocked(now, other, class) && account.calls[other] == nil && !a.peer(other).isSuspect(now)
 	})
 }
 
@@ -74,8 +74,7 @@
 func (a *Admitter) ask(now time.Time, account *account, open []waiter, step *Step) {
 	location := a.limiter.PoolLocation(now, account.workspace)
 	var healthy, suspect []fleet.InstanceID
-	for i := range location.Owners {
-		owner := location.Owners[(i+account.rotation)%len(location.Owners)]
+	for _, owner := range location.askOrder(account.rotation) {
 		peer := a.peer(owner)
 		if call := account.calls[owner]; call != nil {
 			if now.Sub(call.sentAt) < hedgeDelay && !peer.failed {
@@ -114,8 +113,7 @@
 	if !a.needsPrefetch(now, account, prefetchLead) {
 		return
 	}
-	for i := range location.Owners {
-		owner := location.Owners[(i+account.rotation)%len(location.Owners)]
+	for _, owner := range location.askOrder(account.rotation) {
 		if owner == a.self {
 			return
 		}
