--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -28,7 +28,7 @@
 	if admission.Workspace == "" {
 		return nil
 	}
-	decision := g.tokens.admit(now, workspace.Request{
+	decision := g.tokens.admit(workspace.Request{
 		Priority:  admission.Route.Priority,
 		WaitUntil: workspace.TokenDeadline(now, admission.Route.TargetLatency.Duration(), admission.Deadline),
 		Workspace: admission.Workspace,
@@ -37,7 +37,11 @@
 		return nil
 	}
 	refusal := refusals[decision.Reason]
-	return &session.Error{Err: errors.New(refusal.text), Kind: session.KindBusy, Op: "admit", Reason: refusal.reason, RetryAfter: decision.RetryAfter}
+	text := refusal.text
+	if decision.Owner != "" {
+		text += " on " + string(decision.Owner)
+	}
+	return &session.Error{Err: errors.New(text), Kind: session.KindBusy, Op: "admit", Reason: refusal.reason, RetryAfter: decision.RetryAfter}
 }
 
 // refusal describes a reason of a refusal to the caller.
@@ -50,7 +54,7 @@
 var refusals = map[workspace.RefusalReason]refusal{
 	workspace.RefusalLimitUnknown: {reason: session.ReasonLimitUnknown, text: "the limit of the workspace is not known to be in force"},
 	workspace.RefusalOverRate:     {reason: session.ReasonOverRate, text: "the workspace is over its rate"},
-	workspace.RefusalPoolSilent:   {reason: session.ReasonPoolSilent, text: "no answer from a pool of the workspace's rate"},
+	workspace.RefusalPoolSilent:   {reason: session.ReasonPoolSilent, text: "no answer from the pool of the workspace's limit"},
 }
 
 // Authorize returns the route and workspace for the credentials. Except for
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -42,9 +42,11 @@
 	}
 }
 
-// admit decides on a request, and waits for a token if necessary.
-func (e *tokenExchange) admit(now time.Time, request workspace.Request) workspace.Decision {
+// admit decides on a request, and waits for a token if necessary. It reads the clock, because
+// the process may have been suspended since the request arrived, and tokens have expired.
+func (e *tokenExchange) admit(request workspace.Request) workspace.Decision {
 	e.mu.Lock()
+	now := e.clock()
 	decision, ticket, step := e.admitter.Admit(now, request)
 	var decided chan workspace.Decision
 	if ticket != 0 {
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -338,7 +338,7 @@
 		}
 		switch {
 		case owner != a.self && peer.isSuspect(now):
-			decision.Reason = RefusalPoolSilent
+			decision.Owner, decision.Reason = owner, RefusalPoolSilent
 		case !block.unknown && decision.Reason == RefusalLimitUnknown:
 			decision.Reason = RefusalOverRate
 		}
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -20,6 +20,8 @@
 // Decision says whether a request is admitted.
 type Decision struct {
 	Admitted bool
+	// Owner is the owner of a pool that does not answer, if that is the reason.
+	Owner fleet.InstanceID
 	// Reason is why an Admitter refused the request.
 	Reason RefusalReason
 	// RetryAfter is the time after which a retry can succeed. It is zero if the
