--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -261,7 +261,11 @@
 		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
 	}
 	if grant.Taken < take.Want {
-		account.block(now, owner, take.Class, grant)
+		backoff := max(minEmptyPoolBackoff, min(maxEmptyPoolBackoff, grant.RetryAfter))
+		if owner == a.self {
+			backoff = 0
+		}
+		account.block(now, owner, take.Class, grant, backoff)
 	}
 }
 
@@ -334,7 +338,7 @@
 		}
 		switch {
 		case owner != a.self && peer.isSuspect(now):
-			decision.Reason = RefusalPoolSilent
+			decision.Owner, decision.Reason = owner, RefusalPoolSilent
 		case !block.unknown && decision.Reason == RefusalLimitUnknown:
 			decision.Reason = RefusalOverRate
 		}
