fix: read only the data centre's rows to find a restarted relay

After a restart of all, each of 300 instances read all five partitions of the instances' rows, because its relay did not accept the secret of the earlier run. It now reads the rows of its data centre once more and asks the relay again.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -239,13 +239,13 @@
 	return changed, err
 }
 
-// awaitsNewSecret reports whether the relay failed because it has restarted, and the rows
-// of the instances, which another follower reads, are about to show its new secret.
+// awaitsNewSecret reports whether the relay failed because it has restarted, and its row,
+// which the membership controller reads, is about to show its new secret.
 func (f *tableFollower) awaitsNewSecret(err error) bool {
 	f.gateway.mu.Lock()
 	defer f.gateway.mu.Unlock()
 	var relayErr *relay.Error
-	return f.table != memberTable && f.gateway.members.liveCount() > maxDirectReaders &&
+	return f.gateway.members.liveCount() > maxDirectReaders &&
 		errors.As(err, &relayErr) && relayErr.Kind == relay.KindUnauthorized
 }
 
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -252,6 +252,12 @@
 			if delay, mayRetry := relayRetryDelay(err); mayRetry && delay < memberPollInterval {
 				nextPoll = now.Add(delay)
 			}
+			if err != nil && !f.mirror.Loaded() && f.awaitsNewSecret(err) {
+				// The rows of the data centre, one of which is that of the relay, are fewer
+				// than all rows. Without them, the next attempt fails like this one.
+				_ = g.readLocalMembers(ctx)
+				nextPoll = now
+			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
--- a/gateway/memberwrite.go
+++ b/gateway/memberwrite.go
@@ -61,7 +61,10 @@
 		// at the same moment.
 		return WriteResult{}, &Error{Err: err, Kind: KindUnknown, Op: "write row"}
 	}
-	g.recordRelayLost(g.config.Clock(), peer, err)
+	if relayErr == nil || relayErr.Kind != relay.KindUnauthorized {
+		// A relay that has restarted is used again once its row shows its new secret.
+		g.recordRelayLost(g.config.Clock(), peer, err)
+	}
 	return g.write(ctx, write)
 }
 
