fix: a slow store doesn't make starting instances take their relay as lost

A request that waits for newer rows of the instances is answered after 0.7 s with what the relay has. Without that, the caller's timeout of 0.9 s ended first when the store took 0.8 s, and all instances that start together read the slow store themselves. TestReadersOfSlowStore fails without the change.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,6 +21,11 @@
 	// the relay. After it an instance calls the store, while its leases are still
 	// valid for more than 2 s.
 	relayGrace = 500 * time.Millisecond
+	// maxMemberWait is how long a request for the instances' rows waits for a newer
+	// response of the store. It is shorter than the caller's timeout of
+	// startupPollInterval plus relayGrace, so that a slow store does not make the callers
+	// take the relay as lost and all read the store.
+	maxMemberWait = 700 * time.Millisecond
 	// relayLoadTimeout is the timeout of a request for a whole table. When all instances
 	// start together, the relay sends it to each of them at the same time.
 	relayLoadTimeout = 2 * time.Second
@@ -79,7 +84,8 @@
 
 // ReadChanges serves a request of another instance for the changes that this one has
 // read from the store. If request.Wait is set, it waits for a response of the store
-// that is newer than request.StoreTime.
+// that is newer than request.StoreTime, but for the instances' rows not longer than
+// maxMemberWait.
 func (g *Gateway) ReadChanges(ctx context.Context, request relay.Request) (feed.Snapshot, error) {
 	g.mu.Lock()
 	f := g.followers[Table(request.Table)]
@@ -87,6 +93,12 @@
 	if f == nil {
 		return feed.Snapshot{}, &Error{Err: errors.New("the table is not followed"), Kind: KindInvalid, Op: "relay"}
 	}
+	var waitEnds <-chan time.Time
+	if f.table == memberTable {
+		timer := time.NewTimer(maxMemberWait)
+		defer timer.Stop()
+		waitEnds = timer.C
+	}
 	for {
 		snapshot, nextResponse, err := f.relaySnapshot(request.After)
 		if err != nil || snapshot.StoreTime > request.StoreTime || !request.Wait {
@@ -97,6 +109,8 @@
 		}
 		select {
 		case <-nextResponse:
+		case <-waitEnds:
+			return snapshot, nil
 		case <-ctx.Done():
 			return feed.Snapshot{}, &Error{Err: ctx.Err(), Kind: KindNotDone, Op: "relay"}
 		}
--- a/gateway/startreads_test.go
+++ b/gateway/startreads_test.go
@@ -33,6 +33,8 @@
 	ownRow []byte
 	// restarted is true if the first read shows the rows of the instances' earlier runs.
 	restarted bool
+	// latency is added to each response.
+	latency time.Duration
 	// sheetReads counts the reads of the sheet from the store.
 	sheetReads int
 	// relayed counts the relayed answers, and read the calls to the store, about the
@@ -79,7 +81,10 @@
 }
 
 func (s *startingFleet) Changes(ctx context.Context, table gateway.Table, _ feed.Revision, wait time.Duration) (feed.Snapshot, error) {
-	time.Sleep(storeLatency + wait)
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	time.Sleep(storeLatency + latency + wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if table != instanceTable {
@@ -174,6 +179,45 @@
 	})
 }
 
+// TestReadersOfSlowStore guards against instances that start together and all read a slow
+// store themselves, because their relay does not answer while it waits for the store.
+func TestReadersOfSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &startingFleet{instances: 20, startedAt: time.Now()}
+		recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
+		g := gateway.New(gateway.Config{
+			Clock: time.Now, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
+			Settings: gateway.Settings{KeyLease: time.Second}, Source: emptySource{}, Store: s,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = g.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		// The relay's own call has a timeout of 900 ms.
+		s.latency = 800 * time.Millisecond
+		s.mu.Unlock()
+		// The caller's timeout is the interval of a start, 400 ms, and the grace of 500 ms.
+		const callTimeout = 900 * time.Millisecond
+		for last, calls := time.Duration(0), 0; calls < 10; calls++ {
+			callCtx, cancelCall := context.WithTimeout(ctx, callTimeout)
+			snapshot, err := g.ReadChanges(callCtx, relay.Request{After: 1, StoreTime: last, Table: string(instanceTable), Wait: true})
+			cancelCall()
+			if err != nil || snapshot.StoreTime < last {
+				t.Fatalf("call %d: error %v, store time %v after %v", calls, err, snapshot.StoreTime, last)
+			}
+			last = snapshot.StoreTime
+		}
+	})
+}
+
 // TestWaitingReaders guards against a start that takes longer because the relay reads the
 // rows at its regular interval while others wait, and against waiting readers that make
 // it read the store all the time.
