--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -379,7 +379,7 @@
 // into force together, so that one is checked. The caller holds g.mu.
 func (g *Gateway) limitsInForce(now time.Time) bool {
 	for id := range g.routing.Limits() {
-		return len(g.rateLimits.PoolOwners(now, id)) > 0
+		return g.rateLimits.InForce(now, id)
 	}
 	return true
 }
--- a/workspace/division.go
+++ b/workspace/division.go
@@ -199,6 +199,15 @@
 	return d.directory[id]
 }
 
+// InForce reports whether operations of a workspace can be admitted: this instance may
+// admit operations, and the owners of the pools are known.
+func (d *DistributedLimiter) InForce(now time.Time, id fleet.WorkspaceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refreshShares(now)
+	return len(d.directory[id].Owners) > 0 && now.Before(d.limiter.ValidUntil())
+}
+
 // LocatePools sets the owners of the pools without changing shares. An instance that
 // holds no shares and can't prove that its view of the members is recent takes tokens
 // from the pools of others, because these are valid by the lease of the pool's owner.
