fix: usage reports after a start with a wrong wall clock

An instance that started a second before the others and whose wall clock was an hour fast became the leader, took a window of the next hour for the first one, and reported nothing until then: 1 of at least 9 windows in TestUsageReportsUnderFaults. The holder now decides only on a true time that has been the same for 3 s, and the counters follow a true time that is set back.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -48,10 +48,7 @@
 	// mu guards the fields below. It may be locked while the gateway's mu is held.
 	mu      sync.Mutex
 	counter *usage.Counter
-	// untilTrue is what must be added to a time of the instance's clock to get the true
-	// time, if known is true.
-	untilTrue time.Duration
-	known     bool
+	clock   usage.TrueClock
 	// kept holds the rows that other instances have left here.
 	kept map[string]keptUsage
 	// publishedOffset is the offset in this instance's membership row.
@@ -110,8 +107,8 @@
 	defer u.mu.Unlock()
 	u.state.Statements += usage.UnitStatement.Count(begun, first)
 	u.state.Operations += usage.UnitOperation.Count(begun, first)
-	if u.known {
-		u.counter.Add(u.schedule.Window(at.Add(u.untilTrue)), workspace, usage.ReportedUnit.Count(begun, first))
+	if trueTime, known := u.clock.At(at); known {
+		u.counter.Add(u.schedule.Window(trueTime), workspace, usage.ReportedUnit.Count(begun, first))
 	}
 }
 
@@ -119,7 +116,15 @@
 func (u *usageState) trueTime(now time.Time) (time.Time, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return now.Add(u.untilTrue), u.known
+	return u.clock.At(now)
+}
+
+// settledTime returns the true time, and whether it can be relied on for reports.
+func (u *usageState) settledTime(now time.Time) (time.Time, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	trueTime, _ := u.clock.At(now)
+	return trueTime, u.clock.Settled(now)
 }
 
 // usageLease counts what a server began on a lease of a session of this instance. The
@@ -198,7 +203,7 @@
 	trueNow := usage.MedianOffset(offsets).TrueTime(g.storeClock.StoreTime(now))
 	g.usage.mu.Lock()
 	defer g.usage.mu.Unlock()
-	g.usage.untilTrue, g.usage.known = trueNow.Sub(now), true
+	g.usage.clock.Observe(now, trueNow)
 }
 
 // runUsageReports reports usage while this instance is the leader.
@@ -206,8 +211,8 @@
 	holder := usage.NewHolder(g.usage.schedule)
 	for sleep(ctx, usageTick) {
 		now := g.config.Clock()
-		trueNow, known := g.usage.trueTime(now)
-		if !known {
+		trueNow, settled := g.usage.settledTime(now)
+		if !settled {
 			continue
 		}
 		token, leading := g.leaderToken(now)
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -15,12 +15,15 @@
 // endpoint or wall clocks fail.
 func TestUsageReportsUnderFaults(t *testing.T) {
 	for _, test := range []struct {
-		name   string
-		during time.Duration
-		begin  func(f *usageFleet)
-		end    func(f *usageFleet)
+		name                  string
+		firstStep, firstAlone time.Duration
+		during                time.Duration
+		begin                 func(f *usageFleet)
+		end                   func(f *usageFleet)
 	}{
 		{name: "none"},
+		{name: "wall clock of the first instance is an hour fast", firstStep: time.Hour, firstAlone: time.Second},
+		{name: "wall clock of the first instance is an hour slow", firstStep: -time.Hour, firstAlone: time.Second},
 		{name: "holder crashes", begin: func(f *usageFleet) { f.holder().crash() }},
 		{name: "another instance crashes", begin: func(f *usageFleet) {
 			if victim := f.instances[3]; victim != f.holder() {
@@ -66,8 +69,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				// The fault begins 3.5 s into a window.
 				const before, after = 23500 * time.Millisecond, 40 * time.Second
-				f := startUsageFleet(t)
-				time.Sleep(before)
+				f := startUsageFleet(t, test.firstStep, test.firstAlone)
+				time.Sleep(before - test.firstAlone)
 				if test.begin != nil {
 					test.begin(f)
 				}
@@ -108,7 +111,7 @@
 func TestUsageStoreCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const windows, perWindow = 8, 4 + 1 + 1
-		f := startUsageFleet(t)
+		f := startUsageFleet(t, 0, 0)
 		time.Sleep(4 * fleetWindow)
 		before := f.store.usageCallCount()
 		time.Sleep(windows * fleetWindow)
--- a/gateway/usagefleet_test.go
+++ b/gateway/usagefleet_test.go
@@ -270,8 +270,9 @@
 }
 
 // startUsageFleet starts four instances in each of four data centres. Each one runs twenty
-// statements a second.
-func startUsageFleet(t *testing.T) *usageFleet {
+// statements a second. The wall clock of the first one, which starts before the others, is
+// wrong by firstStep.
+func startUsageFleet(t *testing.T, firstStep, firstAlone time.Duration) *usageFleet {
 	t.Helper()
 	f := &usageFleet{
 		begun: map[usage.Window]int64{}, reports: map[usage.Window]reportedWindow{}, t: t,
@@ -282,6 +283,9 @@
 			dataCentre: fleet.DataCentre("z" + strconv.Itoa(n%4)), done: make(chan struct{}), fleet: f, name: "i" + strconv.Itoa(n),
 			wallStep: time.Duration(n%5) * time.Millisecond,
 		}
+		if n == 0 {
+			instance.wallStep = firstStep
+		}
 		recorder := event.New(fleet.InstanceID(instance.name), 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
 		instance.gateway = gateway.New(gateway.Config{
 			Clock: instance.clock, Epoch: fleet.Epoch(n + 1), Instance: fleet.InstanceID(instance.name), Log: gateway.NewLog(recorder, 1),
@@ -290,7 +294,10 @@
 		})
 		f.instances = append(f.instances, instance)
 	}
-	for _, instance := range f.instances {
+	for n, instance := range f.instances {
+		if n == 1 {
+			time.Sleep(firstAlone)
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		instance.cancel = cancel
 		go func() {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -54,11 +54,23 @@
 }
 
 // Advance makes all windows before the given one complete and discards old ones. If the
-// true time was set back, complete windows stay so.
+// true time was set back by more than a window, because it was wrong before, what was
+// counted in later windows counts in the open one.
 func (c *Counter) Advance(open Window) {
 	if c.first == 0 {
 		c.first, c.written = open, open
 	}
+	if open < c.open-1 {
+		c.first, c.written, c.open = min(c.first, open), open, open
+		for window, counts := range c.counts {
+			if window > open+1 {
+				delete(c.counts, window)
+				for workspace, units := range counts {
+					c.Add(open, workspace, units)
+				}
+			}
+		}
+	}
 	c.open = max(c.open, open)
 	maps.DeleteFunc(c.counts, func(w Window, _ Counts) bool {
 		return w < c.open-maxKeptWindows || (w < c.open-keptWindows && w < c.written)
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -155,6 +155,7 @@
 	if s.Token != h.token {
 		h.reset(s.Token, h.schedule.Window(s.TrueNow))
 	}
+	h.since = min(h.since, h.schedule.Window(s.TrueNow))
 	if !h.loaded {
 		return h.read(s)
 	}
--- a/usage/offset.go
+++ b/usage/offset.go
@@ -44,3 +44,39 @@
 	slices.Sort(known)
 	return known[(len(known)-1)/2]
 }
+
+const (
+	// settledTime is how long the true time must not have changed before it is used for
+	// reports. An instance that starts first knows only its own wall clock.
+	settledTime = 3 * time.Second
+	// maxSettledChange is the change of the true time that does not count.
+	maxSettledChange = time.Second
+)
+
+// TrueClock follows the true time on the clock of an instance. It isn't safe for
+// concurrent use. The zero value does not know the true time.
+type TrueClock struct {
+	changedAt time.Time
+	known     bool
+	untilTrue time.Duration
+}
+
+// Observe records the true time at a time of the instance's clock.
+func (c *TrueClock) Observe(now, trueNow time.Time) {
+	untilTrue := trueNow.Sub(now)
+	if !c.known || (untilTrue-c.untilTrue).Abs() > maxSettledChange {
+		c.changedAt = now
+	}
+	c.untilTrue, c.known = untilTrue, true
+}
+
+// At returns the true time at a time of the instance's clock.
+func (c *TrueClock) At(now time.Time) (trueTime time.Time, known bool) {
+	return now.Add(c.untilTrue), c.known
+}
+
+// Settled reports whether the true time was the same for some time, so that it can be
+// relied on for decisions that are not revised.
+func (c *TrueClock) Settled(now time.Time) bool {
+	return c.known && now.Sub(c.changedAt) >= settledTime
+}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -218,3 +218,19 @@
 		}
 	}
 }
+
+// TestCounterAfterWrongTime guards against an instance that counts nothing for an hour,
+// because its wall clock was an hour fast before it knew the others.
+func TestCounterAfterWrongTime(t *testing.T) {
+	const wrong, open = usage.Window(800), usage.Window(80)
+	counter := usage.NewCounter(usage.Run{Epoch: 1, Instance: "i"})
+	counter.Advance(wrong)
+	counter.Add(wrong, "w", 2)
+	counter.Advance(open)
+	counter.Add(open, "w", 1)
+	counter.Advance(open + 1)
+	want := usage.Row{Counts: map[usage.Window]usage.Counts{open: {"w": 3}}, First: open, Open: open + 1, Run: usage.Run{Epoch: 1, Instance: "i"}}
+	if diff := cmp.Diff(want, counter.Row(false)); diff != "" {
+		t.Errorf("row (-want +got):\n%s", diff)
+	}
+}
