fix: wait longer for the counts of a data centre that was cut off

The window in which a data centre was cut off from the store and the others for 7 s lacked 182 of 1600 statements: it was fixed 6 s after its end, before the rows followed. It is now fixed after 8 s if rows are missing, which leaves 2 s for the calls.

--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
 )
 
@@ -52,6 +53,10 @@
 				}
 			}
 		}},
+		{
+			name: "data centre is cut off from the store and the others", during: 7 * time.Second,
+			begin: func(f *usageFleet) { f.setCut("z2", true) }, end: func(f *usageFleet) { f.setCut("z2", false) },
+		},
 		{
 			name: "store down across the end of a window", during: 6 * time.Second,
 			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
@@ -92,6 +97,14 @@
 	s.down = down
 }
 
+func (f *usageFleet) setCut(dataCentre fleet.DataCentre, cut bool) {
+	for _, instance := range f.instances {
+		if instance.dataCentre == dataCentre {
+			instance.setCut(cut)
+		}
+	}
+}
+
 func (f *usageFleet) setEndpointDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -18,7 +18,7 @@
 	// available again.
 	recoveryTime = 2 * time.Second
 	// rereadInterval is the time between two reads while rows are missing.
-	rereadInterval = time.Second
+	rereadInterval = 1500 * time.Millisecond
 	// minReadRetry and maxReadRetry bound the delay after a failed call to the store.
 	minReadRetry = 300 * time.Millisecond
 	maxReadRetry = time.Second
@@ -38,9 +38,9 @@
 	// sendReserve is the time before a report is due in which it is sent.
 	sendReserve = time.Second
 	// fixPart is the part of Schedule.Late after which a window is fixed although rows
-	// are missing. The rest is for a change of holder, which takes 4 s, or for repeated
-	// calls.
-	fixPart = 0.6
+	// are missing, so that an instance that was cut off for 7 s can still write its row.
+	// The rest is for repeated calls.
+	fixPart = 0.8
 )
 
 // StepKind is the type of a Step.
