fix: send usage reports only well within the leader's lease

A report that is in a socket when the connection is cut is sent again for up to 3 s, and could have arrived with its lower token after one of the next holder, which may begin 1 s after the end of the lease. Found by reading; no test covers the kernel's repetition.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -25,9 +25,13 @@
 	ledgerKey = ".ledger"
 	// usageTick is the time between two decisions about counts and reports.
 	usageTick = 100 * time.Millisecond
-	// usageReportTimeout is the timeout of one report. The leader's lease is valid for
-	// at least 1 s when it is sent, and the call only has to arrive in that time.
+	// usageReportTimeout is the timeout of one report.
 	usageReportTimeout = 1500 * time.Millisecond
+	// usageLeaseReserve is how much longer the leader's lease must be valid when a report
+	// is sent. A connection that is cut at that moment may still deliver the report when
+	// the cut ends, until it is given up after 3 s; another instance takes the leadership
+	// 1 s after the end of the lease at the earliest.
+	usageLeaseReserve = 1500 * time.Millisecond
 )
 
 // UsageReporter reports usage to the platform.
@@ -331,9 +335,12 @@
 }
 
 // sendUsage sends a report if this instance is still the leader with the same fencing
-// token.
+// token, and for some time longer.
 func (g *Gateway) sendUsage(ctx context.Context, holder *usage.Holder, report usage.Report, token primacy.Token) {
-	if current, leading := g.leaderToken(g.config.Clock()); !leading || current != token {
+	g.mu.Lock()
+	current, leading := g.members.leadership.Token(g.config.Clock().Add(usageLeaseReserve))
+	g.mu.Unlock()
+	if !leading || current != token {
 		return
 	}
 	sendCtx, cancel := context.WithTimeout(ctx, usageReportTimeout)
