fix: replace idle connections of workspaces whose transactions may not begin

A single statement waited until its deadline or until a transaction ended although a connection was idle: the connection was kept for a workspace with a queued transaction that was not allowed to begin, because the single statement waited. With two connections for each instance and server, one open transaction was enough.

Only requests that may begin now keep a connection for their workspace. A waiter leaves the queue after the connection to replace is chosen, because the choice depends on what waits. TestBlockedTransactionKeepsNoConnection failed before.

--- a/pool/queue.go
+++ b/pool/queue.go
@@ -118,10 +118,10 @@
 	}
 }
 
-// waits reports whether a request of the workspace is queued.
-func (q *queue) waits(workspace fleet.WorkspaceID) bool {
+// waits reports whether a request of the workspace is queued that may begin now.
+func (q *queue) waits(workspace fleet.WorkspaceID, mayBegin func(*waiter, *flow) bool) bool {
 	f := q.flows[workspace]
-	return f != nil && len(f.waiters) > 0
+	return f != nil && slices.ContainsFunc(f.waiters, func(w *waiter) bool { return mayBegin(w, f) })
 }
 
 // chargedTo returns the charge of a workspace.
--- a/pool/server.go
+++ b/pool/server.go
@@ -180,14 +180,14 @@
 }
 
 // replaceable returns the index of the idle connection that a connection of another
-// workspace may replace: the least recently used one of a workspace that doesn't wait,
-// or else the one of the workspace with the most service whose batch is complete. It
-// returns -1 if there is none.
+// workspace may replace: the least recently used one of a workspace without a request that
+// may begin, or else the one of the workspace with the most service whose batch is
+// complete. It returns -1 if there is none.
 func (s *serverState) replaceable() int {
 	chosen, mostCharged := -1, time.Duration(0)
 	batch := batchHandshakes * s.handshake.get()
 	for i, conn := range s.idle {
-		if !s.queue.waits(conn.workspace) {
+		if !s.queue.waits(conn.workspace, s.mayBegin) {
 			return i
 		}
 		if charged := s.queue.chargedTo(conn.workspace); conn.served >= batch && (chosen < 0 || charged > mostCharged) {
@@ -199,8 +199,6 @@
 
 // grantTo removes a waiter that can be served from the queue and serves it.
 func (s *serverState) grantTo(now time.Time, w *waiter) {
-	s.queue.remove(w)
-	f := s.queue.flow(w.workspace)
 	cost := s.serviceTime
 	conn := s.takeIdle(now, w.workspace, w.variables)
 	if conn == nil {
@@ -212,13 +210,16 @@
 			i := s.replaceable()
 			if i < 0 {
 				// The idle connection of the workspace was dead, and none may be opened.
-				s.queue.add(w)
 				return
 			}
 			s.idle[i].Close()
 			s.idle = slices.Delete(s.idle, i, i+1)
 		}
 	}
+	// The waiter leaves the queue only now, because other requests may begin by that, and
+	// keep the connection that is replaced.
+	s.queue.remove(w)
+	f := s.queue.flow(w.workspace)
 	s.recordGrant(now)
 	s.beginOccupation(now, f)
 	served := f.charged
--- a/pool/transactions_test.go
+++ b/pool/transactions_test.go
@@ -98,3 +98,33 @@
 		}
 	})
 }
+
+// TestBlockedTransactionKeepsNoConnection guards against an idle connection that no request
+// gets: it is kept for a workspace whose transactions may not begin, while a single
+// statement of another workspace waits for a connection.
+func TestBlockedTransactionKeepsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pool.New(newReplayServer(3), time.Now)
+		p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 2, Limit: 2, Slots: 3}})
+		if tryTransaction(p, "x", 0) == nil {
+			t.Fatal("the first transaction could not begin")
+		}
+		conn, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(100 * time.Millisecond), Workspace: "a"})
+		if failure != nil {
+			t.Fatal(failure.Text)
+		}
+		go func() { _ = tryTransaction(p, "a", 0) }()
+		synctest.Wait()
+		served := make(chan bool, 1)
+		go func() {
+			_, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(100 * time.Millisecond), Workspace: "b"})
+			served <- failure == nil
+		}()
+		synctest.Wait()
+		p.Release("s", conn)
+		if !<-served {
+			t.Error("the single statement was refused although a connection was idle")
+		}
+		time.Sleep(time.Second)
+	})
+}
