fix: try one connection at a time at a server that refused one

Each statement that ended after the backoff raised the limit of a full server by one while the connection that tries it was still being opened, so that many were dialed and refused together: 600 in 11 s in TestOneConnectionIsTried, which failed before. The limit is raised for a trial once after each refusal.

--- a/pool/server.go
+++ b/pool/server.go
@@ -79,6 +79,9 @@
 	// connection, and limitStep is by how much it is raised next.
 	limit     int
 	limitStep int
+	// limitTried is true if the limit was raised after the last refusal, so that the server
+	// is tried.
+	limitTried bool
 	// open counts all connections, including idle ones and those that waiters
 	// are about to open.
 	open   int
@@ -299,7 +302,7 @@
 // which it isn't dialed. Several connections may be refused at the same time.
 func (s *serverState) refuse(now time.Time) {
 	s.limit = max(1, s.open)
-	s.limitChangedAt, s.limitStep = now, 1
+	s.limitChangedAt, s.limitStep, s.limitTried = now, 1, false
 	if now.Before(s.refusedUntil) {
 		return
 	}
@@ -314,8 +317,8 @@
 	if s.limit >= s.server.Limit || now.Before(s.refusedUntil) {
 		return
 	}
-	if s.limitStep == 1 {
-		s.limit = max(s.limit, s.open+1)
+	if !s.limitTried {
+		s.limit, s.limitTried = max(s.limit, s.open+1), true
 	}
 	if now.Sub(s.limitChangedAt) >= limitRaiseInterval {
 		s.raiseLimit(now)
--- a/pool/server_test.go
+++ b/pool/server_test.go
@@ -5,7 +5,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/pool"
+	"github.com/nutmegpier/nutmegpier/session"
 )
 
 // TestLimitRecovers guards against an instance that keeps a few connections for tens of
@@ -61,3 +63,51 @@
 		}
 	})
 }
+
+// TestOneConnectionIsTried guards against an instance that dials a full server once for
+// each statement that ends while a connection is being tried.
+func TestOneConnectionIsTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &refusingServer{replayServer: newReplayServer(4)}
+		server.maxConns = 3
+		p := pool.New(server, time.Now)
+		p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 33, Limit: 33}})
+		stop := time.Now().Add(11 * time.Second)
+		for range 33 {
+			go func() {
+				for time.Now().Before(stop) {
+					conn, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Second), Workspace: "w"})
+					if failure == nil {
+						_, _ = conn.Run(stop, []session.Command{{Statement: session.Statement{Text: "3ms"}}})
+						p.Release("s", conn)
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		server.mu.Lock()
+		server.refusals = 0
+		server.mu.Unlock()
+		time.Sleep(11 * time.Second)
+		synctest.Wait()
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		// One in each maxDialBackoff.
+		if server.refusals > 20 {
+			t.Errorf("the full server refused %d connections in 10 s, want at most 20", server.refusals)
+		}
+	})
+}
+
+// refusingServer takes the time of a handshake to refuse a connection.
+type refusingServer struct{ *replayServer }
+
+func (s *refusingServer) Dial(deadline time.Time, server pool.Server, workspace fleet.WorkspaceID) (pool.Conn, *session.RunError) {
+	s.mu.Lock()
+	full := s.open >= s.maxConns
+	s.mu.Unlock()
+	if full {
+		time.Sleep(handshakeTime)
+	}
+	return s.replayServer.Dial(deadline, server, workspace)
+}
