fix: don't try another server for a read whose time has passed

A read that waited at a server until its deadline was then offered to the other servers of the group, which refused it at once, and a latency of zero was recorded for each of them, so that they seemed fast. No test: found by reading.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -73,7 +73,8 @@
 			return l, nil
 		}
 		refusal = earlierRefusal(refusal, err)
-		if server == "" || err.Op != opConnect {
+		if server == "" || err.Op != opConnect || !g.config.Clock().Before(requirements.Deadline.Add(-executionReserve)) {
+			// A server that has no time to answer would seem fast.
 			return nil, refusal
 		}
 		// Another server may be less loaded.
