--- a/pool/server.go
+++ b/pool/server.go
@@ -79,6 +79,9 @@
 	// connection, and limitStep is by how much it is raised next.
 	limit     int
 	limitStep int
+	// limitTried is true if the limit was raised after the last refusal, so that the server
+	// is tried.
+	limitTried bool
 	// open counts all connections, including idle ones and those that waiters
 	// are about to open.
 	open   int
@@ -180,14 +183,14 @@
 }
 
 // replaceable returns the index of the idle connection that a connection of another
-// workspace may replace: the least recently used one of a workspace that doesn't wait,
-// or else the one of the workspace with the most service whose batch is complete. It
-// returns -1 if there is none.
+// workspace may replace: the least recently used one of a workspace without a request that
+// may begin, or else the one of the workspace with the most service whose batch is
+// complete. It returns -1 if there is none.
 func (s *serverState) replaceable() int {
 	chosen, mostCharged := -1, time.Duration(0)
 	batch := batchHandshakes * s.handshake.get()
 	for i, conn := range s.idle {
-		if !s.queue.waits(conn.workspace) {
+		if !s.queue.waits(conn.workspace, s.mayBegin) {
 			return i
 		}
 		if charged := s.queue.chargedTo(conn.workspace); conn.served >= batch && (chosen < 0 || charged > mostCharged) {
@@ -199,8 +202,6 @@
 
 // grantTo removes a waiter that can be served from the queue and serves it.
 func (s *serverState) grantTo(now time.Time, w *waiter) {
-	s.queue.remove(w)
-	f := s.queue.flow(w.workspace)
 	cost := s.serviceTime
 	conn := s.takeIdle(now, w.workspace, w.variables)
 	if conn == nil {
@@ -212,13 +213,16 @@
 			i := s.replaceable()
 			if i < 0 {
 				// The idle connection of the workspace was dead, and none may be opened.
-				s.queue.add(w)
 				return
 			}
 			s.idle[i].Close()
 			s.idle = slices.Delete(s.idle, i, i+1)
 		}
 	}
+	// The waiter leaves the queue only now, because other requests may begin by that, and
+	// keep the connection that is replaced.
+	s.queue.remove(w)
+	f := s.queue.flow(w.workspace)
 	s.recordGrant(now)
 	s.beginOccupation(now, f)
 	served := f.charged
@@ -298,7 +302,7 @@
 // which it isn't dialed. Several connections may be refused at the same time.
 func (s *serverState) refuse(now time.Time) {
 	s.limit = max(1, s.open)
-	s.limitChangedAt, s.limitStep = now, 1
+	s.limitChangedAt, s.limitStep, s.limitTried = now, 1, false
 	if now.Before(s.refusedUntil) {
 		return
 	}
@@ -313,8 +317,8 @@
 	if s.limit >= s.server.Limit || now.Before(s.refusedUntil) {
 		return
 	}
-	if s.limitStep == 1 {
-		s.limit = max(s.limit, s.open+1)
+	if !s.limitTried {
+		s.limit, s.limitTried = max(s.limit, s.open+1), true
 	}
 	if now.Sub(s.limitChangedAt) >= limitRaiseInterval {
 		s.raiseLimit(now)
