feat: let reads leave servers that are slow or fail

Callers were refused by a replica that failed all statements while its health check succeeded: failures left no trace in the estimate of its latency, which returned to 25 ms, less than that of the healthy servers.

The choice of a replica now takes the comparison of the group's servers into account, a primary that is slow is left first, and the scheduler of the pool bounds what is in service at a slow server. Servers that are alike, and those without samples, are chosen as before. The metric Servers shows the comparison.

--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -28,7 +28,10 @@
 // cost estimates how long a request takes on a server, including a penalty for the
 // primary and for remote servers. The caller holds g.mu.
 func (g *Gateway) cost(now time.Time, server *backendServer, workspace fleet.WorkspaceID, primary bool) time.Duration {
-	latency := server.latency.Estimate(now)
+	// The estimate of a slow server's latency returns to the default soon after reads have
+	// left it, and contains no failures.
+	speed := server.speed.Estimate(now)
+	latency := max(server.latency.Estimate(now), speed.ServiceTime)
 	slots := server.Slots
 	if slots <= 0 {
 		slots = defaultSlots
@@ -37,6 +40,10 @@
 	if primary {
 		cost *= primaryCostFactor
 	}
+	if primary && speed.Slow() {
+		// Writes can't avoid a slow primary, so reads leave it first.
+		cost = time.Duration(float64(cost) * speed.Relative)
+	}
 	if server.DataCentre != g.config.Settings.DataCentre {
 		cost += remoteDataCentreCost
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -160,6 +160,10 @@
 	}
 	known.entryMissingSince = time.Time{}
 	known.BackendServer = server
+	if known.speed == nil {
+		known.speed = g.groupSpeed(server.Group).NewServer(server.Slots)
+	}
+	known.speed.SetSlots(server.Slots)
 	known.coldUntil = now.Add(server.ColdRemaining)
 	known.coldLimiter = nil
 	if rate := g.coldRate(server.Group); rate > 0 && server.ColdRemaining > 0 {
@@ -198,7 +202,7 @@
 	var servers []pool.Server
 	for id, server := range g.servers {
 		limit, idle := g.connectionLimits(share, live, server)
-		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Idle: idle, Limit: limit, Slots: server.Slots})
+		servers = append(servers, pool.Server{Address: server.Address, Group: server.Group, ID: id, Idle: idle, Limit: limit, Slots: server.Slots, Speed: server.speed})
 	}
 	g.mu.Unlock()
 	g.pool.SetServers(g.config.Clock(), servers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,8 @@
 	// servers holds the registered backend servers. It is written by
 	// followServers.
 	servers map[fleet.ServerID]*backendServer
+	// speeds compare the servers of each group.
+	speeds map[fleet.GroupID]*pool.GroupSpeed
 	// outOfServiceSince is when this instance learned that a data centre is out of
 	// service, for those that are.
 	outOfServiceSince map[fleet.DataCentre]time.Time
@@ -261,6 +263,9 @@
 	lagBackoff      time.Duration
 	lagBackoffUntil time.Time
 	latency         pool.LatencyEstimator
+	// speed compares the server with the others of its group. A restarted server has a new
+	// one.
+	speed *pool.ServerSpeed
 	// entryMissingSince is when the server's entry disappeared from the store, or
 	// zero.
 	entryMissingSince time.Time
@@ -295,6 +300,7 @@
 		rowBatcher:         newRowBatcher(config.Store.Write),
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
+		speeds:             map[fleet.GroupID]*pool.GroupSpeed{},
 	}
 	g.members.processorShare = config.Settings.ProcessorShare
 	g.pool = pool.New(config.Dialer, config.Clock)
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -25,6 +25,7 @@
 	generation primacy.Generation
 	group      fleet.GroupID
 	conn       *pool.PooledConn
+	route      pool.RouteClass
 	// primary is true if the lease was taken on the primary.
 	primary bool
 	server  fleet.ServerID
@@ -92,6 +93,7 @@
 	if server == nil {
 		return reply, failure
 	}
+	l.recordSpeed(server.speed, sent, now, batch, failure)
 	switch {
 	case failure == nil:
 		server.latency.Record(now, now.Sub(l.requestedAt))
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -211,6 +211,10 @@
 			g.routing == nil || !g.routing.IsInService(candidate.DataCentre) || !candidate.allowRead(now) || (!isPrimary && now.Before(candidate.lagBackoffUntil)) {
 			continue
 		}
+		if len(requirements.Avoid) == 0 && candidate.speed.TakeProbe(now) {
+			best = id
+			break
+		}
 		cost := g.cost(now, candidate, requirements.Workspace, isPrimary)
 		if best == "" || cost < bestCost {
 			best, bestCost = id, cost
@@ -229,7 +233,7 @@
 // lease acquires a connection for a lease, from the idle ones or by opening one. On
 // failure it ends the use of the server.
 func (g *Gateway) lease(requirements session.Requirements, l *lease) (session.Lease, *session.Error) {
-	l.requestedAt = g.config.Clock()
+	l.requestedAt, l.route = g.config.Clock(), routeClass(requirements.Route)
 	conn, failure := g.pool.Acquire(l.server, pool.Request{
 		Deadline: requirements.Deadline.Add(-executionReserve), Priority: requirements.Route.Priority, Transaction: requirements.Transaction, Variables: requirements.Variables,
 		Weight: g.workspaceWeight(requirements.Workspace), Workspace: requirements.Workspace,
@@ -242,6 +246,7 @@
 	l.endUse()
 	if failure.Kind != session.KindBusy {
 		g.reportFailure(l.server)
+		g.recordFailedConnection(l.server)
 	}
 	return nil, &session.Error{
 		Err: errors.New(failure.Text), Kind: session.KindBusy, Op: opConnect, RetryAfter: g.jitteredRetryAfter(failure.RetryAfter), Saturated: failure.Saturated,
--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -106,10 +106,12 @@
 // slotServers are servers in virtual time whose statements take slots, as long as the
 // server is slow.
 type slotServers struct {
-	mu    sync.Mutex
-	ran   map[fleet.ServerID]int
-	slots map[fleet.ServerID]chan struct{}
-	work  map[fleet.ServerID]time.Duration
+	// failing are the servers that refuse all statements.
+	failing map[fleet.ServerID]bool
+	mu      sync.Mutex
+	ran     map[fleet.ServerID]int
+	slots   map[fleet.ServerID]chan struct{}
+	work    map[fleet.ServerID]time.Duration
 }
 
 type slotConn struct {
@@ -144,7 +146,11 @@
 	c.servers.mu.Lock()
 	work := c.servers.work[c.server]
 	c.servers.ran[c.server]++
+	failing := c.servers.failing[c.server]
 	c.servers.mu.Unlock()
+	if failing {
+		return session.Reply{}, &session.RunError{Kind: session.KindBusy}
+	}
 	c.servers.occupy(c.server, work)
 	return session.Reply{Position: fleet.Position{Log: 1, Term: 1}}, nil
 }
--- a/pool/gauges.go
+++ b/pool/gauges.go
@@ -48,7 +48,19 @@
 	Open                   int
 	Refusals               map[RefusalReason]int64
 	ServiceMilliseconds    float64
-	Waiting                int
+	// Speed is nil without a comparison with the other servers of the group.
+	Speed   *SpeedGauges `json:",omitempty"`
+	Waiting int
+}
+
+// SpeedGauges say how fast a server is in comparison with the others of its group.
+type SpeedGauges struct {
+	// AgeMilliseconds is the age of the last statement that could be compared, or negative.
+	AgeMilliseconds int64
+	// Concurrency is the bound of InService, or zero for the usual one.
+	Concurrency int
+	// Relative is the service time divided by that of the fastest other server.
+	Relative float64
 }
 
 // Gauges returns the gauges of all servers.
@@ -67,6 +79,10 @@
 		HandshakeMilliseconds: s.handshake.get().Seconds() * 1000, Idle: len(s.idle), InService: s.inService, InTransactions: s.transactions,
 		Limit: s.limit, Open: s.open, Refusals: maps.Clone(s.refusals), ServiceMilliseconds: s.serviceTime.Seconds() * 1000, Waiting: s.waiting(),
 	}
+	if speed, ok := s.server.Speed.(*ServerSpeed); ok {
+		e := speed.Estimate(now)
+		g.Speed = &SpeedGauges{AgeMilliseconds: max(-1, e.Age.Milliseconds()), Concurrency: e.Concurrency, Relative: e.Relative}
+	}
 	if s.queue.size > 0 {
 		g.ExpectedWaitMilliseconds = (time.Duration(s.queue.size+1) * s.interval.get()).Milliseconds()
 		g.OldestWaitMilliseconds = now.Sub(s.queue.oldest()).Milliseconds()
--- a/pool/pooledconn.go
+++ b/pool/pooledconn.go
@@ -17,10 +17,13 @@
 	grantedAt time.Time
 	// inService is true while a statement of the connection occupies the server: from
 	// the grant to the end of its statement, or to the release outside a transaction.
-	inService  bool
-	owner      *serverState
-	pool       *Pool
-	releasedAt time.Time
+	inService bool
+	// inServiceAtStart is the number of statements and handshakes in service at the server
+	// when the last statement began.
+	inServiceAtStart int
+	owner            *serverState
+	pool             *Pool
+	releasedAt       time.Time
 	// served is the time for which statements have used the connection.
 	served time.Duration
 	// transaction is true while a transaction holds the connection.
@@ -34,6 +37,12 @@
 	c.broken = true
 }
 
+// InServiceAtStart returns the number of statements and handshakes in service at the server
+// when the last statement began, including it.
+func (c *PooledConn) InServiceAtStart() int {
+	return c.inServiceAtStart
+}
+
 // Run runs the commands and measures their time, from which the pool estimates how much
 // the server can do.
 func (c *PooledConn) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
@@ -49,6 +58,7 @@
 	defer p.mu.Unlock()
 	now := p.clock()
 	conn.owner.beginService(now, conn)
+	conn.inServiceAtStart = conn.owner.inService
 	return now
 }
 
