feat: gatewayd bounds what callers and its other ports hold

Large messages, responses and session state are now charged to a budget, and callers are closed in its order; messages of up to 4 KiB are charged nothing. Connections are limited to half of the descriptors.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -43,6 +43,9 @@
 	timelineCapacity = 64
 	// readHeaderTimeout bounds reading the headers of an HTTP request.
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes limits the headers of an HTTP request. Those of other instances
+	// and of probes have less than 1 KiB.
+	maxHeaderBytes = 16 << 10
 	// maxIdleConnections is the maximum number of idle connections to a host. The
 	// store needs one for each table that is followed, and some for other calls.
 	maxIdleConnections = 8
@@ -140,15 +143,21 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 
-	gw, peerHandler := newGateway(settings, epoch, gateway.NewLog(recorder, settings.Log.LinesPerSecond), opened.peers)
+	limits, err := newLimits(settings)
+	if err != nil {
+		return err
+	}
+	log := gateway.NewLog(recorder, settings.Log.LinesPerSecond)
+	gw, peerHandler := newGateway(settings, epoch, log, opened.peers, limits)
 	callers := platform.NewCallerServer(session.Config{
 		Clock: bootTime, AccessController: gw, Jitter: rand.Float64, Observer: gw, Sleep: time.Sleep, Router: gw,
 	}, gw.TransactionIdle)
+	callers.Limit(limits.callerLimits(settings, log))
 	gw.PublishState()
 	recorder.Record(event.InstanceStarted, event.Fields{Text: runtime.Version()})
 	controllerCtx, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
-	failures := start(controllerCtx, gw, callers, peerHandler, opened)
+	failures := start(controllerCtx, gw, callers, peerHandler, opened, limits)
 	for {
 		select {
 		case err := <-failures:
@@ -170,18 +179,18 @@
 }
 
 // start starts the gateway and all servers. The channel receives their failures.
-func start(ctx context.Context, gw *gateway.Gateway, callers *platform.CallerServer, peerHandler http.Handler, opened listeners) <-chan error {
+func start(ctx context.Context, gw *gateway.Gateway, callers *platform.CallerServer, peerHandler http.Handler, opened listeners, limits processLimits) <-chan error {
 	const maxFailures = 5
 	failures := make(chan error, maxFailures)
 	ready := platform.ReadyHandler(func() bool { return gw.Ready(bootTime()) })
 	go func() { failures <- gw.Run(ctx) }()
 	go func() { failures <- callers.Serve(opened.callers) }()
-	go serveHTTP(opened.ready, ready, failures)
+	go serveHTTP(opened.ready, ready, limits.probeConnections, failures)
 	if peerHandler != nil {
-		go serveHTTP(opened.relay, peerHandler, failures)
+		go serveHTTP(opened.relay, peerHandler, limits.peerConnections, failures)
 	}
 	if opened.metrics != nil {
-		go serveHTTP(opened.metrics, expvar.Handler(), failures)
+		go serveHTTP(opened.metrics, expvar.Handler(), limits.probeConnections, failures)
 	}
 	return failures
 }
@@ -205,19 +214,19 @@
 // setMemoryLimit sets the soft memory limit of the Go runtime to half of the
 // instance's memory limit, which is in megabytes.
 func setMemoryLimit(settings gateway.Settings) {
-	const megabyte = 1 << 20
 	debug.SetMemoryLimit(int64(settings.MemoryLimit) * megabyte / 2)
 }
 
 // newGateway returns the gateway, and the handler of the other instances' requests: for
 // the store's contents, and for statements on the servers that this instance owns.
 // Without a connection for peers there are none, and the handler is nil.
-func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn) (*gateway.Gateway, http.Handler) {
+func newGateway(settings gateway.Settings, epoch fleet.Epoch, log *gateway.Log, peers *net.UDPConn, limits processLimits) (*gateway.Gateway, http.Handler) {
 	dialer := platform.NetDialer()
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
 	client := &http.Client{Transport: transport}
 	var gw *gateway.Gateway
 	backendDialer := platform.NewDialer(bootTime, func(server fleet.ServerID) bool { return gw.ReportUnresponsive(server) })
+	backendDialer.LimitResults(limits.results)
 	config := gateway.Config{
 		Clock:    bootTime,
 		Control:  platform.NewControl(),
@@ -244,7 +253,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewServer(endpoint.Secret(), gw).Handler())
 	mux.Handle(owner.NewServer(endpoint.Secret(), gw).Handler())
-	return gw, mux
+	return gw, platform.RequireSecret(endpoint.Secret(), mux)
 }
 
 // newOwnerDialer returns a function that opens connections to owners of groups. If one
@@ -255,10 +264,12 @@
 	return dialer.DialContext
 }
 
-// serveHTTP serves HTTP requests and sends the failure of the server to the channel.
-func serveHTTP(listener net.Listener, handler http.Handler, failures chan<- error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+// serveHTTP serves HTTP requests on a number of connections and sends the failure of the
+// server to the channel.
+func serveHTTP(listener net.Listener, handler http.Handler, connections int, failures chan<- error) {
+	bounded := platform.NewBoundedListener(listener, connections)
+	server := &http.Server{ConnState: bounded.ConnState, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		failures <- err
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -75,6 +75,7 @@
 	RequestLate          Number = 511
 	RequestFailed        Number = 512
 	LinesSuppressed      Number = 513
+	CallerRefused        Number = 514
 	ConnectionOpened     Number = 601
 	ConnectionClosed     Number = 602
 	ConnectionFailed     Number = 603
@@ -148,6 +149,7 @@
 		entry(RequestLate, "RequestLate", LevelInfo, "A request took longer than the target latency of its route.", "Database", "Request", "Server", "Text", "Workspace"),
 		entry(RequestFailed, "RequestFailed", LevelWarning, "A request was refused, failed, or has an unknown outcome.", "Database", "Request", "Server", "Text", "Workspace"),
 		entry(LinesSuppressed, "LinesSuppressed", LevelInfo, "Log lines about requests were dropped by the rate limit of the log. Text holds their number.", "Text"),
+		entry(CallerRefused, "CallerRefused", LevelWarning, "The connection of a caller was refused or closed, because callers held too many connections or bytes. Text holds the reason and the address. The rate of these lines is limited.", "Text"),
 		entry(ConnectionOpened, "ConnectionOpened", LevelDebug, "A connection to a backend server was opened. Currently not recorded.", "Database", "Server"),
 		entry(ConnectionClosed, "ConnectionClosed", LevelDebug, "A connection to a backend server was closed. Currently not recorded.", "Database", "Server", "Text"),
 		entry(ConnectionFailed, "ConnectionFailed", LevelWarning, "A connection to a backend server failed during a request.", "Database", "Server", "Text"),
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/document"
@@ -11,6 +12,8 @@
 // Settings holds the settings of an instance. The file format is JSON with
 // comments, and the keys are in Pascal case.
 type Settings struct {
+	// Callers holds the limits of what callers hold.
+	Callers    CallerSettings
 	DataCentre fleet.DataCentre
 	Instance   fleet.InstanceID
 	// KeyLease is how long keys are accepted after the sheet was last verified
@@ -36,6 +39,19 @@
 	TransactionIdle time.Duration
 }
 
+// CallerSettings holds the limits of what all callers hold together. Zero means that a
+// limit is derived from the memory limit or the descriptor limit of the process.
+type CallerSettings struct {
+	// MaxBytes limits the bytes of incomplete or large messages, large responses and
+	// session state. Zero means a sixth of MemoryLimit.
+	MaxBytes int
+	// MaxConnections limits the connections on Listen.Callers. Zero means half of the
+	// descriptors of the process.
+	MaxConnections int
+	// MaxStateBytes limits the variables and prepared statements of one session.
+	MaxStateBytes int
+}
+
 // Listen holds the listen addresses of the instance.
 type Listen struct {
 	// Callers is the address for database clients.
@@ -60,6 +76,9 @@
 // Rules returns the validation rules of the settings, ordered by key path.
 func Rules() []document.Rule {
 	return []document.Rule{
+		{Path: "Callers.MaxBytes", Default: "0", Min: 0, Max: 1 << 40},
+		{Path: "Callers.MaxConnections", Default: "0", Min: 0, Max: 1 << 20},
+		{Path: "Callers.MaxStateBytes", Default: "4194304", Min: 4096, Max: 1 << 30},
 		{Path: "DataCentre", Format: document.FormatName, Required: true},
 		{Path: "Instance", Format: document.FormatName, Required: true},
 		{Path: "KeyLease", Default: "4.5s", Min: float64(100 * time.Millisecond), Max: float64(time.Minute)},
@@ -85,9 +104,23 @@
 	if problems := d.Problems(); len(problems) > 0 {
 		return Settings{}, &Error{Err: joinProblems(problems), Kind: KindInvalid, Op: "parse settings"}
 	}
+	if err := settings.checkCallers(); err != nil {
+		return Settings{}, &Error{Err: err, Kind: KindInvalid, Op: "parse settings"}
+	}
 	return settings, nil
 }
 
+// checkCallers checks that the limit on bytes admits a message of the largest size, which
+// counts twice, and leaves half of the memory.
+func (s Settings) checkCallers() error {
+	const megabyte = 1 << 20
+	limit := s.Callers.MaxBytes
+	if limit == 0 || (limit >= 4*megabyte && limit <= s.MemoryLimit*megabyte/2) {
+		return nil
+	}
+	return fmt.Errorf("Callers.MaxBytes: %d is not 0 or from 4 MiB to half of MemoryLimit", limit)
+}
+
 func joinProblems(problems []document.Problem) error {
 	var all []error
 	for _, problem := range problems {
