fix: a relay writes a full batch of rows at once

At 100 instances in one data centre their heartbeats failed with "write row: deadline exceeded". A relay wrote at most 50 rows each 700 ms, also when more were waiting, so that the rows of instances that write together waited for longer than the 1.1 s of their callers. A full batch no longer waits for the window.

--- a/gateway/rowbatcher.go
+++ b/gateway/rowbatcher.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// rowBatchWindow is how long a batch collects the rows of instances. It delays
-	// heartbeats, so that it is well below the time that is left of a lease when it is
-	// renewed.
+	// rowBatchWindow is how long a batch collects the rows of instances, unless it is full
+	// before. It delays heartbeats, so that it is well below the time that is left of a
+	// lease when it is renewed.
 	rowBatchWindow = 700 * time.Millisecond
 	// urgentBatchWindow replaces rowBatchWindow once a row in the batch is urgent. When
 	// a primary is to be replaced, the rows of all instances become urgent together.
@@ -41,6 +41,8 @@
 	pending []*pendingRow
 	// urgent is signalled when an urgent row is added.
 	urgent chan struct{}
+	// full is signalled when there are enough rows for a whole transaction.
+	full chan struct{}
 }
 
 // pendingRow is a row that is to be written.
@@ -79,7 +81,7 @@
 	defer b.mu.Unlock()
 	batch := b.batches[row.write.Partition]
 	if batch == nil {
-		batch = &rowBatch{urgent: make(chan struct{}, 1)}
+		batch = &rowBatch{full: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 		b.batches[row.write.Partition] = batch
 		go b.run(row.write.Partition, batch)
 	}
@@ -92,10 +94,18 @@
 	}
 	batch.pending = append(batch.pending, row)
 	if urgent {
-		select {
-		case batch.urgent <- struct{}{}:
-		default:
-		}
+		signal(batch.urgent)
+	}
+	if len(batch.pending) >= maxRowsPerBatch {
+		signal(batch.full)
+	}
+}
+
+// signal sends to a channel with a buffer of one, unless a signal is pending.
+func signal(to chan<- struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
 	}
 }
 
@@ -105,9 +115,13 @@
 		timer := time.NewTimer(rowBatchWindow)
 		select {
 		case <-timer.C:
+		case <-batch.full:
 		case <-batch.urgent:
 			timer.Reset(urgentBatchWindow)
-			<-timer.C
+			select {
+			case <-timer.C:
+			case <-batch.full:
+			}
 		}
 		timer.Stop()
 		b.writeRows(b.take(batch))
@@ -124,6 +138,13 @@
 	count := min(len(batch.pending), maxRowsPerBatch)
 	rows := slices.Clone(batch.pending[:count])
 	batch.pending = slices.Delete(batch.pending, 0, count)
+	select {
+	case <-batch.full:
+	default:
+	}
+	if len(batch.pending) >= maxRowsPerBatch {
+		signal(batch.full)
+	}
 	return rows
 }
 
--- a/gateway/rowbatcher_test.go
+++ b/gateway/rowbatcher_test.go
@@ -150,3 +150,32 @@
 		}
 	})
 }
+
+// TestManyRows guards against a relay that can't write the heartbeats of a large data
+// centre within the timeout of its callers, because it waits for more rows although those
+// of a whole transaction are there.
+func TestManyRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, bound = 200, 1100 * time.Millisecond
+		store := &batchStore{}
+		instance := newRelayInstance(store)
+		for range 2 {
+			started := time.Now()
+			if _, errs := writeRows(t, instance, count, false); errors.Join(errs...) != nil {
+				t.Fatal(errs)
+			}
+			if took := time.Since(started); took > bound {
+				t.Errorf("%d rows took %v, want at most %v", count, took, bound)
+			}
+		}
+		// A batch that is not full waits for more rows.
+		started := time.Now()
+		writeRows(t, instance, 1, false)
+		if took := time.Since(started); took < 700*time.Millisecond {
+			t.Errorf("a single row was written after %v", took)
+		}
+		if len(store.transactions) != 9 {
+			t.Errorf("%d transactions, want 9", len(store.transactions))
+		}
+	})
+}
