fix: urgent rows beyond a full batch don't wait for the next window

If more rows were urgent than a transaction takes, the signal could be used up by the first batches, and the last rows of a change of primary waited for 700 ms. The signals are now derived from the rows that remain.

--- a/gateway/rowbatcher.go
+++ b/gateway/rowbatcher.go
@@ -48,6 +48,7 @@
 // pendingRow is a row that is to be written.
 type pendingRow struct {
 	result chan rowResult
+	urgent bool
 	write  Write
 }
 
@@ -64,8 +65,8 @@
 // Write adds a row to the next batch of its partition and waits for the result. If the
 // context ends first, the row may still be written.
 func (b *rowBatcher) Write(ctx context.Context, write Write, urgent bool) (WriteResult, error) {
-	row := &pendingRow{result: make(chan rowResult, 1), write: write}
-	b.add(row, urgent)
+	row := &pendingRow{result: make(chan rowResult, 1), urgent: urgent, write: write}
+	b.add(row)
 	select {
 	case result := <-row.result:
 		return result.result, result.err
@@ -76,7 +77,7 @@
 
 // add adds a row to the batch of its partition, and starts the batch if there is none. A
 // row with the same key that has not been written yet is replaced.
-func (b *rowBatcher) add(row *pendingRow, urgent bool) {
+func (b *rowBatcher) add(row *pendingRow) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := b.batches[row.write.Partition]
@@ -93,11 +94,17 @@
 		}
 	}
 	batch.pending = append(batch.pending, row)
-	if urgent {
-		signal(batch.urgent)
+	batch.signal()
+}
+
+// signal tells run whether the rows are to be written before the end of the window. The
+// caller holds the batcher's mu.
+func (b *rowBatch) signal() {
+	if slices.ContainsFunc(b.pending, func(row *pendingRow) bool { return row.urgent }) {
+		signal(b.urgent)
 	}
-	if len(batch.pending) >= maxRowsPerBatch {
-		signal(batch.full)
+	if len(b.pending) >= maxRowsPerBatch {
+		signal(b.full)
 	}
 }
 
@@ -138,13 +145,13 @@
 	count := min(len(batch.pending), maxRowsPerBatch)
 	rows := slices.Clone(batch.pending[:count])
 	batch.pending = slices.Delete(batch.pending, 0, count)
-	select {
-	case <-batch.full:
-	default:
-	}
-	if len(batch.pending) >= maxRowsPerBatch {
-		signal(batch.full)
+	for _, signalled := range []chan struct{}{batch.full, batch.urgent} {
+		select {
+		case <-signalled:
+		default:
+		}
 	}
+	batch.signal()
 	return rows
 }
 
--- a/gateway/rowbatcher_test.go
+++ b/gateway/rowbatcher_test.go
@@ -179,3 +179,21 @@
 		}
 	})
 }
+
+// TestManyUrgentRows guards against a change of primary that waits for the next regular
+// batch because more rows are urgent than a transaction takes.
+func TestManyUrgentRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, bound, rounds = 110, 100 * time.Millisecond, 20
+		instance := newRelayInstance(&batchStore{})
+		for range rounds {
+			started := time.Now()
+			if _, errs := writeRows(t, instance, count, true); errors.Join(errs...) != nil {
+				t.Fatal(errs)
+			}
+			if took := time.Since(started); took > bound {
+				t.Errorf("%d urgent rows took %v, want at most %v", count, took, bound)
+			}
+		}
+	})
+}
