fix: a relay that lost history names no changes since a revision in the gap

A row that was created and deleted while a relay could not read the store was never in its copy. After the relay had read the whole table, it sent changes without that deletion to a reader whose revision lay in between, and the reader kept the row until it read the whole table itself. Such a reader now gets all rows. Readers of the relay's own last revision, which are nearly all, still get changes. TestChangesAfterLostHistory expected one deletion for a reader in between; it now applies the answer to a reader's copy and compares all rows, and checks the deletion for a reader of the earlier revision.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -47,6 +47,10 @@
 type Mirror struct {
 	// changesKnownFrom is the revision after which all deletions are known.
 	changesKnownFrom Revision
+	// gapFrom and gapTo are the revisions before and after the last complete answer about
+	// the loaded table. A row that was created and deleted between them was never in this
+	// copy, but may be in that of a reader of a revision between them.
+	gapFrom, gapTo Revision
 	// tombstones are the rows that were deleted after changesKnownFrom.
 	tombstones map[string]Row
 	loaded     bool
@@ -89,9 +93,13 @@
 	if snapshot.Complete {
 		changed = m.deleteMissing(snapshot)
 	}
-	if snapshot.Complete && !m.loaded {
+	switch {
+	case snapshot.Complete && !m.loaded:
 		m.changesKnownFrom = snapshot.Revision
 		clear(m.tombstones)
+	case snapshot.Complete && snapshot.Revision > m.revision:
+		m.changesKnownFrom = max(m.changesKnownFrom, m.gapTo)
+		m.gapFrom, m.gapTo = m.revision, snapshot.Revision
 	}
 	for _, row := range snapshot.Rows {
 		row.Base = RowVersion{}
@@ -165,7 +173,8 @@
 // ChangesSince returns the changes after a revision, in the form of the store's
 // answers. If not all deletions since then are known, it returns all rows.
 func (m *Mirror) ChangesSince(after Revision) Snapshot {
-	snapshot := Snapshot{Complete: after < m.changesKnownFrom, Revision: m.revision, StoreTime: m.storeTime}
+	complete := after < m.changesKnownFrom || (m.gapFrom < after && after < m.gapTo)
+	snapshot := Snapshot{Complete: complete, Revision: m.revision, StoreTime: m.storeTime}
 	for _, rows := range []map[string]Row{m.rows, m.tombstones} {
 		for _, row := range rows {
 			if row.Revision > after || (snapshot.Complete && !row.Deleted) {
--- a/feed/since_test.go
+++ b/feed/since_test.go
@@ -109,11 +109,26 @@
 	if want := 2 * len(value); bytes != want {
 		t.Errorf("%d bytes of values, want %d", bytes, want)
 	}
-	// A later response of the same answer may have shown the deletion of a row that a
-	// reader of revision 403 still has.
+	// A reader of a revision in between may have a row that the copy never had: a later
+	// response of the same answer may have shown its deletion.
 	source.Apply(complete(410), begin)
-	if snapshot := source.ChangesSince(403); len(snapshot.Rows) != 1 || !snapshot.Rows[0].Deleted {
-		t.Errorf("changes since 403: %+v, want the deletion", snapshot.Rows)
+	reader := feed.NewMirror()
+	reader.Apply(complete(403), begin)
+	reader.Apply(feed.Snapshot{Revision: 405, Rows: []feed.Row{{Key: "created and deleted", Revision: 404}, {Key: "9", Revision: 405}}}, begin)
+	reader.Apply(source.ChangesSince(405), begin)
+	if diff := cmp.Diff(source.Rows(), reader.Rows()); diff != "" {
+		t.Errorf("rows of the reader of revision 405 (-want +got):\n%s", diff)
+	}
+	// So may a reader of the copy's earlier revision, if its own read had several responses.
+	if snapshot := source.ChangesSince(402); len(snapshot.Rows) != 1 || !snapshot.Rows[0].Deleted {
+		t.Errorf("changes since 402: %+v, want the deletion", snapshot.Rows)
+	}
+	// The readers of the copy's earlier revision still get changes, and one of a revision
+	// between two earlier answers gets all rows.
+	for after, want := range map[feed.Revision]bool{300: true, 401: true, 402: false, 403: true, 410: false} {
+		if got := source.ChangesSince(after).Complete; got != want {
+			t.Errorf("complete since %d: %t, want %t", after, got, want)
+		}
 	}
 }
 
