fix: bound the memory of relayed rows and of requests to a relay

A few kilobytes of packed rows could take any amount of memory at the receiver: by compression, by parts of the base that are repeated, by millions of deleted rows. A copy above the bound was cut off there without an error, and if that was between two rows, those missing counted as deleted. Messages of any length were decoded, also before the secret of a caller was checked. All of these are errors now. TestOversizedRows accepted all of the cases before.

--- a/relay/pack.go
+++ b/relay/pack.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"compress/gzip"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -20,10 +21,16 @@
 	// maxValueBytes bounds a value that is decoded. Rows of the store have at most 65,536
 	// bytes.
 	maxValueBytes = 1 << 20
-	// maxCopyBytes bounds a decompressed copy of a table.
-	maxCopyBytes = 64 << 20
+	// maxCopyBytes bounds a message, a decompressed copy of a table, and the keys and values
+	// of its rows. The rows of 1,000 instances and their configuration are well below 1 MiB.
+	maxCopyBytes = 16 << 20
+	// rowBytes is added to the length of a row's key and value for the memory it occupies.
+	rowBytes = 128
 )
 
+// errTooLarge is the error of rows that are larger than any copy of a table.
+var errTooLarge = errors.New("the rows are larger than a copy of a table may be")
+
 // Forms of a row in packed rows.
 const (
 	formDeleted = 0
@@ -79,7 +86,7 @@
 func unpackRows(packed []byte, known func(key string) feed.RowVersion) ([]feed.Row, error) {
 	r := reader{data: packed}
 	var rows []feed.Row
-	previous := feed.Row{}
+	previous, decoded := feed.Row{}, 0
 	for len(r.data) > 0 {
 		shared, suffix := r.length(), r.bytes()
 		if shared > len(previous.Key) {
@@ -102,6 +109,9 @@
 		if err := unpackValue(&row, form, content, baseRevision, known); err != nil {
 			return nil, fmt.Errorf("row %s: %w", row.Key, err)
 		}
+		if decoded += rowBytes + len(row.Key) + len(row.Value); decoded > maxCopyBytes {
+			return nil, errTooLarge
+		}
 		rows = append(rows, row)
 		previous = row
 	}
@@ -141,7 +151,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(content, maxCopyBytes))
+	decompressed, err := io.ReadAll(io.LimitReader(content, maxCopyBytes+1))
+	if err == nil && len(decompressed) > maxCopyBytes {
+		err = errTooLarge
+	}
+	return decompressed, err
 }
 
 // reader reads packed values. After a malformed one, failed is true and all values are
--- a/relay/pack_test.go
+++ b/relay/pack_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -86,11 +88,12 @@
 // malformedServer answers with arbitrary packed rows.
 type malformedServer struct {
 	nutmegpierv1connect.UnimplementedRelayServiceHandler
-	packed []byte
+	compressed bool
+	packed     []byte
 }
 
 func (s malformedServer) Changes(context.Context, *connect.Request[nutmegpierv1.ChangesRequest]) (*connect.Response[nutmegpierv1.ChangesResponse], error) {
-	return connect.NewResponse(&nutmegpierv1.ChangesResponse{Packed: s.packed}), nil
+	return connect.NewResponse(&nutmegpierv1.ChangesResponse{Compressed: s.compressed, Packed: s.packed}), nil
 }
 
 // FuzzPackedRows guards against malformed rows that end the process.
@@ -107,3 +110,43 @@
 		})
 	})
 }
+
+// TestOversizedRows guards against rows that are small on the wire and take all memory of
+// the receiver, and against a copy that is cut off at the bound, whose missing rows count
+// as deleted.
+func TestOversizedRows(t *testing.T) {
+	const bound = 16 << 20
+	compress := func(content []byte) []byte {
+		var compressed bytes.Buffer
+		writer := gzip.NewWriter(&compressed)
+		_, _ = writer.Write(content)
+		_ = writer.Close()
+		return compressed.Bytes()
+	}
+	// The encoding of a deleted row without a key is four zeros.
+	const rowBytes = 4
+	// A row whose value is that of the base sixteen times.
+	base := feed.RowVersion{Revision: 6, Value: make([]byte, 1<<16)}
+	copies := append([]byte{0}, bytes.Repeat([]byte{0x80, 0x80, 4, 0, 0}, 16)...)
+	large := append([]byte{0, 0, 0x10, 3, 2, byte(len(copies))}, copies...)
+	larger := append([]byte{0, 0, 0, 3, 2, byte(len(copies))}, copies...)
+	for name, server := range map[string]malformedServer{
+		"compressed rows":   {compressed: true, packed: compress(make([]byte, bound+rowBytes))},
+		"many rows":         {packed: make([]byte, rowBytes*(bound/100))},
+		"repeated parts":    {packed: append(large, bytes.Repeat(larger, 16)...)},
+		"uncompressed rows": {packed: make([]byte, bound+rowBytes)},
+	} {
+		mux := http.NewServeMux()
+		mux.Handle(nutmegpierv1connect.NewRelayServiceHandler(server))
+		snapshot, err := relay.NewClient(&handlerClient{handler: mux}).Changes(context.Background(), "relay", nil, relay.Request{}, func(string) feed.RowVersion { return base })
+		if err == nil {
+			t.Errorf("%s: %d rows were accepted", name, len(snapshot.Rows))
+		}
+	}
+	// The secret is checked after the request was decoded.
+	s := &source{}
+	_, err := relay.NewClient(newHandlerClient(s, 0)).WriteRow(context.Background(), "relay", []byte("secret"), relay.RowWrite{Key: "i", Value: make([]byte, 1<<20)})
+	if err == nil {
+		t.Error("a row larger than the store takes was accepted")
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,10 @@
 // may ask again.
 const retryHeader = "Nutmegpier-Retry-After-Ms"
 
+// maxRequestBytes bounds a request, which is decoded before its secret is checked. The
+// largest one writes a row of at most 65,536 bytes.
+const maxRequestBytes = 128 << 10
+
 // Request asks for a newer answer of the store about a table.
 type Request struct {
 	// After is the revision up to which the caller knows the table.
@@ -97,7 +101,7 @@
 
 // Handler returns the path and the HTTP handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
-	return nutmegpierv1connect.NewRelayServiceHandler(s)
+	return nutmegpierv1connect.NewRelayServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Changes serves one call.
@@ -239,7 +243,7 @@
 // newClient returns a client of the instance at an address. Responses are not
 // compressed: they contain only changes, and a relay sends them to many instances.
 func (c *Client) newClient(address string) nutmegpierv1connect.RelayServiceClient {
-	return nutmegpierv1connect.NewRelayServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	return nutmegpierv1connect.NewRelayServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxCopyBytes))
 }
 
 // WriteRow calls the instance at an address, with the secret of that instance.
