fix: a relayed change with the store time of the last answer is applied

While an instance waited for its relay or the store, an answer counted as new only if its store time, in milliseconds, was later than that of the copy. Rows of an answer within the same millisecond went into the copy, but were not reported as changed, so that a version of the configuration came into force only with the next one. Changed rows now count as well. TestChangeInSameMillisecond failed before.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -147,7 +147,7 @@
 		}
 		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, 0)
-		if err == nil && f.mirror.StoreTime() > storeTimeBefore {
+		if err == nil && (len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore) {
 			f.gateway.recordRelayRecovered(peer)
 			return changed, true
 		}
@@ -262,7 +262,7 @@
 func (f *tableFollower) awaitRelay(ctx context.Context, peer relayPeer) ([]feed.Row, error) {
 	storeTimeBefore := f.mirror.StoreTime()
 	changed, err := f.fetchFromRelay(ctx, peer, 0)
-	if err != nil || f.mirror.StoreTime() <= storeTimeBefore {
+	if err != nil || (len(changed) == 0 && f.mirror.StoreTime() <= storeTimeBefore) {
 		return nil, &Error{Err: err, Kind: KindHistory, Op: "await relay"}
 	}
 	f.historyLost = false
--- /dev/null
+++ b/gateway/stalerelay_test.go
@@ -0,0 +1,98 @@
+//go:build !race
+
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/relay"
+)
+
+// relayOf returns the name of an instance that is the relay of the instance "i".
+func relayOf() fleet.InstanceID {
+	id := fleet.InstanceID("j")
+	for fleet.Owners("relay", []fleet.InstanceID{"i", id}, 1)[0] != id {
+		id += "j"
+	}
+	return id
+}
+
+// sheetSource records whether a sheet with rows was seen.
+type sheetSource struct {
+	emptySource
+	seen atomic.Bool
+}
+
+func (s *sheetSource) Sheet(rows map[string]feed.Row) (gateway.SheetUpdate, bool, error) {
+	if len(rows) > 0 {
+		s.seen.Store(true)
+	}
+	return gateway.SheetUpdate{}, false, nil
+}
+
+// sameTimeRelay is an interruptedRelay. From its return on it has a row of the sheet that
+// was written in the millisecond of its last answer before.
+type sameTimeRelay struct {
+	interruptedRelay
+	mu       sync.Mutex
+	answered bool
+	last     time.Duration
+}
+
+func (r *sameTimeRelay) Changes(ctx context.Context, address string, secret []byte, request relay.Request, known func(string) feed.RowVersion) (feed.Snapshot, error) {
+	snapshot, err := r.interruptedRelay.Changes(ctx, address, secret, request, known)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil || request.Table != string(sheetTable):
+	case time.Since(r.startedAt) < time.Second:
+		r.last = snapshot.StoreTime
+	default:
+		snapshot.Revision = 6
+		if request.After < 6 {
+			snapshot.Rows = []feed.Row{{Key: "sheet", Revision: 6}}
+		}
+		if !r.answered {
+			snapshot.StoreTime, r.answered = r.last, true
+		}
+	}
+	return snapshot, err
+}
+
+// TestChangeInSameMillisecond guards against a version of the configuration that comes
+// into force only with the next one, because the relay's answer with it has the store time
+// of the last answer before the store lost its history.
+func TestChangeInSameMillisecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &compactedStore{relay: relayOf(), startedAt: time.Now()}
+		source := &sheetSource{}
+		recorder := event.New("i", 1, time.Now, event.NewLogger(io.Discard, "json", event.LevelError), 16)
+		g := gateway.New(gateway.Config{
+			Clock: time.Now, Epoch: 8, Instance: "i", Log: gateway.NewLog(recorder, 1),
+			RelayClient: &sameTimeRelay{interruptedRelay: interruptedRelay{store: s, failsFor: 1500 * time.Millisecond, startedAt: time.Now()}},
+			Settings:    gateway.Settings{KeyLease: time.Second}, Source: source, Store: s,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = g.Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-done
+		if !source.seen.Load() {
+			t.Error("the row was not applied")
+		}
+	})
+}
