fix: readers of a relay that repeats an old answer turn to the store

A relay whose calls to the store hang, or whose loop is blocked by a write, went on sending its last answer. Its readers took that as a response, and none of them read the store before the leases of 4.5 s ended. After a lost history it asks the relay without a long poll, which could take 2 s more. TestRepeatingRelay found no read of any of the four tables before.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -206,13 +206,21 @@
 	}
 	peer, useRelay := f.gateway.currentRelay(now)
 	if useRelay && f.useRelay && !f.bypassRelay {
-		if !f.mirror.Loaded() {
+		if !f.mirror.Loaded() || f.historyLost {
 			wait = 0
 		}
+		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, wait)
-		if err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return changed, err
 		}
+		if err == nil {
+			if len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore || mayAwaitRelay(f.gateway.config.Clock(), f.mirror.VerifiedAt(), 1) {
+				return changed, nil
+			}
+			// The relay repeats an old answer. The leases of this instance are about to end.
+			return f.readStore(ctx, 0)
+		}
 		if f.loadStartedAt.IsZero() {
 			f.loadStartedAt = now
 		}
@@ -232,6 +240,11 @@
 	if f.useRelay {
 		wait = min(wait, relayLongPollWait)
 	}
+	return f.readStore(ctx, wait)
+}
+
+// readStore is fetchFromStore, after whose failure the copy is not relayed.
+func (f *tableFollower) readStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	changed, err := f.fetchFromStore(ctx, wait)
 	if err != nil {
 		f.markStoreFailed()
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -263,7 +263,9 @@
 				if phaseChanged {
 					nextHeartbeat = now
 				}
-				if aboutToHold {
+				if aboutToHold || now.Sub(f.mirror.VerifiedAt()) > memberPollInterval {
+					// In the second case the relay is late. At the regular interval, this
+					// instance would turn to the store only when its leases end.
 					nextPoll = now.Add(startupPollInterval)
 				}
 				g.pruneMember(ctx)
--- a/gateway/stalerelay_test.go
+++ b/gateway/stalerelay_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -96,3 +97,66 @@
 		}
 	})
 }
+
+// repeatingRelay repeats its answer of 1 s later on.
+type repeatingRelay struct {
+	store     *compactedStore
+	startedAt time.Time
+}
+
+func (r *repeatingRelay) Changes(ctx context.Context, _ string, _ []byte, request relay.Request, _ func(string) feed.RowVersion) (feed.Snapshot, error) {
+	if request.Wait {
+		time.Sleep(500 * time.Millisecond)
+	}
+	storeTime := min(r.store.now(), time.Hour+time.Second)
+	return feed.Snapshot{Complete: request.After == 0, Revision: 5, StoreTime: storeTime}, ctx.Err()
+}
+
+func (r *repeatingRelay) WriteRow(context.Context, string, []byte, relay.RowWrite) (relay.RowWriteResult, error) {
+	return relay.RowWriteResult{Applied: true, Revision: 5}, nil
+}
+
+// readStore is a compactedStore with history that records when each table is read.
+type readStore struct {
+	compactedStore
+	reads map[gateway.Table][]time.Duration
+}
+
+func (s *readStore) Changes(_ context.Context, table gateway.Table, _ feed.Revision, wait time.Duration) (feed.Snapshot, error) {
+	s.mu.Lock()
+	s.reads[table] = append(s.reads[table], time.Since(s.startedAt))
+	s.mu.Unlock()
+	time.Sleep(storeLatency + wait)
+	return feed.Snapshot{Revision: 5, StoreTime: s.now()}, nil
+}
+
+// Write writes no leader's row, so that only the relay's reader reads the instances' rows.
+func (s *readStore) Write(_ context.Context, writes []gateway.Write) (gateway.WriteResult, error) {
+	if writes[0].Key == ".leader" {
+		return gateway.WriteResult{}, errors.New("another instance is the leader")
+	}
+	return gateway.WriteResult{Applied: true, Revision: 5}, nil
+}
+
+// TestRepeatingRelay guards against an instance whose leases end because its relay goes
+// on sending an old answer: its own calls to the store hang, or its loop is blocked.
+func TestRepeatingRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &readStore{compactedStore: compactedStore{relay: relayOf(), startedAt: time.Now()}, reads: map[gateway.Table][]time.Duration{}}
+		runGateway(t, s, time.Now, &repeatingRelay{store: &s.compactedStore, startedAt: time.Now()})
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// The lease of 4.5 s leaves time for the read.
+		const deadline = time.Second + 4*time.Second
+		for _, table := range []gateway.Table{instanceTable, sheetTable, serverTable, "nutmegpier-primaries"} {
+			inTime := false
+			for _, at := range s.reads[table] {
+				inTime = inTime || (at > time.Second && at <= deadline)
+			}
+			if !inTime {
+				t.Errorf("%s was read from the store at %v, want after 1 s and until %v", table, s.reads[table], deadline)
+			}
+		}
+	})
+}
