fix: a busy relay delays no instance beyond the time that it has

An instance that a relay told to ask again for a whole table slept for up to 2.5 s more when its 2.5 s were nearly over, and then asked four more times with that delay, so that it read the store after 5 to 12 s. One with a copy, which waited after a lost history, slept the same time and could pass the end of its leases. The delay is now bounded by the time that is left, and a lost history is polled at 250 ms.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -224,10 +224,11 @@
 		if f.loadStartedAt.IsZero() {
 			f.loadStartedAt = now
 		}
-		if since := f.mirror.VerifiedAt(); mayAwaitLoad(f.gateway.config.Clock(), later(since, f.loadStartedAt), err) {
-			return nil, err
+		since := later(f.mirror.VerifiedAt(), f.loadStartedAt)
+		if delay, mayAwait := loadRetryDelay(f.gateway.config.Clock(), since, err); mayAwait {
+			return nil, &relay.Error{Err: err, Kind: relay.KindRefused, Op: "load", RetryAfter: delay}
 		}
-		if !f.mirror.Loaded() && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
+		if !f.mirror.Loaded() && busyRelayDelay(err) == 0 && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
 			f.loadRefusals++
 			return nil, err
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -235,19 +235,22 @@
 // relayRetryDelay returns after which time a relay that refused a request may be asked
 // again, and whether it may.
 func relayRetryDelay(err error) (delay time.Duration, mayRetry bool) {
-	var relayErr *relay.Error
-	if errors.As(err, &relayErr) && relayErr.RetryAfter > 0 {
-		return min(relayErr.RetryAfter, maxLoadWait), true
+	if isHistoryLost(err) {
+		// What is left of the leases is shorter than the time that a relay may name.
+		return relayPollInterval, true
+	}
+	if delay := busyRelayDelay(err); delay > 0 {
+		return delay, true
 	}
-	return relayPollInterval, isRelayRefusal(err) || isHistoryLost(err)
+	return relayPollInterval, isRelayRefusal(err)
 }
 
-// mayAwaitLoad reports whether an instance that the relay told to ask again for a whole
-// table does so, and does not read it from the store. It started to load the table, or
-// last verified its copy, at the given time.
-func mayAwaitLoad(now, since time.Time, err error) bool {
-	var relayErr *relay.Error
-	return errors.As(err, &relayErr) && relayErr.RetryAfter > 0 && now.Sub(since) < maxLoadWait
+// loadRetryDelay returns after which time an instance that the relay told to ask again for
+// a whole table does so. It reports false if the instance reads the store instead, because
+// it started to load the table, or last verified its copy, maxLoadWait ago.
+func loadRetryDelay(now, since time.Time, err error) (delay time.Duration, mayAwait bool) {
+	retryAfter, remaining := busyRelayDelay(err), maxLoadWait-now.Sub(since)
+	return max(min(retryAfter, remaining), relayPollInterval), retryAfter > 0 && remaining > 0
 }
 
 // isHistoryLost reports whether the store no longer has the requested changes.
@@ -262,6 +265,16 @@
 	return errors.As(err, &relayErr) && relayErr.Kind == relay.KindRefused
 }
 
+// busyRelayDelay returns after which time the relay told this instance to ask again, or
+// zero.
+func busyRelayDelay(err error) time.Duration {
+	var relayErr *relay.Error
+	if !errors.As(err, &relayErr) {
+		return 0
+	}
+	return max(0, relayErr.RetryAfter)
+}
+
 // recordRelayRecovered makes this instance read from its relay again.
 func (g *Gateway) recordRelayRecovered(peer relayPeer) {
 	g.mu.Lock()
--- a/gateway/stalerelay_test.go
+++ b/gateway/stalerelay_test.go
@@ -160,3 +160,27 @@
 		}
 	})
 }
+
+// busyRelay tells each reader to ask again later.
+type busyRelay struct{ repeatingRelay }
+
+func (*busyRelay) Changes(context.Context, string, []byte, relay.Request, func(string) feed.RowVersion) (feed.Snapshot, error) {
+	return feed.Snapshot{}, &relay.Error{Err: errors.New("busy"), Kind: relay.KindRefused, Op: "changes", RetryAfter: 2400 * time.Millisecond}
+}
+
+// TestBusyRelayAtStart guards against an instance that asks a relay which is sending whole
+// tables to others for twice the time that it has, because it is told to return late.
+func TestBusyRelayAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &compactedStore{relay: relayOf(), startedAt: time.Now()}
+		runGateway(t, s, time.Now, &busyRelay{})
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// The relay is asked for 2.5 s after the instance knows it.
+		const deadline = 3 * time.Second
+		if len(s.sheetReads) == 0 || s.sheetReads[0] > deadline {
+			t.Errorf("the sheet was read at %v, want until %v", s.sheetReads, deadline)
+		}
+	})
+}
