--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -150,7 +150,7 @@
 		}
 		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, 0)
-		if err == nil && f.mirror.StoreTime() > storeTimeBefore {
+		if err == nil && (len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore) {
 			f.gateway.recordRelayRecovered(peer)
 			return changed, true
 		}
@@ -209,20 +209,29 @@
 	}
 	peer, useRelay := f.gateway.currentRelay(now)
 	if useRelay && f.useRelay && !f.bypassRelay {
-		if !f.mirror.Loaded() {
+		if !f.mirror.Loaded() || f.historyLost {
 			wait = 0
 		}
+		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, wait)
-		if err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return changed, err
 		}
+		if err == nil {
+			if len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore || mayAwaitRelay(f.gateway.config.Clock(), f.mirror.VerifiedAt(), 1) {
+				return changed, nil
+			}
+			// The relay repeats an old answer. The leases of this instance are about to end.
+			return f.readStore(ctx, 0)
+		}
 		if f.loadStartedAt.IsZero() {
 			f.loadStartedAt = now
 		}
-		if since := f.mirror.VerifiedAt(); mayAwaitLoad(f.gateway.config.Clock(), later(since, f.loadStartedAt), err) {
-			return nil, err
+		since := later(f.mirror.VerifiedAt(), f.loadStartedAt)
+		if delay, mayAwait := loadRetryDelay(f.gateway.config.Clock(), since, err); mayAwait {
+			return nil, &relay.Error{Err: err, Kind: relay.KindRefused, Op: "load", RetryAfter: delay}
 		}
-		if !f.mirror.Loaded() && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
+		if !f.mirror.Loaded() && busyRelayDelay(err) == 0 && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
 			f.loadRefusals++
 			return nil, err
 		}
@@ -235,6 +244,11 @@
 	if f.useRelay {
 		wait = min(wait, relayLongPollWait)
 	}
+	return f.readStore(ctx, wait)
+}
+
+// readStore is fetchFromStore, after whose failure the copy is not relayed.
+func (f *tableFollower) readStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	changed, err := f.fetchFromStore(ctx, wait)
 	if err != nil {
 		f.markStoreFailed()
@@ -265,7 +279,7 @@
 func (f *tableFollower) awaitRelay(ctx context.Context, peer relayPeer) ([]feed.Row, error) {
 	storeTimeBefore := f.mirror.StoreTime()
 	changed, err := f.fetchFromRelay(ctx, peer, 0)
-	if err != nil || f.mirror.StoreTime() <= storeTimeBefore {
+	if err != nil || (len(changed) == 0 && f.mirror.StoreTime() <= storeTimeBefore) {
 		return nil, &Error{Err: err, Kind: KindHistory, Op: "await relay"}
 	}
 	f.historyLost = false
