fix: give less urgent requests their minimum although urgent ones wait longer

While a workspace is over its rate and its urgent requests wait longer for a token than the others, the others got nearly nothing: urgent requests always reserved the tokens of the next 200 ms first, and a token granted from the minimum of the others was used by an urgent request waiting at the same instance.

A pool now leaves one token while it owes less urgent requests of their minimum, and an instance uses a token for requests of the class for which it was granted, if any wait.

--- a/workspace/account.go
+++ b/workspace/account.go
@@ -10,6 +10,8 @@
 
 // tokenLot is a number of tokens that were taken from a pool in one call.
 type tokenLot struct {
+	// class is the class for which the pool granted them.
+	class                 Class
 	count                 float64
 	usableFrom, expiresAt time.Time
 }
@@ -70,14 +72,28 @@
 	slices.SortStableFunc(a.lots, func(x, y tokenLot) int { return x.usableFrom.Compare(y.usableFrom) })
 }
 
-// takeToken uses one token that came from a pool. It reports false if there is none.
-func (a *account) takeToken(now time.Time) bool {
+// takeToken uses one token that came from a pool, and returns the index of the waiter that
+// gets it, if there are waiters. It reports false if there is none.
+func (a *account) takeToken(now time.Time) (next int, found bool) {
 	a.lots = slices.DeleteFunc(a.lots, func(l tokenLot) bool { return l.count < 1 || !now.Before(l.expiresAt) })
 	if len(a.lots) == 0 || now.Before(a.lots[0].usableFrom) {
-		return false
+		return 0, false
 	}
 	a.lots[0].count--
-	return true
+	return max(0, a.lots[0].nextWaiter(a.waiters)), true
+}
+
+// nextWaiter returns the index of the waiter that gets a token of a lot: the most urgent one
+// or, if the token was granted for less urgent requests, the most urgent of these. Urgent
+// requests that wait longer would otherwise use the minimum of the others. It returns -1 if
+// no waiter can wait for the token.
+func (l tokenLot) nextWaiter(waiters []waiter) int {
+	canWait := func(w waiter) bool { return l.usableFrom.Before(w.until) }
+	i := slices.IndexFunc(waiters, func(w waiter) bool { return w.class >= l.class && canWait(w) })
+	if i < 0 {
+		i = slices.IndexFunc(waiters, canWait)
+	}
+	return i
 }
 
 // held returns the number of tokens that can be used now or later.
@@ -94,19 +110,17 @@
 // uncovered returns the waiters for which no token is held that becomes usable before
 // they have to be refused, and when the next held token becomes usable.
 func (a *account) uncovered(now time.Time) (waiters []waiter, nextToken time.Time) {
-	lot, left := -1, 0.0
-	for _, w := range a.waiters {
-		for left < 1 && lot+1 < len(a.lots) {
-			lot++
-			left = a.lots[lot].count
-		}
-		if left < 1 || !a.lots[lot].usableFrom.Before(w.until) {
-			waiters = append(waiters, w)
-			continue
-		}
-		left--
-		if nextToken.IsZero() {
-			nextToken = a.lots[lot].usableFrom
+	waiters = slices.Clone(a.waiters)
+	for _, lot := range a.lots {
+		for left := lot.count; left >= 1; left-- {
+			i := lot.nextWaiter(waiters)
+			if i < 0 {
+				return waiters, nextToken
+			}
+			waiters = slices.Delete(waiters, i, i+1)
+			if nextToken.IsZero() {
+				nextToken = lot.usableFrom
+			}
 		}
 	}
 	return waiters, nextToken
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -155,7 +155,7 @@
 	account := a.account(now, request.Workspace)
 	account.demand.Record(now, true)
 	if len(account.waiters) == 0 {
-		if decision := a.useToken(now, account); decision.Admitted {
+		if decision, _ := a.useToken(now, account); decision.Admitted {
 			a.prefetch(now, account, &step)
 			a.finish(now, &step)
 			return decision, 0, step
@@ -256,7 +256,12 @@
 			a.prefetching[take.Workspace] = account
 		}
 		lifetime := a.limiter.PoolLocation(now, take.Workspace).Lifetime
-		account.addLot(tokenLot{count: grant.Taken, usableFrom: now.Add(grant.Delay), expiresAt: sentAt.Add(grant.Delay + lifetime)})
+		lot := tokenLot{class: take.Class, count: grant.Taken, usableFrom: now.Add(grant.Delay), expiresAt: sentAt.Add(grant.Delay + lifetime)}
+		if take.Want == 0 {
+			// Tokens taken in advance are for any request.
+			lot.class = 0
+		}
+		account.addLot(lot)
 	} else if take.Extra > 0 {
 		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
 	}
@@ -269,13 +274,17 @@
 	}
 }
 
-// useToken admits a request by the direct share or by a token from a pool.
-func (a *Admitter) useToken(now time.Time, account *account) Decision {
-	decision := a.limiter.Admit(now, account.workspace)
-	if !decision.Admitted && account.takeToken(now) {
-		return Decision{Admitted: true}
+// useToken admits a request by the direct share or by a token from a pool. It returns the
+// index of the waiter that is admitted, if there are waiters.
+func (a *Admitter) useToken(now time.Time, account *account) (decision Decision, next int) {
+	decision = a.limiter.Admit(now, account.workspace)
+	if decision.Admitted {
+		return decision, 0
 	}
-	return decision
+	if next, found := account.takeToken(now); found {
+		return Decision{Admitted: true}, next
+	}
+	return decision, 0
 }
 
 // settle decides on the waiting requests of a workspace, and requests tokens for those
@@ -309,11 +318,12 @@
 func (a *Admitter) admitWaiting(now time.Time, account *account, step *Step) Decision {
 	var decision Decision
 	for len(account.waiters) > 0 {
-		if decision = a.useToken(now, account); !decision.Admitted {
+		var next int
+		if decision, next = a.useToken(now, account); !decision.Admitted {
 			break
 		}
-		step.Decided = append(step.Decided, Outcome{Decision: Decision{Admitted: true}, Ticket: account.waiters[0].ticket})
-		account.waiters = slices.Delete(account.waiters, 0, 1)
+		step.Decided = append(step.Decided, Outcome{Decision: Decision{Admitted: true}, Ticket: account.waiters[next].ticket})
+		account.waiters = slices.Delete(account.waiters, next, next+1)
 	}
 	for _, w := range slices.Clone(account.waiters) {
 		if !now.Before(w.until) {
--- a/workspace/admitter_test.go
+++ b/workspace/admitter_test.go
@@ -225,9 +225,12 @@
 		// minUrgent and minOther are fractions of what the pools get. The first case
 		// asks for 0.71 of it in urgent requests.
 		minUrgent, minOther float64
+		// urgentWait is how long urgent requests wait. The others wait for 50 ms.
+		urgentWait time.Duration
 	}{
-		{name: "urgent within the rate", urgentEvery: 40 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.68, minOther: 0.1},
-		{name: "urgent over the rate", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1},
+		{name: "urgent within the rate", urgentEvery: 40 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.68, minOther: 0.1, urgentWait: 50 * time.Millisecond},
+		{name: "urgent over the rate", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1, urgentWait: 50 * time.Millisecond},
+		{name: "urgent over the rate and more patient", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1, urgentWait: 300 * time.Millisecond},
 		{name: "no urgent ones", otherEvery: 5 * time.Millisecond, minOther: 0.95},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -235,8 +238,9 @@
 			f := newTokenFleet(workspace.Limit{Burst: rate, Rate: rate, Workspace: "w"})
 			classes := map[workspace.Ticket]int{}
 			var admitted [2]float64
+			waits := [2]time.Duration{test.urgentWait, 50 * time.Millisecond}
 			send := func(priority int) {
-				decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{Priority: priority, WaitUntil: f.now.Add(50 * time.Millisecond), Workspace: "w"})
+				decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{Priority: priority, WaitUntil: f.now.Add(waits[priority]), Workspace: "w"})
 				f.perform(step)
 				if ticket != 0 {
 					classes[ticket] = priority
--- a/workspace/class.go
+++ b/workspace/class.go
@@ -82,3 +82,16 @@
 	}
 	return keep, true
 }
+
+// owesFloor reports whether less urgent requests than those of a class may still take a
+// token of their floor and want it, while the workspace is over its rate.
+func (p *poolDemand) owesFloor(class Class, rate float64) bool {
+	if p.floor < 1 || p.pressure(rate) <= 1 {
+		return false
+	}
+	demand := 0.0
+	for _, less := range p.classes[ClassOf(int(class))+1:] {
+		demand += less / demandWindow.Seconds()
+	}
+	return demand >= classFloor*rate
+}
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -99,8 +99,14 @@
 	if urgent {
 		horizon = min(horizon, lessUrgentReservation)
 	}
-	grant.Taken = b.withdraw(want, keep)
-	if grant.Taken == 0 && keep == 0 {
+	// Without a token left for them, less urgent requests would get none while more urgent
+	// ones can wait longer and so take all tokens of the future first.
+	owed, leave := demand.owesFloor(take.Class, b.share.Rate), keep
+	if owed {
+		leave = math.Max(keep, math.Min(1, b.share.Capacity-1))
+	}
+	grant.Taken = b.withdraw(want, leave)
+	if grant.Taken == 0 && keep == 0 && !owed {
 		grant.Taken, grant.Delay = b.reserve(want, horizon)
 	}
 	if grant.Taken == 0 && keep > 0 && demand.floor >= 1 {
@@ -115,7 +121,7 @@
 	}
 	// Other callers return as well. Of those of a workspace over its rate, only some
 	// will be admitted.
-	wait := float64(b.retryAfter()) + keep/b.share.Rate*float64(time.Second)
+	wait := float64(b.retryAfter()) + leave/b.share.Rate*float64(time.Second)
 	grant.RetryAfter = time.Duration(min(wait*math.Max(1, demand.pressure(b.share.Rate)), float64(maxRetryAfter)))
 	return grant
 }
