fix: count each waiting request once in the own pool

An instance that owns a pool asks it again for all waiting requests at each arrival and answer, and each time they counted as new demand. 30 requests at once were counted as several hundred, so refusals named a retry time of 4.5 s instead of 0.6 s, and less urgent requests were restricted although the workspace was within its rate.

TakeRequest.Repeated says how many of the requests were counted before.

Evidence: TestOwnPoolCountsEachRequestOnce, which saw 4.4 s before.

--- a/workspace/account.go
+++ b/workspace/account.go
@@ -36,6 +36,8 @@
 	blocks map[fleet.InstanceID]poolBlock
 	// calls holds the unanswered calls that request tokens for this workspace.
 	calls map[fleet.InstanceID]*tokenCall
+	// countedAtSelf is the last request that the pool of this instance has counted.
+	countedAtSelf Ticket
 	// demand is the recent demand. It follows a change within a second.
 	demand *Demand
 	// missed counts the requests that were refused without a call since the last one.
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -369,10 +369,16 @@
 	took := false
 	for _, take := range a.takeRequests(now, account, open, location, a.self) {
 		take.Extra = 0
+		for _, w := range open {
+			if w.class == take.Class && w.ticket <= account.countedAtSelf {
+				take.Repeated++
+			}
+		}
 		grant := a.limiter.Grant(now, []TakeRequest{take})[0]
 		a.receive(now, a.self, now, take, grant)
 		took = took || grant.Taken >= 1
 	}
+	account.countedAtSelf = a.lastTicket
 	return took
 }
 
--- a/workspace/admitter_test.go
+++ b/workspace/admitter_test.go
@@ -268,3 +268,23 @@
 		})
 	}
 }
+
+// TestOwnPoolCountsEachRequestOnce guards against retry times that grow with the square of a
+// burst at the owner of a pool, because each arrival counts all waiting requests again.
+func TestOwnPoolCountsEachRequestOnce(t *testing.T) {
+	limit := workspace.Limit{Burst: 20, Rate: 20, Workspace: "w"}
+	owner := workspace.NewDistributedLimiter("a")
+	owner.Renew(start, start.Add(time.Hour))
+	owner.Divide(start, []workspace.Limit{limit}, []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}, {Instance: "b", Phase: workspace.PhaseHolding}})
+	admitter := workspace.NewAdmitter("a", owner, func() float64 { return 0 })
+	now, requests := start.Add(3*time.Second), 30
+	for range requests {
+		// They wait for an answer of the other owner.
+		admitter.Admit(now, workspace.Request{WaitUntil: now.Add(50 * time.Millisecond), Workspace: "w"})
+	}
+	// The demand is less than five times the rate of the pool, which has a token in 150 ms.
+	grant := owner.Grant(now, []workspace.TakeRequest{{Want: 1, Workspace: "w"}})[0]
+	if grant.RetryAfter <= 0 || grant.RetryAfter > 750*time.Millisecond {
+		t.Errorf("%d requests at once: refused until %v later, want at most 750ms", requests, grant.RetryAfter)
+	}
+}
--- a/workspace/class.go
+++ b/workspace/class.go
@@ -55,7 +55,7 @@
 		p.floor = math.Min(math.Max(1, classFloor*rate), p.floor+classFloor*rate*elapsed.Seconds())
 		p.updatedAt = now
 	}
-	p.classes[ClassOf(int(take.Class))] += take.Want + take.Missed
+	p.classes[ClassOf(int(take.Class))] += math.Max(0, take.Want-take.Repeated) + take.Missed
 }
 
 // pressure returns the demand as a multiple of the rate.
--- a/workspace/take.go
+++ b/workspace/take.go
@@ -18,6 +18,9 @@
 	// Missed is the number of requests of the class that were refused without a call
 	// since the last one.
 	Missed float64 `json:",omitempty"`
+	// Repeated is the number of requests in Want that an earlier TakeRequest to the owner
+	// has counted.
+	Repeated float64 `json:",omitempty"`
 	// Want is the number of tokens for requests that wait.
 	Want      float64
 	Workspace fleet.WorkspaceID
