fix: report only recent refusals to the owner of a pool

Requests that were refused without a call are reported with the next call as demand of the last second. While no other owner was known, they were counted without end and then reported at once, so that the pool refused requests with a retry time of 4.5 s for several seconds.

Refusals that are older than the time over which demand is averaged are now forgotten.

Evidence: TestOldRefusalsAreNotReported, in which a call reported 200 refusals of 3 s ago.

--- a/workspace/account.go
+++ b/workspace/account.go
@@ -40,8 +40,10 @@
 	countedAtSelf Ticket
 	// demand is the recent demand. It follows a change within a second.
 	demand *Demand
-	// missed counts the requests that were refused without a call since the last one.
-	missed [classCount]float64
+	// missed counts the requests that were refused without a call since the last one and
+	// since missedSince.
+	missed      [classCount]float64
+	missedSince time.Time
 	// lots are ordered by the time from which they can be used.
 	lots []tokenLot
 	// prefetchAfter is the time before which no tokens are requested in advance.
@@ -148,6 +150,14 @@
 	}
 }
 
+// forgetMissed resets the counts of refused requests that are too old to be reported as
+// demand. Otherwise the refusals of a long partition would be reported all at once.
+func (a *account) forgetMissed(now time.Time) {
+	if now.Sub(a.missedSince) > demandWindow {
+		a.missed, a.missedSince = [classCount]float64{}, now
+	}
+}
+
 // nextWake returns when the waiters have to be looked at next, given the time until the
 // direct share has a token.
 func (a *account) nextWake(now time.Time, direct time.Duration) time.Time {
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -354,6 +354,7 @@
 		}
 	}
 	decision.RetryAfter = min(time.Duration(float64(decision.RetryAfter)*(1+retryJitter*a.random())), maxRetryAfter)
+	account.forgetMissed(now)
 	account.missed[w.class]++
 	account.waiters = slices.DeleteFunc(account.waiters, func(other waiter) bool { return other.ticket == w.ticket })
 	step.Decided = append(step.Decided, Outcome{Decision: decision, Ticket: w.ticket})
--- a/workspace/admitter_test.go
+++ b/workspace/admitter_test.go
@@ -288,3 +288,22 @@
 		t.Errorf("%d requests at once: refused until %v later, want at most 750ms", requests, grant.RetryAfter)
 	}
 }
+
+// TestOldRefusalsAreNotReported guards against an owner of a pool that takes all refusals of
+// the time in which no owner was known for demand of the last second, and then refuses
+// requests with a long retry time.
+func TestOldRefusalsAreNotReported(t *testing.T) {
+	limits := []workspace.Limit{{Burst: 50, Rate: 50, Workspace: "w"}}
+	f := newTokenFleet(limits...)
+	f.owners["taker"].LocatePools(limits, nil)
+	for range 200 {
+		f.request("w")
+		f.run(20 * time.Millisecond)
+	}
+	f.run(3 * time.Second)
+	f.owners["taker"].LocatePools(limits, []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}, {Instance: "b", Phase: workspace.PhaseHolding}})
+	_, _, step := f.admitter.Admit(f.now, workspace.Request{WaitUntil: f.now.Add(100 * time.Millisecond), Workspace: "w"})
+	if len(step.Calls) != 1 || step.Calls[0].Takes[0].Missed != 0 {
+		t.Errorf("calls %+v, want one that reports no refusals, which were 3 s ago", step.Calls)
+	}
+}
--- a/workspace/tokencalls.go
+++ b/workspace/tokencalls.go
@@ -95,6 +95,7 @@
 		healthy = healthy[:1]
 	}
 	account.rotation++
+	account.forgetMissed(now)
 	for _, owner := range append(healthy, suspect...) {
 		takes := a.takeRequests(now, account, open, location, owner)
 		for i := range takes {
