perf: sort only the workspaces that are due at each admission

Each request sorted the workspaces with waiting requests. BenchmarkAdmitBesideWaiting (150 waiting workspaces, x86-64): 20.3 us and 11 allocations before, 3.8 us and none now.

--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -183,11 +183,17 @@
 
 // finish settles the accounts that are due, and sets the time of the next wake-up.
 func (a *Admitter) finish(now time.Time, step *Step) {
-	for _, id := range slices.Sorted(maps.Keys(a.waiting)) {
-		account := a.waiting[id]
+	var due []fleet.WorkspaceID
+	for id, account := range a.waiting {
 		if !account.wakeAt.IsZero() && !now.Before(account.wakeAt) {
-			a.settle(now, account, step)
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		a.settle(now, a.waiting[id], step)
+	}
+	for _, account := range a.waiting {
 		if at := account.wakeAt; !at.IsZero() && (step.WakeAt.IsZero() || at.Before(step.WakeAt)) {
 			step.WakeAt = at
 		}
--- a/workspace/admitterbench_test.go
+++ b/workspace/admitterbench_test.go
@@ -38,3 +38,30 @@
 		d.Divide(start.Add(time.Duration(n)*time.Second), limits, members[:294+n%2])
 	}
 }
+
+// BenchmarkAdmitBesideWaiting measures the decision on a request while requests of 150 other
+// workspaces wait for tokens.
+func BenchmarkAdmitBesideWaiting(b *testing.B) {
+	limits := []workspace.Limit{{Burst: 1e9, Rate: 1e9, Workspace: "w"}}
+	for i := range 150 {
+		limits = append(limits, workspace.Limit{Burst: 50, Rate: 50, Workspace: fleet.WorkspaceID(fmt.Sprintf("x%d", i))})
+	}
+	members := []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}}
+	for i := range 40 {
+		members = append(members, workspace.Member{Instance: fleet.InstanceID(fmt.Sprintf("i%d", i)), Phase: workspace.PhaseHolding})
+	}
+	limiter := workspace.NewDistributedLimiter("a")
+	limiter.Divide(start, limits, members)
+	limiter.Renew(start, start.Add(time.Hour))
+	admitter := workspace.NewAdmitter("a", limiter, func() float64 { return 0.5 })
+	now := start.Add(time.Second)
+	for _, limit := range limits[1:] {
+		for range 3 {
+			admitter.Admit(now, workspace.Request{WaitUntil: now.Add(time.Hour), Workspace: limit.Workspace})
+		}
+	}
+	for b.Loop() {
+		now = now.Add(time.Nanosecond)
+		admitter.Admit(now, workspace.Request{WaitUntil: now.Add(time.Hour), Workspace: "w"})
+	}
+}
