fix: keep no demand of workspaces without a limit

A request for tokens of a workspace that the owner has no limit for left an entry that was never removed. The state is not visible to tests.

--- a/workspace/take.go
+++ b/workspace/take.go
@@ -76,7 +76,10 @@
 		demand := d.poolDemand[take.Workspace]
 		if demand == nil {
 			demand = newPoolDemand(now)
-			d.poolDemand[take.Workspace] = demand
+			// That of a workspace without a limit would never be removed.
+			if d.divided[take.Workspace] {
+				d.poolDemand[take.Workspace] = demand
+			}
 		}
 		grants[i] = d.pools.Reserve(now, take, demand)
 	}
