perf: examine the waiting requests of a workspace with less work

Whether a call under way may bring a token is the same for all waiting requests of a class, and finding the requests without a token moved the others each time.

--- a/workspace/account.go
+++ b/workspace/account.go
@@ -114,20 +114,28 @@
 // uncovered returns the waiters for which no token is held that becomes usable before
 // they have to be refused, and when the next held token becomes usable.
 func (a *account) uncovered(now time.Time) (waiters []waiter, nextToken time.Time) {
-	waiters = slices.Clone(a.waiters)
+	waiters = a.waiters
+	shared := true
 	for _, lot := range a.lots {
 		for left := lot.count; left >= 1; left-- {
 			i := lot.nextWaiter(waiters)
 			if i < 0 {
-				return waiters, nextToken
+				return slices.Clone(waiters), nextToken
+			}
+			switch {
+			case i == 0:
+				waiters = waiters[1:]
+			case shared:
+				waiters, shared = slices.Concat(waiters[:i], waiters[i+1:]), false
+			default:
+				waiters = slices.Delete(waiters, i, i+1)
 			}
-			waiters = slices.Delete(waiters, i, i+1)
 			if nextToken.IsZero() {
 				nextToken = lot.usableFrom
 			}
 		}
 	}
-	return waiters, nextToken
+	return slices.Clone(waiters), nextToken
 }
 
 // isBlocked reports whether a pool was empty a moment ago for requests of a class.
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -307,8 +307,12 @@
 		return
 	}
 	a.ask(now, account, open, step)
+	mayGet := false
 	for i, w := range open {
-		if a.mayGetToken(now, account, w) {
+		if i == 0 || w.class != open[i-1].class {
+			mayGet = a.mayGetToken(now, account, w)
+		}
+		if mayGet {
 			continue
 		}
 		// The most urgent one can wait for the next token of the direct share.
