--- a/workspace/account.go
+++ b/workspace/account.go
@@ -10,6 +10,8 @@
 
 // tokenLot is a number of tokens that were taken from a pool in one call.
 type tokenLot struct {
+	// class is the class for which the pool granted them.
+	class                 Class
 	count                 float64
 	usableFrom, expiresAt time.Time
 }
@@ -34,10 +36,14 @@
 	blocks map[fleet.InstanceID]poolBlock
 	// calls holds the unanswered calls that request tokens for this workspace.
 	calls map[fleet.InstanceID]*tokenCall
+	// countedAtSelf is the last request that the pool of this instance has counted.
+	countedAtSelf Ticket
 	// demand is the recent demand. It follows a change within a second.
 	demand *Demand
-	// missed counts the requests that were refused without a call since the last one.
-	missed [classCount]float64
+	// missed counts the requests that were refused without a call since the last one and
+	// since missedSince.
+	missed      [classCount]float64
+	missedSince time.Time
 	// lots are ordered by the time from which they can be used.
 	lots []tokenLot
 	// prefetchAfter is the time before which no tokens are requested in advance.
@@ -70,14 +76,28 @@
 	slices.SortStableFunc(a.lots, func(x, y tokenLot) int { return x.usableFrom.Compare(y.usableFrom) })
 }
 
-// takeToken uses one token that came from a pool. It reports false if there is none.
-func (a *account) takeToken(now time.Time) bool {
+// takeToken uses one token that came from a pool, and returns the index of the waiter that
+// gets it, if there are waiters. It reports false if there is none.
+func (a *account) takeToken(now time.Time) (next int, found bool) {
 	a.lots = slices.DeleteFunc(a.lots, func(l tokenLot) bool { return l.count < 1 || !now.Before(l.expiresAt) })
 	if len(a.lots) == 0 || now.Before(a.lots[0].usableFrom) {
-		return false
+		return 0, false
 	}
 	a.lots[0].count--
-	return true
+	return max(0, a.lots[0].nextWaiter(a.waiters)), true
+}
+
+// nextWaiter returns the index of the waiter that gets a token of a lot: the most urgent one
+// or, if the token was granted for less urgent requests, the most urgent of these. Urgent
+// requests that wait longer would otherwise use the minimum of the others. It returns -1 if
+// no waiter can wait for the token.
+func (l tokenLot) nextWaiter(waiters []waiter) int {
+	canWait := func(w waiter) bool { return l.usableFrom.Before(w.until) }
+	i := slices.IndexFunc(waiters, func(w waiter) bool { return w.class >= l.class && canWait(w) })
+	if i < 0 {
+		i = slices.IndexFunc(waiters, canWait)
+	}
+	return i
 }
 
 // held returns the number of tokens that can be used now or later.
@@ -94,22 +114,28 @@
 // uncovered returns the waiters for which no token is held that becomes usable before
 // they have to be refused, and when the next held token becomes usable.
 func (a *account) uncovered(now time.Time) (waiters []waiter, nextToken time.Time) {
-	lot, left := -1, 0.0
-	for _, w := range a.waiters {
-		for left < 1 && lot+1 < len(a.lots) {
-			lot++
-			left = a.lots[lot].count
-		}
-		if left < 1 || !a.lots[lot].usableFrom.Before(w.until) {
-			waiters = append(waiters, w)
-			continue
-		}
-		left--
-		if nextToken.IsZero() {
-			nextToken = a.lots[lot].usableFrom
+	waiters = a.waiters
+	shared := true
+	for _, lot := range a.lots {
+		for left := lot.count; left >= 1; left-- {
+			i := lot.nextWaiter(waiters)
+			if i < 0 {
+				return slices.Clone(waiters), nextToken
+			}
+			switch {
+			case i == 0:
+				waiters = waiters[1:]
+			case shared:
+				waiters, shared = slices.Concat(waiters[:i], waiters[i+1:]), false
+			default:
+				waiters = slices.Delete(waiters, i, i+1)
+			}
+			if nextToken.IsZero() {
+				nextToken = lot.usableFrom
+			}
 		}
 	}
-	return waiters, nextToken
+	return slices.Clone(waiters), nextToken
 }
 
 // isBlocked reports whether a pool was empty a moment ago for requests of a class.
@@ -132,6 +158,14 @@
 	}
 }
 
+// forgetMissed resets the counts of refused requests that are too old to be reported as
+// demand. Otherwise the refusals of a long partition would be reported all at once.
+func (a *account) forgetMissed(now time.Time) {
+	if now.Sub(a.missedSince) > demandWindow {
+		a.missed, a.missedSince = [classCount]float64{}, now
+	}
+}
+
 // nextWake returns when the waiters have to be looked at next, given the time until the
 // direct share has a token.
 func (a *account) nextWake(now time.Time, direct time.Duration) time.Time {
--- a/workspace/admitter.go
+++ b/workspace/admitter.go
@@ -155,7 +155,7 @@
 	account := a.account(now, request.Workspace)
 	account.demand.Record(now, true)
 	if len(account.waiters) == 0 {
-		if decision := a.useToken(now, account); decision.Admitted {
+		if decision, _ := a.useToken(now, account); decision.Admitted {
 			a.prefetch(now, account, &step)
 			a.finish(now, &step)
 			return decision, 0, step
@@ -183,11 +183,17 @@
 
 // finish settles the accounts that are due, and sets the time of the next wake-up.
 func (a *Admitter) finish(now time.Time, step *Step) {
-	for _, id := range slices.Sorted(maps.Keys(a.waiting)) {
-		account := a.waiting[id]
+	var due []fleet.WorkspaceID
+	for id, account := range a.waiting {
 		if !account.wakeAt.IsZero() && !now.Before(account.wakeAt) {
-			a.settle(now, account, step)
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		a.settle(now, a.waiting[id], step)
+	}
+	for _, account := range a.waiting {
 		if at := account.wakeAt; !at.IsZero() && (step.WakeAt.IsZero() || at.Before(step.WakeAt)) {
 			step.WakeAt = at
 		}
@@ -256,7 +262,12 @@
 			a.prefetching[take.Workspace] = account
 		}
 		lifetime := a.limiter.PoolLocation(now, take.Workspace).Lifetime
-		account.addLot(tokenLot{count: grant.Taken, usableFrom: now.Add(grant.Delay), expiresAt: sentAt.Add(grant.Delay + lifetime)})
+		lot := tokenLot{class: take.Class, count: grant.Taken, usableFrom: now.Add(grant.Delay), expiresAt: sentAt.Add(grant.Delay + lifetime)}
+		if take.Want == 0 {
+			// Tokens taken in advance are for any request.
+			lot.class = 0
+		}
+		account.addLot(lot)
 	} else if take.Extra > 0 {
 		account.prefetchAfter = now.Add(maxEmptyPoolBackoff)
 	}
@@ -269,13 +280,17 @@
 	}
 }
 
-// useToken admits a request by the direct share or by a token from a pool.
-func (a *Admitter) useToken(now time.Time, account *account) Decision {
-	decision := a.limiter.Admit(now, account.workspace)
-	if !decision.Admitted && account.takeToken(now) {
-		return Decision{Admitted: true}
+// useToken admits a request by the direct share or by a token from a pool. It returns the
+// index of the waiter that is admitted, if there are waiters.
+func (a *Admitter) useToken(now time.Time, account *account) (decision Decision, next int) {
+	decision = a.limiter.Admit(now, account.workspace)
+	if decision.Admitted {
+		return decision, 0
 	}
-	return decision
+	if next, found := account.takeToken(now); found {
+		return Decision{Admitted: true}, next
+	}
+	return decision, 0
 }
 
 // settle decides on the waiting requests of a workspace, and requests tokens for those
@@ -292,8 +307,12 @@
 		return
 	}
 	a.ask(now, account, open, step)
+	mayGet := false
 	for i, w := range open {
-		if a.mayGetToken(now, account, w) {
+		if i == 0 || w.class != open[i-1].class {
+			mayGet = a.mayGetToken(now, account, w)
+		}
+		if mayGet {
 			continue
 		}
 		// The most urgent one can wait for the next token of the direct share.
@@ -309,11 +328,12 @@
 func (a *Admitter) admitWaiting(now time.Time, account *account, step *Step) Decision {
 	var decision Decision
 	for len(account.waiters) > 0 {
-		if decision = a.useToken(now, account); !decision.Admitted {
+		var next int
+		if decision, next = a.useToken(now, account); !decision.Admitted {
 			break
 		}
-		step.Decided = append(step.Decided, Outcome{Decision: Decision{Admitted: true}, Ticket: account.waiters[0].ticket})
-		account.waiters = slices.Delete(account.waiters, 0, 1)
+		step.Decided = append(step.Decided, Outcome{Decision: Decision{Admitted: true}, Ticket: account.waiters[next].ticket})
+		account.waiters = slices.Delete(account.waiters, next, next+1)
 	}
 	for _, w := range slices.Clone(account.waiters) {
 		if !now.Before(w.until) {
@@ -344,6 +364,7 @@
 		}
 	}
 	decision.RetryAfter = min(time.Duration(float64(decision.RetryAfter)*(1+retryJitter*a.random())), maxRetryAfter)
+	account.forgetMissed(now)
 	account.missed[w.class]++
 	account.waiters = slices.DeleteFunc(account.waiters, func(other waiter) bool { return other.ticket == w.ticket })
 	step.Decided = append(step.Decided, Outcome{Decision: decision, Ticket: w.ticket})
@@ -359,10 +380,16 @@
 	took := false
 	for _, take := range a.takeRequests(now, account, open, location, a.self) {
 		take.Extra = 0
+		for _, w := range open {
+			if w.class == take.Class && w.ticket <= account.countedAtSelf {
+				take.Repeated++
+			}
+		}
 		grant := a.limiter.Grant(now, []TakeRequest{take})[0]
 		a.receive(now, a.self, now, take, grant)
 		took = took || grant.Taken >= 1
 	}
+	account.countedAtSelf = a.lastTicket
 	return took
 }
 
--- a/workspace/admitter_test.go
+++ b/workspace/admitter_test.go
@@ -225,9 +225,12 @@
 		// minUrgent and minOther are fractions of what the pools get. The first case
 		// asks for 0.71 of it in urgent requests.
 		minUrgent, minOther float64
+		// urgentWait is how long urgent requests wait. The others wait for 50 ms.
+		urgentWait time.Duration
 	}{
-		{name: "urgent within the rate", urgentEvery: 40 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.68, minOther: 0.1},
-		{name: "urgent over the rate", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1},
+		{name: "urgent within the rate", urgentEvery: 40 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.68, minOther: 0.1, urgentWait: 50 * time.Millisecond},
+		{name: "urgent over the rate", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1, urgentWait: 50 * time.Millisecond},
+		{name: "urgent over the rate and more patient", urgentEvery: 5 * time.Millisecond, otherEvery: 5 * time.Millisecond, minUrgent: 0.85, minOther: 0.1, urgentWait: 300 * time.Millisecond},
 		{name: "no urgent ones", otherEvery: 5 * time.Millisecond, minOther: 0.95},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -235,8 +238,9 @@
 			f := newTokenFleet(workspace.Limit{Burst: rate, Rate: rate, Workspace: "w"})
 			classes := map[workspace.Ticket]int{}
 			var admitted [2]float64
+			waits := [2]time.Duration{test.urgentWait, 50 * time.Millisecond}
 			send := func(priority int) {
-				decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{Priority: priority, WaitUntil: f.now.Add(50 * time.Millisecond), Workspace: "w"})
+				decision, ticket, step := f.admitter.Admit(f.now, workspace.Request{Priority: priority, WaitUntil: f.now.Add(waits[priority]), Workspace: "w"})
 				f.perform(step)
 				if ticket != 0 {
 					classes[ticket] = priority
@@ -264,3 +268,42 @@
 		})
 	}
 }
+
+// TestOwnPoolCountsEachRequestOnce guards against retry times that grow with the square of a
+// burst at the owner of a pool, because each arrival counts all waiting requests again.
+func TestOwnPoolCountsEachRequestOnce(t *testing.T) {
+	limit := workspace.Limit{Burst: 20, Rate: 20, Workspace: "w"}
+	owner := workspace.NewDistributedLimiter("a")
+	owner.Renew(start, start.Add(time.Hour))
+	owner.Divide(start, []workspace.Limit{limit}, []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}, {Instance: "b", Phase: workspace.PhaseHolding}})
+	admitter := workspace.NewAdmitter("a", owner, func() float64 { return 0 })
+	now, requests := start.Add(3*time.Second), 30
+	for range requests {
+		// They wait for an answer of the other owner.
+		admitter.Admit(now, workspace.Request{WaitUntil: now.Add(50 * time.Millisecond), Workspace: "w"})
+	}
+	// The demand is less than five times the rate of the pool, which has a token in 150 ms.
+	grant := owner.Grant(now, []workspace.TakeRequest{{Want: 1, Workspace: "w"}})[0]
+	if grant.RetryAfter <= 0 || grant.RetryAfter > 750*time.Millisecond {
+		t.Errorf("%d requests at once: refused until %v later, want at most 750ms", requests, grant.RetryAfter)
+	}
+}
+
+// TestOldRefusalsAreNotReported guards against an owner of a pool that takes all refusals of
+// the time in which no owner was known for demand of the last second, and then refuses
+// requests with a long retry time.
+func TestOldRefusalsAreNotReported(t *testing.T) {
+	limits := []workspace.Limit{{Burst: 50, Rate: 50, Workspace: "w"}}
+	f := newTokenFleet(limits...)
+	f.owners["taker"].LocatePools(limits, nil)
+	for range 200 {
+		f.request("w")
+		f.run(20 * time.Millisecond)
+	}
+	f.run(3 * time.Second)
+	f.owners["taker"].LocatePools(limits, []workspace.Member{{Instance: "a", Phase: workspace.PhaseHolding}, {Instance: "b", Phase: workspace.PhaseHolding}})
+	_, _, step := f.admitter.Admit(f.now, workspace.Request{WaitUntil: f.now.Add(100 * time.Millisecond), Workspace: "w"})
+	if len(step.Calls) != 1 || step.Calls[0].Takes[0].Missed != 0 {
+		t.Errorf("calls %+v, want one that reports no refusals, which were 3 s ago", step.Calls)
+	}
+}
--- a/workspace/class.go
+++ b/workspace/class.go
@@ -55,7 +55,7 @@
 		p.floor = math.Min(math.Max(1, classFloor*rate), p.floor+classFloor*rate*elapsed.Seconds())
 		p.updatedAt = now
 	}
-	p.classes[ClassOf(int(take.Class))] += take.Want + take.Missed
+	p.classes[ClassOf(int(take.Class))] += math.Max(0, take.Want-take.Repeated) + take.Missed
 }
 
 // pressure returns the demand as a multiple of the rate.
@@ -82,3 +82,16 @@
 	}
 	return keep, true
 }
+
+// owesFloor reports whether less urgent requests than those of a class may still take a
+// token of their floor and want it, while the workspace is over its rate.
+func (p *poolDemand) owesFloor(class Class, rate float64) bool {
+	if p.floor < 1 || p.pressure(rate) <= 1 {
+		return false
+	}
+	demand := 0.0
+	for _, less := range p.classes[ClassOf(int(class))+1:] {
+		demand += less / demandWindow.Seconds()
+	}
+	return demand >= classFloor*rate
+}
--- a/workspace/take.go
+++ b/workspace/take.go
@@ -18,6 +18,9 @@
 	// Missed is the number of requests of the class that were refused without a call
 	// since the last one.
 	Missed float64 `json:",omitempty"`
+	// Repeated is the number of requests in Want that an earlier TakeRequest to the owner
+	// has counted.
+	Repeated float64 `json:",omitempty"`
 	// Want is the number of tokens for requests that wait.
 	Want      float64
 	Workspace fleet.WorkspaceID
@@ -73,7 +76,10 @@
 		demand := d.poolDemand[take.Workspace]
 		if demand == nil {
 			demand = newPoolDemand(now)
-			d.poolDemand[take.Workspace] = demand
+			// That of a workspace without a limit would never be removed.
+			if d.divided[take.Workspace] {
+				d.poolDemand[take.Workspace] = demand
+			}
 		}
 		grants[i] = d.pools.Reserve(now, take, demand)
 	}
