fix: limit the headers of requests on the administration port

Incomplete headers of 900 KiB on 200 connections raised the peak memory of nutmegpier serve to 491 MB (TestAdminGetsLargeHeaders, bound 96 MB), because net/http accepts 1 MiB for each. The limit is now 16 KiB.

--- a/instance/admin.go
+++ b/instance/admin.go
@@ -11,6 +11,11 @@
 // and peer listeners, so that slow clients cannot hold connections open.
 const readHeaderTimeout = 10 * time.Second
 
+// maxHeaderBytes limits the headers of a request on the administration listener. Those of
+// operators and probes have less than 1 KiB; many incomplete ones of 1 MiB, the default
+// of net/http, would use up the memory.
+const maxHeaderBytes = 16 << 10
+
 // adminServer returns the HTTP server of the administration listener. It serves
 // liveness, readiness, metrics and the administration API.
 func (i *Instance) adminServer(api *operator.Server) *http.Server {
@@ -19,7 +24,7 @@
 	mux.HandleFunc("GET /readyz", i.serveReadiness)
 	mux.Handle("GET /debug/vars", i.metrics)
 	mux.Handle("/", api.Handler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: mux, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
 }
 
 // serveHealth is the liveness probe: it succeeds whenever the process can answer.
