fix: do not try a slow server with a transaction

Callers saw read transactions whose statements all took as long as a slow server makes them. A read that tries a slow server was any first attempt, and a transaction keeps its server for up to 12 statements. Only single reads try a slow server now. TestTransactionsAreNoProbes failed before (2 of 6 transactions were sent to the slow server).

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -216,7 +216,7 @@
 			g.routing == nil || !g.routing.IsInService(candidate.DataCentre) || !candidate.allowRead(now) || (!isPrimary && now.Before(candidate.lagBackoffUntil)) {
 			continue
 		}
-		if len(requirements.Avoid) == 0 && candidate.speed.TakeProbe(now) {
+		if len(requirements.Avoid) == 0 && !requirements.Transaction && candidate.speed.TakeProbe(now) {
 			best = id
 			break
 		}
--- a/gateway/speed_test.go
+++ b/gateway/speed_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
 // TestReadsLeaveGreyServer guards against a replica that refuses all reads although it is
@@ -52,3 +55,80 @@
 		}
 	})
 }
+
+// readCommands are a batch of one read.
+var readCommands = []session.Command{{Statement: session.Statement{Kind: session.StatementRead}}}
+
+// readTrial returns an instance in front of a primary and the replicas a and b, on which it
+// has run reads for 5 s.
+func readTrial(ctx context.Context, t *testing.T, servers *slotServers) *gateway.Gateway {
+	t.Helper()
+	g := newTrio(ctx, t, servers, 0, nil)
+	readFor(g, 5*time.Second)
+	return g
+}
+
+// readFor sends 40 reads per second, and a write every 0.5 s, for a duration.
+func readFor(g *gateway.Gateway, span time.Duration) {
+	for i := range int(span / (25 * time.Millisecond)) {
+		go func() { _ = runStatement(g, i%20 == 0) }()
+		time.Sleep(25 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+}
+
+// acquireRead returns a lease for a read or a read transaction. A write before it proves the
+// positions that the replicas must have.
+func acquireRead(t *testing.T, g *gateway.Gateway, avoid map[fleet.ServerID]bool, transaction bool) session.Lease {
+	t.Helper()
+	if err := runStatement(g, true); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	route := sheet.Route{Consistency: sheet.ConsistencyBoundedAge, Database: "g", Group: "g", MaxAge: 1000, StatementTimeout: 600}
+	lease, err := g.Acquire(session.Requirements{Avoid: avoid, Deadline: now.Add(600 * time.Millisecond), Route: route, StartedAt: now, Transaction: transaction, Workspace: "w"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// TestTransactionsAreNoProbes guards against a transaction that tries a slow server, and so
+// keeps all its statements there.
+func TestTransactionsAreNoProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		const work = 40 * time.Millisecond
+		servers := newSlotServers(map[fleet.ServerID]time.Duration{"primary": work, "a": work, "b": work})
+		g := readTrial(ctx, t, servers)
+		servers.mu.Lock()
+		servers.work["a"] = 5 * work
+		servers.mu.Unlock()
+		for range 30 {
+			lease := acquireRead(t, g, map[fleet.ServerID]bool{"b": true, "primary": true}, false)
+			_, _ = lease.Run(time.Now().Add(600*time.Millisecond), session.Batch{Commands: readCommands, Final: true})
+			lease.Release()
+			for range 5 {
+				_ = runStatement(g, false)
+			}
+		}
+		slow := 0
+		for range 6 {
+			readFor(g, 500*time.Millisecond)
+			// From now on, a statement may try the slow server again.
+			time.Sleep(time.Second)
+			lease := acquireRead(t, g, nil, true)
+			if lease.Server() == "a" {
+				slow++
+			}
+			lease.Release()
+		}
+		if slow > 0 {
+			t.Errorf("%d of 6 transactions were sent to a server that takes 5 times as long, want none", slow)
+		}
+	})
+}
