fix: count only failures of the server against its speed

Callers' reads left a healthy server after this instance had refused statements for it whose key was not proved: the refusal has kind Busy, as one of the server. The same held for a set-up that a server rejected (a variable or template of one workspace), which a connection's state reports as Busy. The comparison now gets the kind with which the connection itself failed, and nothing if no command was sent.

--- a/gateway/authorization.go
+++ b/gateway/authorization.go
@@ -45,6 +45,11 @@
 	authorization session.Authorization
 	conn          session.Runner
 	gateway       *Gateway
+	// failure is the kind with which the connection failed the last commands, or empty. The
+	// failure of the batch may be of another kind.
+	failure session.Kind
+	// sent is true if the last commands were handed to the connection.
+	sent bool
 }
 
 var _ session.Runner = &authorizedConn{}
@@ -53,7 +58,13 @@
 func (c *authorizedConn) Run(deadline time.Time, commands []session.Command) (session.Reply, *session.RunError) {
 	if !c.gateway.authorizes(c.gateway.config.Clock(), c.authorization) {
 		countKeyProofExpired()
+		c.sent = false
 		return session.Reply{}, &session.RunError{Kind: session.KindBusy, Text: "the proof of the key ended before the statement was sent"}
 	}
-	return c.conn.Run(deadline, commands)
+	reply, failure := c.conn.Run(deadline, commands)
+	c.failure, c.sent = "", true
+	if failure != nil {
+		c.failure = failure.Kind
+	}
+	return reply, failure
 }
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -81,7 +81,8 @@
 		batch.Commands[0].MinPosition = l.minPosition
 		l.minPosition = fleet.Position{}
 	}
-	reply, failure := l.conn.State.Run(&authorizedConn{authorization: batch.Authorization, conn: l.conn, gateway: g}, deadline, batch)
+	conn := &authorizedConn{authorization: batch.Authorization, conn: l.conn, gateway: g}
+	reply, failure := l.conn.State.Run(conn, deadline, batch)
 	now := g.config.Clock()
 	if failure != nil && (failure.Kind == session.KindUnknown || failure.Kind == session.KindTimeout) {
 		l.conn.MarkBroken()
@@ -93,7 +94,9 @@
 	if server == nil {
 		return reply, failure
 	}
-	l.recordSpeed(server.speed, sent, now, batch, failure)
+	if conn.sent {
+		l.recordSpeed(server.speed, sent, now, batch, conn.failure)
+	}
 	switch {
 	case failure == nil:
 		server.latency.Record(now, now.Sub(l.requestedAt))
--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -48,20 +48,18 @@
 	return "", false
 }
 
-// recordSpeed adds the outcome of a batch to the comparison of the group's servers. A
-// statement that the server refused for a reason of its own, such as a lagging log, says
-// nothing about the server's speed.
-func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now time.Time, batch session.Batch, failure *session.RunError) {
+// recordSpeed adds the outcome of a batch that was sent to the comparison of the group's
+// servers: the kind with which the connection failed it, or empty. A statement that the
+// server refused for a reason of its own, such as a lagging log, says nothing about the
+// server's speed.
+func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now time.Time, batch session.Batch, failure session.Kind) {
 	kind, found := statementKind(batch)
 	if !found {
 		return
 	}
-	failed := false
-	if failure != nil {
-		failed = failure.Kind == session.KindBusy || failure.Kind == session.KindTimeout || failure.Kind == session.KindUnknown
-		if !failed {
-			return
-		}
+	failed := failure == session.KindBusy || failure == session.KindTimeout || failure == session.KindUnknown
+	if failure != "" && !failed {
+		return
 	}
 	speed.Record(pool.Sample{
 		Class: pool.StatementClass{Kind: kind, Route: l.route}, End: now, Failed: failed, InService: l.conn.InServiceAtStart(), Start: sent,
--- a/gateway/speed_test.go
+++ b/gateway/speed_test.go
@@ -93,6 +93,34 @@
 	return lease
 }
 
+// TestRefusedKeysAreNoServerFailures guards against reads that leave a healthy server because
+// this instance refused statements for it whose key was not proved.
+func TestRefusedKeysAreNoServerFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		const work = 40 * time.Millisecond
+		servers := newSlotServers(map[fleet.ServerID]time.Duration{"primary": work, "a": work, "b": work})
+		g := readTrial(ctx, t, servers)
+		for range 40 {
+			lease := acquireRead(t, g, map[fleet.ServerID]bool{"b": true, "primary": true}, false)
+			batch := session.Batch{Authorization: session.Authorization{AuthorizedUntil: time.Now().Add(-time.Second), SheetVersion: 99}, Commands: readCommands, Final: true}
+			if _, failure := lease.Run(time.Now().Add(600*time.Millisecond), batch); failure == nil || failure.Kind != session.KindBusy {
+				t.Fatalf("statement without proof: %v, want it to be refused", failure)
+			}
+			lease.Release()
+		}
+		before := servers.ran["a"]
+		readFor(g, time.Second)
+		if ran := servers.ran["a"] - before; ran < 8 {
+			t.Errorf("the server ran %d of 40 reads after refusals of this instance, want a fifth or more", ran)
+		}
+	})
+}
+
 // TestTransactionsAreNoProbes guards against a transaction that tries a slow server, and so
 // keeps all its statements there.
 func TestTransactionsAreNoProbes(t *testing.T) {
