fix: compare statements that time out within their class

Replicas counted as slow, and their reads went to the primary, when a workspace's long reads timed out on all of them: failures were compared over all statements, and the primary, which runs mostly writes, had none. Timeouts are now compared by kind and route as the times are, so that they count only against a server that has more of them than another one which runs the class. Refusals and lost connections are compared as before.

--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -57,12 +57,13 @@
 	if !found {
 		return
 	}
-	failed := failure == session.KindBusy || failure == session.KindTimeout || failure == session.KindUnknown
-	if failure != "" && !failed {
+	failed, timedOut := failure == session.KindBusy || failure == session.KindUnknown, failure == session.KindTimeout
+	if failure != "" && !failed && !timedOut {
 		return
 	}
 	speed.Record(pool.Sample{
-		Class: pool.StatementClass{Kind: kind, Route: l.route}, End: now, Failed: failed, InService: l.conn.InServiceAtStart(), Start: sent,
+		Class: pool.StatementClass{Kind: kind, Route: l.route}, End: now, Failed: failed, InService: l.conn.InServiceAtStart(),
+		Start: sent, TimedOut: timedOut,
 	})
 }
 
--- a/pool/decayingmean.go
+++ b/pool/decayingmean.go
@@ -81,8 +81,11 @@
 	}
 }
 
-// classTimes are the logarithms of the times of statements of one class on a server.
+// classTimes are the logarithms of the times of statements of one class on a server, and
+// how many timed out.
 type classTimes struct {
 	class StatementClass
 	mean  decayingMean
+	// timeouts is the fraction of the statements that timed out.
+	timeouts decayingMean
 }
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -83,12 +83,15 @@
 type Sample struct {
 	Class StatementClass
 	End   time.Time
-	// Failed means that the server refused the statement as busy, or did not answer.
+	// Failed means that the server refused the statement as busy, or closed the connection.
 	Failed bool
 	// InService is the number of statements and handshakes in service at the server when
 	// the statement began, including it.
 	InService int
 	Start     time.Time
+	// TimedOut means that the server did not answer in time. Statements of one class may do
+	// so on all servers, so this is compared within the class.
+	TimedOut bool
 }
 
 // SpeedEstimate is what is known about the speed of a server.
@@ -133,7 +136,7 @@
 	slots int
 
 	classes []*classTimes
-	// failures is the fraction of statements that failed.
+	// failures is the fraction of statements that failed, without those that timed out.
 	failures decayingMean
 	// compared is the number of samples of classes that other servers run as well, and
 	// comparedAt is when the last of them ended.
@@ -178,6 +181,13 @@
 	}
 	s.failures.add(now, 0, failureMemory)
 	times := s.addClass(sample.Class)
+	if sample.TimedOut {
+		times.timeouts.add(now, 1, failureMemory)
+		s.probedAt = now
+		s.confirm(false)
+		return
+	}
+	times.timeouts.add(now, 0, failureMemory)
 	logTime := math.Log((s.slotTime(sample) + transitTime).Seconds())
 	times.mean.add(now, logTime, recentMemory)
 	if _, reference, found := s.reference(now, sample.Class); found {
@@ -225,7 +235,7 @@
 		times = &classTimes{class: class}
 		s.classes = append(s.classes, times)
 	default:
-		times = slices.MinFunc(s.classes, func(a, b *classTimes) int { return a.mean.at.Compare(b.mean.at) })
+		times = slices.MinFunc(s.classes, func(a, b *classTimes) int { return a.timeouts.at.Compare(b.timeouts.at) })
 		*times = classTimes{class: class}
 	}
 	return times
@@ -321,23 +331,42 @@
 }
 
 // excessFailures returns by how much the fraction of failed statements exceeds that of the
-// best other server. It is zero without recent statements on another one. The first
+// best other server, and that of statements that timed out exceeds that of the best other
+// server for the same class. It is zero without recent statements on another one. The first
 // failures count for nothing.
 func (s *ServerSpeed) excessFailures(now time.Time) float64 {
+	excess := s.excess(now, &s.failures, func(other *ServerSpeed) *decayingMean { return &other.failures })
+	for _, class := range s.classes {
+		excess += s.excess(now, &class.timeouts, func(other *ServerSpeed) *decayingMean {
+			if times := other.class(class.class); times != nil {
+				return &times.timeouts
+			}
+			return nil
+		})
+	}
+	return max(0, (excess-ignoredFailures)/(s.failures.weightAt(now, failureMemory)+speedPrior))
+}
+
+// excess returns the weight of the failures in a fraction of this server beyond the least
+// one of the others, or zero if no other one has enough samples.
+func (s *ServerSpeed) excess(now time.Time, own *decayingMean, fraction func(*ServerSpeed) *decayingMean) float64 {
 	least, found := 0.0, false
 	for _, other := range s.group.servers {
-		if other == s || other.failures.weightAt(now, failureMemory) < minReferenceWeight {
+		if other == s {
+			continue
+		}
+		failures := fraction(other)
+		if failures == nil || failures.weightAt(now, failureMemory) < minReferenceWeight {
 			continue
 		}
-		if !found || other.failures.value < least {
-			least, found = other.failures.value, true
+		if !found || failures.value < least {
+			least, found = failures.value, true
 		}
 	}
 	if !found {
 		return 0
 	}
-	weight := s.failures.weightAt(now, failureMemory)
-	return max(0, ((s.failures.value-least)*weight-ignoredFailures)/(weight+speedPrior))
+	return max(0, (own.value-least)*own.weightAt(now, failureMemory))
 }
 
 // Estimate returns what is known about the speed of the server.
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -197,6 +197,39 @@
 	}
 }
 
+// TestSpeedOfTimeouts guards against replicas that count as slow because statements of a
+// kind that the primary does not run time out on them, and against a server that counts as
+// alike although only its statements time out.
+func TestSpeedOfTimeouts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// timingOut are the servers on which a third of the reads time out.
+		timingOut []int
+		slow      [3]bool
+	}{
+		{name: "on all replicas", timingOut: []int{1, 2}},
+		{name: "on one replica", timingOut: []int{1}, slow: [3]bool{1: true}},
+	} {
+		for seed := range uint64(10) {
+			s := newSpeedTrial(seed, constantly(1, 1, 1))
+			for step := range 300 {
+				s.now = s.now.Add(10 * time.Millisecond)
+				s.statement(0, pool.StatementWrite)
+				s.statement(1, pool.StatementRead)
+				s.statement(2, pool.StatementRead)
+				for _, server := range test.timingOut {
+					if step%2 == 0 {
+						s.servers[server].Record(pool.Sample{Class: pool.StatementClass{Kind: pool.StatementRead}, End: s.now, Start: s.now.Add(-500 * time.Millisecond), TimedOut: true})
+					}
+				}
+			}
+			if s.slow() != test.slow {
+				t.Errorf("%s, seed %d: slow servers %v, want %v", test.name, seed, s.slow(), test.slow)
+			}
+		}
+	}
+}
+
 // TestSpeedUnderLoad guards against a server that counts as slow, or as fast, because more
 // statements are in service there than at the others, and against one that slows down long
 // before its slots are in use and gets as many statements as the others.
