fix: blame no server for a suspended instance

After an instance was suspended, reads left the server which had the most statements in service: all of them ended late or timed out at once. A statement that ends 250 ms or more after its deadline says nothing about its server, because the timer of the deadline is late itself. TestSuspendedInstanceBlamesNoServer failed before (the server ran 1 of 40 reads after 6 statements were suspended there and 1 elsewhere).

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -95,7 +95,7 @@
 		return reply, failure
 	}
 	if conn.sent {
-		l.recordSpeed(server.speed, sent, now, batch, conn.failure)
+		l.recordSpeed(server.speed, sent, now, deadline, batch, conn.failure)
 	}
 	switch {
 	case failure == nil:
--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -45,10 +45,12 @@
 type slotServers struct {
 	// failing are the servers that refuse all statements.
 	failing map[fleet.ServerID]bool
-	mu      sync.Mutex
-	ran     map[fleet.ServerID]int
-	slots   map[fleet.ServerID]chan struct{}
-	work    map[fleet.ServerID]time.Duration
+	// suspended is the time for which the instance is suspended during each statement.
+	suspended time.Duration
+	mu        sync.Mutex
+	ran       map[fleet.ServerID]int
+	slots     map[fleet.ServerID]chan struct{}
+	work      map[fleet.ServerID]time.Duration
 }
 
 type slotConn struct {
@@ -79,16 +81,20 @@
 func (c *slotConn) Close()         {}
 func (c *slotConn) Reusable() bool { return true }
 
-func (c *slotConn) Run(time.Time, []session.Command) (session.Reply, *session.RunError) {
+func (c *slotConn) Run(deadline time.Time, _ []session.Command) (session.Reply, *session.RunError) {
 	c.servers.mu.Lock()
 	work := c.servers.work[c.server]
 	c.servers.ran[c.server]++
-	failing := c.servers.failing[c.server]
+	failing, suspended := c.servers.failing[c.server], c.servers.suspended
 	c.servers.mu.Unlock()
 	if failing {
 		return session.Reply{}, &session.RunError{Kind: session.KindBusy}
 	}
 	c.servers.occupy(c.server, work)
+	time.Sleep(suspended)
+	if suspended > 0 && time.Now().After(deadline) {
+		return session.Reply{}, &session.RunError{Kind: session.KindTimeout}
+	}
 	return session.Reply{Position: fleet.Position{Log: 1, Term: 1}}, nil
 }
 
--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -9,6 +9,11 @@
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
+// maxLateness is how long after its deadline a statement may end and still say something
+// about its server. Timers are late by less unless this instance was suspended, and then
+// the server with the most statements in service would count as slow.
+const maxLateness = 250 * time.Millisecond
+
 // groupSpeed returns the comparison of a group's servers and creates it if needed. The
 // caller holds g.mu.
 func (g *Gateway) groupSpeed(group fleet.GroupID) *pool.GroupSpeed {
@@ -52,9 +57,9 @@
 // servers: the kind with which the connection failed it, or empty. A statement that the
 // server refused for a reason of its own, such as a lagging log, says nothing about the
 // server's speed.
-func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now time.Time, batch session.Batch, failure session.Kind) {
+func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now, deadline time.Time, batch session.Batch, failure session.Kind) {
 	kind, found := statementKind(batch)
-	if !found {
+	if !found || now.Sub(deadline) > maxLateness {
 		return
 	}
 	failed, timedOut := failure == session.KindBusy || failure == session.KindUnknown, failure == session.KindTimeout
--- a/gateway/speed_test.go
+++ b/gateway/speed_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,3 +161,52 @@
 		}
 	})
 }
+
+// TestSuspendedInstanceBlamesNoServer guards against reads that leave the server which had
+// the most statements in service while the instance was suspended.
+func TestSuspendedInstanceBlamesNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		const work = 40 * time.Millisecond
+		servers := newSlotServers(map[fleet.ServerID]time.Duration{"primary": work, "a": work, "b": work})
+		g := readTrial(ctx, t, servers)
+		if err := runStatement(g, true); err != nil {
+			t.Fatal(err)
+		}
+		servers.mu.Lock()
+		servers.suspended = 2 * time.Second
+		servers.mu.Unlock()
+		var running sync.WaitGroup
+		for server, statements := range map[fleet.ServerID]int{"a": 6, "b": 1} {
+			avoid := map[fleet.ServerID]bool{"a": true, "b": true, "primary": true}
+			delete(avoid, server)
+			for range statements {
+				now := time.Now()
+				route := sheet.Route{Consistency: sheet.ConsistencyBoundedAge, Database: "g", Group: "g", MaxAge: 1000, StatementTimeout: 600}
+				lease, err := g.Acquire(session.Requirements{Avoid: avoid, Deadline: now.Add(600 * time.Millisecond), Route: route, StartedAt: now, Workspace: "w"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				running.Go(func() {
+					defer lease.Release()
+					_, _ = lease.Run(now.Add(600*time.Millisecond), session.Batch{Commands: readCommands, Final: true})
+				})
+			}
+		}
+		time.Sleep(time.Millisecond)
+		servers.mu.Lock()
+		servers.suspended = 0
+		servers.mu.Unlock()
+		running.Wait()
+		time.Sleep(100 * time.Millisecond)
+		before := servers.ran["a"]
+		readFor(g, time.Second)
+		if ran := servers.ran["a"] - before; ran < 8 {
+			t.Errorf("the server ran %d of 40 reads after the instance was suspended, want a fifth or more", ran)
+		}
+	})
+}
