fix: do not compare servers with one that is gone

After the fastest server of a group was removed or restarted, the others counted as slow for up to 11 s, which lowers their bounds. Its samples also stayed in memory until the next statement in the group, or for good if there was none. A server that is removed or replaced now leaves the comparison at once. TestSpeedOfRemovedServer failed before (without the removal).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -147,10 +147,11 @@
 		return
 	}
 	if err != nil {
-		delete(g.servers, id)
+		g.removeServer(id)
 		return
 	}
 	if known == nil || known.Born != server.Born || known.Address != server.Address {
+		g.removeServer(id)
 		known = &backendServer{}
 		g.servers[id] = known
 		delete(g.health, id)
@@ -171,6 +172,15 @@
 	}
 }
 
+// removeServer removes a server that is gone, or replaced by one with the same ID. The
+// caller holds g.mu.
+func (g *Gateway) removeServer(id fleet.ServerID) {
+	if server := g.servers[id]; server != nil {
+		server.speed.Remove()
+		delete(g.servers, id)
+	}
+}
+
 // removeMissingServers removes the servers whose entry has been missing for
 // missingEntryGrace.
 func (g *Gateway) removeMissingServers(now time.Time) {
@@ -178,7 +188,7 @@
 	removed := false
 	for id, server := range g.servers {
 		if !server.entryMissingSince.IsZero() && now.Sub(server.entryMissingSince) >= missingEntryGrace {
-			delete(g.servers, id)
+			g.removeServer(id)
 			removed = true
 		}
 	}
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -166,6 +166,13 @@
 	s.slots = slots
 }
 
+// Remove ends the comparison of the other servers with this one, which is gone.
+func (s *ServerSpeed) Remove() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.servers = slices.DeleteFunc(s.group.servers, func(other *ServerSpeed) bool { return other == s })
+}
+
 // Record adds a sample.
 func (s *ServerSpeed) Record(sample Sample) {
 	s.group.mu.Lock()
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -197,6 +197,21 @@
 	}
 }
 
+// TestSpeedOfRemovedServer guards against servers that count as slow because they are
+// compared with a faster one that is gone.
+func TestSpeedOfRemovedServer(t *testing.T) {
+	s := newSpeedTrial(5, constantly(5, 5, 1))
+	s.run(5*time.Second, 60, func() {})
+	if want := [3]bool{true, true, false}; s.slow() != want {
+		t.Fatalf("slow servers %v before the fast one is removed, want %v", s.slow(), want)
+	}
+	s.servers[2].Remove()
+	s.now = s.now.Add(100 * time.Millisecond)
+	if slow := s.slow(); slow[0] || slow[1] {
+		t.Errorf("slow servers %v after the fast one was removed, want none", slow)
+	}
+}
+
 // TestSpeedOfTimeouts guards against replicas that count as slow because statements of a
 // kind that the primary does not run time out on them, and against a server that counts as
 // alike although only its statements time out.
