--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -9,6 +9,11 @@
 	"github.com/nutmegpier/nutmegpier/sheet"
 )
 
+// maxLateness is how long after its deadline a statement may end and still say something
+// about its server. Timers are late by less unless this instance was suspended, and then
+// the server with the most statements in service would count as slow.
+const maxLateness = 250 * time.Millisecond
+
 // groupSpeed returns the comparison of a group's servers and creates it if needed. The
 // caller holds g.mu.
 func (g *Gateway) groupSpeed(group fleet.GroupID) *pool.GroupSpeed {
@@ -48,23 +53,22 @@
 	return "", false
 }
 
-// recordSpeed adds the outcome of a batch to the comparison of the group's servers. A
-// statement that the server refused for a reason of its own, such as a lagging log, says
-// nothing about the server's speed.
-func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now time.Time, batch session.Batch, failure *session.RunError) {
+// recordSpeed adds the outcome of a batch that was sent to the comparison of the group's
+// servers: the kind with which the connection failed it, or empty. A statement that the
+// server refused for a reason of its own, such as a lagging log, says nothing about the
+// server's speed.
+func (l *lease) recordSpeed(speed *pool.ServerSpeed, sent, now, deadline time.Time, batch session.Batch, failure session.Kind) {
 	kind, found := statementKind(batch)
-	if !found {
+	if !found || now.Sub(deadline) > maxLateness {
 		return
 	}
-	failed := false
-	if failure != nil {
-		failed = failure.Kind == session.KindBusy || failure.Kind == session.KindTimeout || failure.Kind == session.KindUnknown
-		if !failed {
-			return
-		}
+	failed, timedOut := failure == session.KindBusy || failure == session.KindUnknown, failure == session.KindTimeout
+	if failure != "" && !failed && !timedOut {
+		return
 	}
 	speed.Record(pool.Sample{
-		Class: pool.StatementClass{Kind: kind, Route: l.route}, End: now, Failed: failed, InService: l.conn.InServiceAtStart(), Start: sent,
+		Class: pool.StatementClass{Kind: kind, Route: l.route}, End: now, Failed: failed, InService: l.conn.InServiceAtStart(),
+		Start: sent, TimedOut: timedOut,
 	})
 }
 
