fix: keep the ledger of usage reports within a row of the store

While the platform's endpoint is down, the ledger grows by a report for each window. With 295 instances and 190 workspaces it exceeded 65,536 bytes after 8 windows, the store refused the write, and no further window was fixed until the endpoint was up again.

The oldest reports are dropped from a ledger that is too large. They are overdue: the reports of the windows in time take less than half of a row.

--- a/usage/holder.go
+++ b/usage/holder.go
@@ -33,6 +33,8 @@
 	maxWindowAge = 24
 	// maxFixedAtOnce bounds the windows that are fixed in one write, and so its size.
 	maxFixedAtOnce = 4
+	// maxLedgerBytes is less than the store takes for a row.
+	maxLedgerBytes = 60_000
 	// maxRemovals bounds the rows of ended runs that are deleted in one write.
 	maxRemovals = 20
 	// sendReserve is the time before a report is due in which it is sent.
@@ -251,6 +253,10 @@
 	if next.Next == firstToFix || s.Now.Before(h.nextRead) {
 		return Step{Kind: StepNone}
 	}
+	for len(next.Pending) > 1 && next.size() > maxLedgerBytes {
+		step.Dropped = append(step.Dropped, next.Pending[0].Window)
+		next.Pending = next.Pending[1:]
+	}
 	step.Ledger, step.Remove = next, h.endedRuns(s.TrueNow)
 	return step
 }
--- a/usage/row.go
+++ b/usage/row.go
@@ -126,6 +126,15 @@
 	return content, nil
 }
 
+// size returns the length of the ledger's form in the store.
+func (l Ledger) size() int {
+	content, err := l.Encode()
+	if err != nil {
+		return 0
+	}
+	return len(content)
+}
+
 // DecodeLedger parses the form of a ledger in the store.
 func DecodeLedger(content []byte) (Ledger, error) {
 	var ledger Ledger
