fix: check the leader's lease when a usage report is about to be written

A report could be sent with the token of a leader that had been replaced: the lease was checked before the call, and dialing the endpoint takes up to 1.5 s, or longer if the process is suspended meanwhile. The endpoint then receives a lower token after a higher one.

The lease is checked again when the transport has a connection; if it is too short, the connection is closed before anything is written.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -37,8 +37,9 @@
 // UsageReporter reports usage to the platform.
 type UsageReporter interface {
 	// ReportUsage reports the counts of a window. The holder is this instance, and the
-	// token its fencing token.
-	ReportUsage(ctx context.Context, window usage.Window, counts usage.Counts, holder fleet.InstanceID, token primacy.Token) error
+	// token its fencing token. Nothing is sent if permitted, which is called when there is
+	// a connection, returns false.
+	ReportUsage(ctx context.Context, window usage.Window, counts usage.Counts, holder fleet.InstanceID, token primacy.Token, permitted func() bool) error
 }
 
 // usageState counts what servers began for the callers of this instance, and keeps the
@@ -334,18 +335,25 @@
 	g.usage.state.Dropped += len(step.Dropped)
 }
 
+// mayReport reports whether this instance is the leader with a fencing token, and for some
+// time longer.
+func (g *Gateway) mayReport(token primacy.Token) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current, leading := g.members.leadership.Token(g.config.Clock().Add(usageLeaseReserve))
+	return leading && current == token
+}
+
 // sendUsage sends a report if this instance is still the leader with the same fencing
 // token, and for some time longer.
 func (g *Gateway) sendUsage(ctx context.Context, holder *usage.Holder, report usage.Report, token primacy.Token) {
-	g.mu.Lock()
-	current, leading := g.members.leadership.Token(g.config.Clock().Add(usageLeaseReserve))
-	g.mu.Unlock()
-	if !leading || current != token {
+	permitted := func() bool { return g.mayReport(token) }
+	if !permitted() {
 		return
 	}
 	sendCtx, cancel := context.WithTimeout(ctx, usageReportTimeout)
 	defer cancel()
-	err := g.config.UsageReporter.ReportUsage(sendCtx, report.Window, report.Counts, g.config.Instance, token)
+	err := g.config.UsageReporter.ReportUsage(sendCtx, report.Window, report.Counts, g.config.Instance, token, permitted)
 	now := g.config.Clock()
 	holder.SendDone(now, report.Window, err == nil)
 	trueNow, _ := g.usage.trueTime(now)
--- a/gateway/usagefleet_test.go
+++ b/gateway/usagefleet_test.go
@@ -322,8 +322,11 @@
 }
 
 // ReportUsage is the platform's endpoint.
-func (f *usageFleet) ReportUsage(_ context.Context, window usage.Window, counts usage.Counts, holder fleet.InstanceID, _ primacy.Token) error {
+func (f *usageFleet) ReportUsage(_ context.Context, window usage.Window, counts usage.Counts, holder fleet.InstanceID, _ primacy.Token, permitted func() bool) error {
 	time.Sleep(fleetLatency)
+	if !permitted() {
+		return errFleetDown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.endpointDown {
