fix: true time of an instance that sees expired rows of the others

After an outage of the store of 8 s, the rows of the other instances have expired until they are renewed. An instance then took the true time from 1 to 7 of 16 wall clocks, in one case only from its own. If that is wrong by an hour, the instance discards the counts of its open windows or moves them to another one, and a holder waits for 3 s.

If more rows have expired than are live, the expired ones are used as well. TestWrongWallClockAfterOutage failed without the condition; the new case of TestUsageReportsUnderFaults also passed before, because one instance of 16 has 6% of the counts for a part of a window.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -194,18 +194,24 @@
 	return usage.NewOffset(wall(), g.storeClock.StoreTime(now))
 }
 
-// updateTrueTime computes the true time anew from the wall clocks of all live instances.
+// updateTrueTime computes the true time anew from the wall clocks of the instances.
 func (g *Gateway) updateTrueTime(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.storeClock.Calibrated() {
 		return
 	}
-	offsets := []usage.Offset{g.wallOffset(now)}
-	for _, row := range g.members.otherLive() {
-		offsets = append(offsets, row.WallOffset)
+	live, expired := []usage.Offset{g.wallOffset(now)}, []usage.Offset(nil)
+	for id, m := range g.members.members {
+		switch {
+		case id == g.members.self:
+		case g.members.isLive(m):
+			live = append(live, m.row.WallOffset)
+		default:
+			expired = append(expired, m.row.WallOffset)
+		}
 	}
-	trueNow := usage.MedianOffset(offsets).TrueTime(g.storeClock.StoreTime(now))
+	trueNow := usage.FleetOffset(live, expired).TrueTime(g.storeClock.StoreTime(now))
 	g.usage.mu.Lock()
 	defer g.usage.mu.Unlock()
 	g.usage.clock.Observe(now, trueNow)
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -61,6 +61,10 @@
 			name: "store down across the end of a window", during: 6 * time.Second,
 			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
 		},
+		{
+			name: "store down while a wall clock is an hour fast", firstStep: time.Hour, during: 8 * time.Second,
+			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
+		},
 		{
 			name: "endpoint down", during: 7 * time.Second,
 			begin: func(f *usageFleet) { f.setEndpointDown(true) }, end: func(f *usageFleet) { f.setEndpointDown(false) },
--- a/usage/offset.go
+++ b/usage/offset.go
@@ -45,6 +45,17 @@
 	return known[(len(known)-1)/2]
 }
 
+// FleetOffset returns the median of the offsets of the live instances, this one included.
+// If the leases of most instances have expired, those have a vote as well: after an outage
+// of the store, an instance may see its own row renewed before all others, and its wall
+// clock may be wrong.
+func FleetOffset(live, expired []Offset) Offset {
+	if len(expired) > len(live) {
+		live = slices.Concat(live, expired)
+	}
+	return MedianOffset(live)
+}
+
 const (
 	// settledTime is how long the true time must not have changed before it is used for
 	// reports. An instance that starts first knows only its own wall clock.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// TestWrongWallClockAfterOutage guards against an instance that counts by its own wrong wall
+// clock after an outage of the store, because it sees no renewed row of the others yet,
+// and against rows of ended instances that outvote the live ones.
+func TestWrongWallClockAfterOutage(t *testing.T) {
+	const right, wrong = usage.Offset(time.Hour), usage.Offset(2 * time.Hour)
+	for _, test := range []struct {
+		name          string
+		live, expired []usage.Offset
+	}{
+		{name: "only this one is renewed", live: []usage.Offset{wrong}, expired: []usage.Offset{right, right, right}},
+		{name: "few ended", live: []usage.Offset{right, right, wrong}, expired: []usage.Offset{wrong, wrong}},
+		{name: "expired ones without an offset", live: []usage.Offset{right}, expired: []usage.Offset{0, 0, 0}},
+	} {
+		if got := usage.FleetOffset(test.live, test.expired); got != right {
+			t.Errorf("%s: offset %v, want %v", test.name, time.Duration(got), time.Duration(right))
+		}
+	}
+}
+
 // TestBegun guards against refused statements and statements of the proxy that are
 // counted, and against statements without a response that are not.
 func TestBegun(t *testing.T) {
