fix: counts that a second keeper of a crashed instance replaced by earlier ones

A keeper that was cut off from the store while an instance crashed wrote its row when it was connected again, and replaced the later counts that the next keeper had written. A row that could not be written also replaced a later one that the instance had left meanwhile.

A row that exists is merged, and a later one is kept. TestKeepersOfOneInstance failed before with 5 units in place of 9.

--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/relay"
+	"github.com/nutmegpier/nutmegpier/usage"
 )
 
 // TestUsageReportsUnderFaults guards against reports that are late or more than 5% off the
@@ -165,4 +167,42 @@
 	})
 }
 
+// TestKeepersOfOneInstance guards against a keeper that was cut off from the store while
+// an instance crashed, and then replaces the counts that the next keeper has written by its
+// earlier ones.
+func TestKeepersOfOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startUsageFleet(t, 0, 0)
+		time.Sleep(4 * fleetWindow)
+		window := fleetSchedule.Window(time.Now())
+		row := usage.Row{First: window - 2, Open: window, Run: usage.Run{Epoch: 99, Instance: "crashed"}}
+		hold := func(keeper int, earlier, later int64) {
+			row.Counts = map[usage.Window]usage.Counts{window - 1: {"w": earlier}, window: {"w": later}}
+			content, err := row.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			write := relay.RowWrite{Hold: true, Key: "crashed-63-kept", Partition: "usage", Table: string(usageTable), Value: content}
+			if _, err := f.instances[keeper].gateway.WriteRow(t.Context(), write); err != nil {
+				t.Fatal(err)
+			}
+		}
+		hold(1, 7, 9)
+		time.Sleep(3 * time.Second)
+		hold(2, 8, 5)
+		time.Sleep(3 * time.Second)
+		f.store.mu.Lock()
+		stored := f.store.rows[rowID(usageTable, "usage", "crashed-63-kept")]
+		f.store.mu.Unlock()
+		got, err := usage.DecodeRow(stored.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Counts[window-1]["w"] != 8 || got.Counts[window]["w"] != 9 {
+			t.Errorf("counts %v in the store, want 8 in window %d and 9 in window %d", got.Counts, window-1, window)
+		}
+		f.stop()
+	})
+}
+
 var _ gateway.Store = &usageStore{}
--- a/gateway/usagerow.go
+++ b/gateway/usagerow.go
@@ -194,6 +194,27 @@
 	u.kept[write.Key] = keptUsage{receivedAt: now, write: write}
 }
 
+// keepAgain keeps a row that could not be written, unless the instance has left another
+// one here since then.
+func (u *usageState) keepAgain(now time.Time, write Write) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, known := u.kept[write.Key]; !known && len(u.kept) < maxKeptRows {
+		u.kept[write.Key] = keptUsage{receivedAt: now, write: write}
+	}
+}
+
+// mergeKeptUsage returns a write of a row together with the counts that are in the store.
+func (g *Gateway) mergeKeptUsage(write Write, stored feed.Row) Write {
+	row, err := usage.DecodeRow(write.Value)
+	known, knownErr := usage.DecodeRow(stored.Value)
+	if err != nil || knownErr != nil || stored.Revision == 0 {
+		write.Revision = stored.Revision
+		return write
+	}
+	return g.usageWrite(write.Key, row.Merge(known), stored.Revision)
+}
+
 // writeKeptUsage writes the rows of instances that have been silent for some time.
 func (g *Gateway) writeKeptUsage(ctx context.Context, now time.Time, silence time.Duration) {
 	u := g.usage
@@ -205,14 +226,15 @@
 		}
 		delete(u.kept, key)
 		go func() {
-			result, err := g.rowBatcher.Write(ctx, kept.write, true)
+			write := kept.write
+			result, err := g.rowBatcher.Write(ctx, write, true)
 			if err == nil && !result.Applied {
-				// A keeper has written such a row before.
-				kept.write.Revision = result.currentRow().Revision
-				_, err = g.rowBatcher.Write(ctx, kept.write, true)
+				// A keeper has written such a row before, perhaps with later counts.
+				write = g.mergeKeptUsage(write, result.currentRow())
+				result, err = g.rowBatcher.Write(ctx, write, true)
 			}
-			if err != nil && ctx.Err() == nil {
-				u.keep(g.config.Clock(), kept.write)
+			if (err != nil || !result.Applied) && ctx.Err() == nil {
+				u.keepAgain(g.config.Clock(), kept.write)
 			}
 		}()
 	}
--- a/usage/row.go
+++ b/usage/row.go
@@ -46,6 +46,22 @@
 	Run  Run
 }
 
+// Merge returns the row with the later counts of two rows of a run, which only increase.
+func (r Row) Merge(other Row) Row {
+	merged := Row{Counts: map[Window]Counts{}, Final: r.Final || other.Final, First: min(r.First, other.First), Open: max(r.Open, other.Open), Run: r.Run}
+	for _, row := range []Row{r, other} {
+		for window, counts := range row.Counts {
+			if merged.Counts[window] == nil {
+				merged.Counts[window] = Counts{}
+			}
+			for workspace, count := range counts {
+				merged.Counts[window][workspace] = max(merged.Counts[window][workspace], count)
+			}
+		}
+	}
+	return merged
+}
+
 // storedRow is the form of a Row in the store. The names of the workspaces, which are most
 // of it, are written once for all windows.
 type storedRow struct {
