test: use the common store in memory for the fleet with usage reports

usageStore had its own rows and conditional writes. It is now a storeLink of memoryStore that may be down and counts calls. memoryStore takes a deleted row as missing, as the platform does. Calls under way when the store goes down now lose their response although the write is applied; before, the write was not applied either.

--- a/gateway/memorystore_test.go
+++ b/gateway/memorystore_test.go
@@ -58,6 +58,10 @@
 	for _, w := range writes {
 		current := s.rows[w.Table][w.Key].Row
 		current.Key = w.Key
+		if current.Deleted {
+			// A row that was deleted does not exist.
+			current.Revision = 0
+		}
 		result.Applied = result.Applied && (!conditional || current.Revision == w.Revision)
 		result.Current = append(result.Current, gateway.CurrentRow{Row: current, Table: w.Table})
 	}
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -151,18 +151,15 @@
 // ask for no reports.
 func TestNoUsageReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &usageStore{revision: 1, rows: map[string]usageRow{}, startedAt: time.Now()}
+		store := newUsageStore()
 		runGateway(t, store, time.Now, nil)
 		time.Sleep(4 * fleetWindow)
-		store.mu.Lock()
-		defer store.mu.Unlock()
-		for _, row := range store.rows {
-			if row.table == usageTable {
-				t.Errorf("row %s was written", row.Key)
-			}
+		written, _ := store.store.snapshot(usageTable, 0, nil)
+		for _, row := range written.Rows {
+			t.Errorf("row %s was written", row.Key)
 		}
-		if store.usageCalls > 0 {
-			t.Errorf("%d calls for usage", store.usageCalls)
+		if calls := store.usageCallCount(); calls > 0 {
+			t.Errorf("%d calls for usage", calls)
 		}
 	})
 }
@@ -191,12 +188,16 @@
 		time.Sleep(3 * time.Second)
 		hold(2, 8, 5)
 		time.Sleep(3 * time.Second)
-		f.store.mu.Lock()
-		stored := f.store.rows[rowID(usageTable, "usage", "crashed-63-kept")]
-		f.store.mu.Unlock()
-		got, err := usage.DecodeRow(stored.Value)
-		if err != nil {
-			t.Fatal(err)
+		var got usage.Row
+		snapshot, _ := f.store.store.snapshot(usageTable, 0, nil)
+		for _, stored := range snapshot.Rows {
+			var err error
+			if stored.Key != "crashed-63-kept" {
+				continue
+			}
+			if got, err = usage.DecodeRow(stored.Value); err != nil {
+				t.Fatal(err)
+			}
 		}
 		if got.Counts[window-1]["w"] != 8 || got.Counts[window]["w"] != 9 {
 			t.Errorf("counts %v in the store, want 8 in window %d and 9 in window %d", got.Counts, window-1, window)
--- a/gateway/usagefleet_test.go
+++ b/gateway/usagefleet_test.go
@@ -34,115 +34,61 @@
 	fleetSchedule = usage.Schedule{Late: fleetLate, Length: fleetWindow}
 )
 
-// usageRow is a row of a usageStore.
-type usageRow struct {
-	feed.Row
-	partition gateway.Partition
-	table     gateway.Table
-}
-
-// usageStore is a store in memory.
+// usageStore is a memoryStore that may be down, so that calls under way lose their response,
+// and that counts the calls for usageTable.
 type usageStore struct {
-	startedAt time.Time
+	*storeLink
 
-	mu       sync.Mutex
-	down     bool
-	revision feed.Revision
-	rows     map[string]usageRow
-	// usageCalls counts the calls for usageTable.
+	mu         sync.Mutex
+	down       bool
 	usageCalls int
 }
 
-func rowID(table gateway.Table, partition gateway.Partition, key string) string {
-	return string(table) + "\x00" + string(partition) + "\x00" + key
+func newUsageStore() *usageStore {
+	return &usageStore{storeLink: newMemoryStore().connect()}
 }
 
-// call waits for the latency of a call and then runs it.
-func (s *usageStore) call(ctx context.Context, run func()) error {
-	select {
-	case <-time.After(fleetLatency):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+// reach counts a call for a table, or returns an error if the store is down.
+func (s *usageStore) reach(table gateway.Table) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return errFleetDown
 	}
-	run()
-	return nil
-}
-
-// snapshot returns the rows that were changed after a revision. The caller holds mu.
-func (s *usageStore) snapshot(table gateway.Table, after feed.Revision, matches func(usageRow) bool) feed.Snapshot {
-	snapshot := feed.Snapshot{Revision: s.revision, StoreTime: time.Since(s.startedAt)}
-	for _, row := range s.rows {
-		if row.table == table && row.Revision > after && matches(row) {
-			snapshot.Rows = append(snapshot.Rows, row.Row)
-		}
+	if table == usageTable {
+		s.usageCalls++
 	}
-	return snapshot
+	return nil
 }
 
-func (s *usageStore) Changes(ctx context.Context, table gateway.Table, after feed.Revision, wait time.Duration) (snapshot feed.Snapshot, err error) {
+// Changes fails within 100 ms once the store is down.
+func (s *usageStore) Changes(ctx context.Context, table gateway.Table, after feed.Revision, wait time.Duration) (feed.Snapshot, error) {
 	const pollInterval = 100 * time.Millisecond
 	for started := time.Now(); ; {
-		err := s.call(ctx, func() {
-			snapshot = s.snapshot(table, after, func(usageRow) bool { return true })
-		})
+		if err := s.reach(""); err != nil {
+			return feed.Snapshot{}, err
+		}
+		snapshot, err := s.storeLink.Changes(ctx, table, after, min(wait, pollInterval))
 		if err != nil || len(snapshot.Rows) > 0 || time.Since(started) >= wait {
-			return snapshot, err
+			return snapshot, errors.Join(err, s.reach(""))
 		}
-		time.Sleep(pollInterval)
 	}
 }
 
-func (s *usageStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (snapshot feed.Snapshot, err error) {
-	err = s.call(ctx, func() {
-		if table == usageTable {
-			s.usageCalls++
-		}
-		snapshot = s.snapshot(table, 0, func(row usageRow) bool {
-			for _, partition := range partitions {
-				if row.partition == partition && !row.Deleted {
-					return true
-				}
-			}
-			return false
-		})
-		snapshot.Complete = true
-	})
-	return snapshot, err
+func (s *usageStore) Read(ctx context.Context, table gateway.Table, partitions []gateway.Partition) (feed.Snapshot, error) {
+	if err := s.reach(table); err != nil {
+		return feed.Snapshot{}, err
+	}
+	snapshot, err := s.storeLink.Read(ctx, table, partitions)
+	return snapshot, errors.Join(err, s.reach(""))
 }
 
-func (s *usageStore) Write(ctx context.Context, writes []gateway.Write) (result gateway.WriteResult, err error) {
-	err = s.call(ctx, func() {
-		if writes[0].Table == usageTable {
-			s.usageCalls++
-		}
-		result.Applied = true
-		for _, write := range writes {
-			row := s.rows[rowID(write.Table, write.Partition, write.Key)]
-			current := row.Revision
-			if row.Deleted {
-				current = 0
-			}
-			result.Applied = result.Applied && current == write.Revision
-			result.Current = append(result.Current, gateway.CurrentRow{Row: feed.Row{Key: write.Key, Revision: current, Value: row.Value}, Table: write.Table})
-		}
-		if !result.Applied {
-			return
-		}
-		s.revision++
-		result = gateway.WriteResult{Applied: true, Revision: s.revision}
-		for _, write := range writes {
-			s.rows[rowID(write.Table, write.Partition, write.Key)] = usageRow{
-				Row:       feed.Row{Deleted: write.Remove, Key: write.Key, Revision: s.revision, Value: write.Value},
-				partition: write.Partition, table: write.Table,
-			}
-		}
-	})
-	return result, err
+func (s *usageStore) Write(ctx context.Context, writes []gateway.Write) (gateway.WriteResult, error) {
+	if err := s.reach(writes[0].Table); err != nil {
+		return gateway.WriteResult{}, err
+	}
+	result, err := s.storeLink.Write(ctx, writes)
+	return result, errors.Join(err, s.reach(""))
 }
 
 // usageFleet is a fleet of instances that report usage, with a store and an endpoint.
@@ -345,7 +291,7 @@
 	t.Helper()
 	f := &usageFleet{
 		begun: map[usage.Window]int64{}, reports: map[usage.Window]reportedWindow{}, t: t,
-		store: &usageStore{revision: 1, rows: map[string]usageRow{}, startedAt: time.Now().Add(-time.Hour)},
+		store: newUsageStore(),
 	}
 	for n := range 16 {
 		instance := &usageInstance{
