--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/relay"
+	"github.com/nutmegpier/nutmegpier/usage"
 )
 
 // TestUsageReportsUnderFaults guards against reports that are late or more than 5% off the
@@ -61,6 +63,10 @@
 			name: "store down across the end of a window", during: 6 * time.Second,
 			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
 		},
+		{
+			name: "store down while a wall clock is an hour fast", firstStep: time.Hour, during: 8 * time.Second,
+			begin: func(f *usageFleet) { f.store.setDown(true) }, end: func(f *usageFleet) { f.store.setDown(false) },
+		},
 		{
 			name: "endpoint down", during: 7 * time.Second,
 			begin: func(f *usageFleet) { f.setEndpointDown(true) }, end: func(f *usageFleet) { f.setEndpointDown(false) },
@@ -145,19 +151,58 @@
 // ask for no reports.
 func TestNoUsageReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &usageStore{revision: 1, rows: map[string]usageRow{}, startedAt: time.Now()}
+		store := newUsageStore()
 		runGateway(t, store, time.Now, nil)
 		time.Sleep(4 * fleetWindow)
-		store.mu.Lock()
-		defer store.mu.Unlock()
-		for _, row := range store.rows {
-			if row.table == usageTable {
-				t.Errorf("row %s was written", row.Key)
+		written, _ := store.store.snapshot(usageTable, 0, nil)
+		for _, row := range written.Rows {
+			t.Errorf("row %s was written", row.Key)
+		}
+		if calls := store.usageCallCount(); calls > 0 {
+			t.Errorf("%d calls for usage", calls)
+		}
+	})
+}
+
+// TestKeepersOfOneInstance guards against a keeper that was cut off from the store while
+// an instance crashed, and then replaces the counts that the next keeper has written by its
+// earlier ones.
+func TestKeepersOfOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startUsageFleet(t, 0, 0)
+		time.Sleep(4 * fleetWindow)
+		window := fleetSchedule.Window(time.Now())
+		row := usage.Row{First: window - 2, Open: window, Run: usage.Run{Epoch: 99, Instance: "crashed"}}
+		hold := func(keeper int, earlier, later int64) {
+			row.Counts = map[usage.Window]usage.Counts{window - 1: {"w": earlier}, window: {"w": later}}
+			content, err := row.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			write := relay.RowWrite{Hold: true, Key: "crashed-63-kept", Partition: "usage", Table: string(usageTable), Value: content}
+			if _, err := f.instances[keeper].gateway.WriteRow(t.Context(), write); err != nil {
+				t.Fatal(err)
 			}
 		}
-		if store.usageCalls > 0 {
-			t.Errorf("%d calls for usage", store.usageCalls)
+		hold(1, 7, 9)
+		time.Sleep(3 * time.Second)
+		hold(2, 8, 5)
+		time.Sleep(3 * time.Second)
+		var got usage.Row
+		snapshot, _ := f.store.store.snapshot(usageTable, 0, nil)
+		for _, stored := range snapshot.Rows {
+			var err error
+			if stored.Key != "crashed-63-kept" {
+				continue
+			}
+			if got, err = usage.DecodeRow(stored.Value); err != nil {
+				t.Fatal(err)
+			}
 		}
+		if got.Counts[window-1]["w"] != 8 || got.Counts[window]["w"] != 9 {
+			t.Errorf("counts %v in the store, want 8 in window %d and 9 in window %d", got.Counts, window-1, window)
+		}
+		f.stop()
 	})
 }
 
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -33,6 +33,8 @@
 	maxWindowAge = 24
 	// maxFixedAtOnce bounds the windows that are fixed in one write, and so its size.
 	maxFixedAtOnce = 4
+	// maxLedgerBytes is less than the store takes for a row.
+	maxLedgerBytes = 60_000
 	// maxRemovals bounds the rows of ended runs that are deleted in one write.
 	maxRemovals = 20
 	// sendReserve is the time before a report is due in which it is sent.
@@ -121,6 +123,8 @@
 	// rows are those of all runs as of readAt, a true time.
 	rows   []StoredRow
 	readAt time.Time
+	// lastMerged is the last report that was merged from rows, or nil.
+	lastMerged *Report
 
 	// accepted holds the pending reports that were accepted.
 	accepted map[Window]bool
@@ -232,7 +236,7 @@
 		if h.readAt.Before(settled) {
 			return h.read(s)
 		}
-		report := merge(next.Next, h.decodedRows(), h.expected(next.Next, s.Members))
+		report := h.merged(next.Next, s.Members)
 		if len(report.Missing) > 0 && s.TrueNow.Before(h.fixAt(next.Next)) {
 			if next.Next > firstToFix {
 				break
@@ -251,10 +255,24 @@
 	if next.Next == firstToFix || s.Now.Before(h.nextRead) {
 		return Step{Kind: StepNone}
 	}
+	for len(next.Pending) > 1 && next.size() > maxLedgerBytes {
+		step.Dropped = append(step.Dropped, next.Pending[0].Window)
+		next.Pending = next.Pending[1:]
+	}
 	step.Ledger, step.Remove = next, h.endedRuns(s.TrueNow)
 	return step
 }
 
+// merged returns the report about a window from the rows of the last read. It is kept until
+// the next one, because merging the rows of 295 instances takes milliseconds.
+func (h *Holder) merged(window Window, members []Member) Report {
+	if h.lastMerged == nil || h.lastMerged.Window != window {
+		report := merge(window, h.decodedRows(), h.expected(window, members))
+		h.lastMerged = &report
+	}
+	return *h.lastMerged
+}
+
 // fixAt returns the true time at which a window is fixed although rows are missing. If the
 // store has just become available, the rows of other instances follow, and are waited for
 // unless the report would be late by that.
@@ -311,7 +329,7 @@
 		h.recoveredAt = sent
 	}
 	h.readRetry, h.nextRead = 0, time.Time{}
-	h.rows, h.readAt = rows, sent
+	h.rows, h.readAt, h.lastMerged = rows, sent, nil
 	h.loaded, h.revision = true, revision
 	h.begun = ledger != nil
 	if ledger == nil {
--- a/usage/row.go
+++ b/usage/row.go
@@ -46,7 +46,23 @@
 	Run  Run
 }
 
-// storedRow is the form of a Row in the store. The names of the workspaces, which are most
+// Merge returns the row with the later counts of two rows of a run, which only increase.
+func (r Row) Merge(other Row) Row {
+	merged := Row{Counts: map[Window]Counts{}, Final: r.Final || other.Final, First: min(r.First, other.First), Open: max(r.Open, other.Open), Run: r.Run}
+	for _, row := range []Row{r, other} {
+		for window, counts := range row.Counts {
+			if merged.Counts[window] == nil {
+				merged.Counts[window] = Counts{}
+			}
+			for workspace, count := range counts {
+				merged.Counts[window][workspace] = max(merged.Counts[window][workspace], count)
+			}
+		}
+	}
+	return merged
+}
+
+// storedRow is the form of a Row in the store, where it is compressed. The names of the workspaces, which are most
 // of it, are written once for all windows.
 type storedRow struct {
 	// Counts are in the order of Workspaces.
@@ -72,6 +88,9 @@
 		}
 	}
 	content, err := json.Marshal(stored)
+	if err == nil {
+		content, err = compress(content)
+	}
 	if err != nil {
 		return nil, &Error{Err: err, Kind: KindMalformed, Op: "encode row"}
 	}
@@ -81,6 +100,10 @@
 // DecodeRow parses the form of a row in the store.
 func DecodeRow(content []byte) (Row, error) {
 	const op = "decode row"
+	content, err := decompress(content)
+	if err != nil {
+		return Row{}, &Error{Err: err, Kind: KindMalformed, Op: op}
+	}
 	var stored storedRow
 	if err := json.Unmarshal(content, &stored); err != nil {
 		return Row{}, &Error{Err: err, Kind: KindMalformed, Op: op}
@@ -126,6 +149,15 @@
 	return content, nil
 }
 
+// size returns the length of the ledger's form in the store.
+func (l Ledger) size() int {
+	content, err := l.Encode()
+	if err != nil {
+		return 0
+	}
+	return len(content)
+}
+
 // DecodeLedger parses the form of a ledger in the store.
 func DecodeLedger(content []byte) (Ledger, error) {
 	var ledger Ledger
