fix: an owner states that it refuses a request for lack of capacity

Forwarded requests were not retried after an owner failed to open a connection, gave up an unreachable server or was changing the primary, although another owner or the new primary could serve them. The caller inferred saturation from a busy response with a retry delay and without a server, which these failures have too. The owner now sends RunFailure.saturated, and only refusals for lack of capacity are final.

TestSaturatedOwner marks the refused response as saturated accordingly; its new case 'the owner can't open a connection' failed before. TestOwnerReportsSaturation fails if the owner does not send the flag.

--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -137,7 +137,7 @@
 	}
 	if err != nil {
 		return owner.Response{
-			Failure:     &session.RunError{Kind: err.Kind, RetryAfter: err.RetryAfter, Text: err.Err.Error()},
+			Failure:     &session.RunError{Kind: err.Kind, RetryAfter: err.RetryAfter, Saturated: err.Saturated, Text: err.Err.Error()},
 			Unavailable: isOwnerUnavailable(err.Err),
 		}
 	}
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -135,23 +135,12 @@
 	if response.Server != "" {
 		l.server = response.Server
 	}
-	if opens && isSaturated(response) {
-		response.Failure.Saturated = true
-	}
 	if response.Unavailable {
 		l.gateway.recordOwnerUnavailable(l.requirements.Route.Group, l.peer.instance, response.Failure)
 	}
 	return response.Reply, response.Failure
 }
 
-// isSaturated reports whether the other instance has refused to acquire a connection, and
-// said when the request may return. It has tried all servers that can run the request, so
-// another attempt would wait in the same queues.
-func isSaturated(response owner.Response) bool {
-	failure := response.Failure
-	return failure != nil && failure.Kind == session.KindBusy && failure.RetryAfter > 0 && response.Server == "" && !response.Unavailable
-}
-
 // call sends one request with a deadline, and waits for the response until waitUntil.
 // While that takes long, the instance is probed, and the call fails if it doesn't answer.
 func (l *remoteLease) call(deadline, waitUntil time.Time, request owner.Request) (owner.Response, error) {
--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -218,12 +218,15 @@
 	busy := func(retryAfter time.Duration) *session.RunError {
 		return &session.RunError{Kind: session.KindBusy, RetryAfter: retryAfter, Text: "busy"}
 	}
+	full := busy(50 * time.Millisecond)
+	full.Saturated = true
 	for _, test := range []struct {
 		name      string
 		response  owner.Response
 		saturated bool
 	}{
-		{name: "refused by the owner", response: owner.Response{Failure: busy(50 * time.Millisecond)}, saturated: true},
+		{name: "refused by the owner", response: owner.Response{Failure: full}, saturated: true},
+		{name: "the owner can't open a connection", response: owner.Response{Failure: busy(50 * time.Millisecond)}},
 		{name: "the owner can't use the servers", response: owner.Response{Failure: busy(50 * time.Millisecond), Unavailable: true}},
 		{name: "refused by a server", response: owner.Response{Failure: busy(0), Server: "primary"}},
 		{name: "the deadline has passed at the owner", response: owner.Response{Failure: busy(0)}},
@@ -254,3 +257,42 @@
 		})
 	}
 }
+
+// TestOwnerReportsSaturation guards against an owner that does not say that it refused a
+// request for lack of capacity, and against one that says so when it can't open a
+// connection.
+func TestOwnerReportsSaturation(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*testServers)
+		want   bool
+	}{
+		{name: "all connections are in use", change: func(s *testServers) { s.dialTime = 7 * time.Second }, want: true},
+		{name: "the server can't be dialed", change: func(s *testServers) { s.dialFailure = &session.RunError{Kind: session.KindUnknown, Text: "reset"} }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runFleet(t, 3, keySheet(1, "k"), func(f *testFleet) {
+				f.servers.set(test.change)
+				deadline := time.Since(f.store.startedAt) + time.Second
+				responses := make(chan owner.Response, 8)
+				for i := range cap(responses) {
+					go func() {
+						responses <- f.owner().RunForPeer(owner.Request{
+							Batch: session.Batch{Commands: []session.Command{{Statement: write("a")}}, Final: true}, Deadline: deadline, RequirementsDeadline: deadline,
+							Requirements: &session.Requirements{Route: keySheet(1).Sheet.Routes[0], Workspace: fleet.WorkspaceID(fmt.Sprint("w", i)), Write: true},
+						})
+					}()
+				}
+				saturated := false
+				for range cap(responses) {
+					if response := <-responses; response.Failure != nil && response.Failure.Saturated {
+						saturated = true
+					}
+				}
+				if saturated != test.want {
+					t.Errorf("a request was refused as saturated: %t, want %t", saturated, test.want)
+				}
+			})
+		})
+	}
+}
--- a/gateway/testservers_test.go
+++ b/gateway/testservers_test.go
@@ -17,6 +17,8 @@
 // testServers are the servers of one group in memory. Their logs are always equal.
 type testServers struct {
 	mu sync.Mutex
+	// dialFailure, if set, is the failure of each new connection.
+	dialFailure *session.RunError
 	// dialTime is the time to open a connection, workTime that of a statement, and
 	// setupTime that of setting the state of a connection.
 	dialTime, setupTime, workTime time.Duration
@@ -69,9 +71,12 @@
 // Dial implements pool.Dialer.
 func (s *testServers) Dial(_ time.Time, server pool.Server, _ fleet.WorkspaceID) (pool.Conn, *session.RunError) {
 	s.mu.Lock()
-	dialTime := s.dialTime
+	dialTime, failure := s.dialTime, s.dialFailure
 	s.mu.Unlock()
 	time.Sleep(dialTime)
+	if failure != nil {
+		return nil, failure
+	}
 	return &testConn{server: server.ID, servers: s}, nil
 }
 
--- a/owner/client.go
+++ b/owner/client.go
@@ -88,7 +88,7 @@
 	if failure := message.GetFailure(); failure != nil {
 		response.Unavailable = failure.GetUnavailable()
 		response.Failure = &session.RunError{
-			Kind: session.Kind(failure.GetKind()), RetryAfter: time.Duration(failure.GetRetryAfterMs()) * time.Millisecond, Text: failure.GetText(),
+			Kind: session.Kind(failure.GetKind()), RetryAfter: time.Duration(failure.GetRetryAfterMs()) * time.Millisecond, Saturated: failure.GetSaturated(), Text: failure.GetText(),
 		}
 	}
 	return response
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -59,7 +59,7 @@
 	}
 	r := &runner{response: owner.Response{
 		Exclusive: true,
-		Failure:   &session.RunError{Kind: session.KindLagging, RetryAfter: 300 * time.Millisecond, Text: "too old"},
+		Failure:   &session.RunError{Kind: session.KindLagging, RetryAfter: 300 * time.Millisecond, Saturated: true, Text: "too old"},
 		Reply:     session.Reply{Position: fleet.Position{Log: 8, Term: 2}, Rows: []string{"a", "b"}, Signature: "7.1"},
 		Server:    "s-2", Unavailable: true,
 	}}
--- a/owner/server.go
+++ b/owner/server.go
@@ -116,7 +116,8 @@
 	}
 	if failure := response.Failure; failure != nil {
 		message.Failure = &nutmegpierv1.RunFailure{
-			Kind: string(failure.Kind), RetryAfterMs: failure.RetryAfter.Milliseconds(), Text: failure.Text, Unavailable: response.Unavailable,
+			Kind: string(failure.Kind), RetryAfterMs: failure.RetryAfter.Milliseconds(), Saturated: failure.Saturated, Text: failure.Text,
+			Unavailable: response.Unavailable,
 		}
 	}
 	return message
