fix: checking a server's queue takes about linear time

At saturation the pool checks each 10 ms which queued requests can no longer be served in time. For each request it walked through all others, with the pool's mutex held: with 300 requests of 80 workspaces, one check took 0.56 ms. The check now walks once through the queue in the order of service, and looks at all workspaces only for requests whose result depends on later arrivals.

--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -1,9 +1,7 @@
 package pool
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/session"
@@ -132,10 +130,15 @@
 	if float64(s.transactionWait(w))*transactionConfidence > float64(available) {
 		return true
 	}
+	return float64(s.queueWait(w))*s.confidence(confidence) > float64(available)
+}
+
+// confidence returns a confidence for the limit in force.
+func (s *serverState) confidence(confidence float64) float64 {
 	if s.limit < minSharedLimit {
-		confidence *= smallLimitConfidence
+		return confidence * smallLimitConfidence
 	}
-	return float64(s.queueWait(w))*confidence > float64(available)
+	return confidence
 }
 
 // refuseArrival removes a request that was just queued and can't be served in time, and
@@ -152,28 +155,53 @@
 	return s.saturated(now, excess, s.reason(w, RefusedOnArrival))
 }
 
-// shed refuses queued requests that can no longer be served in time.
+// shed refuses queued requests that can no longer be served in time. In one check, a
+// refused request still counts for those behind it: without that, twice as many requests
+// of an overloaded server were held to their deadlines.
 func (s *serverState) shed(now time.Time) {
-	if now.Sub(s.shedAt) < shedInterval || !s.isEstimateUsable(now) {
+	if s.queue.size == 0 || now.Sub(s.shedAt) < shedInterval || !s.isEstimateUsable(now) {
 		return
 	}
 	s.shedAt = now
-	// The order is that of the names so that the same requests are refused in each run.
-	for _, workspace := range slices.Sorted(maps.Keys(s.queue.flows)) {
-		f := s.queue.flows[workspace]
-		for i := len(f.waiters) - 1; i >= 0; i-- {
-			w := f.waiters[i]
-			if !s.cannotServe(now, w, queuedConfidence) {
-				continue
-			}
-			expected := s.expectedWait(w)
-			excess := expected - w.deadline.Sub(now)
+	order := newServiceOrder(s.queue, s.serviceTime)
+	for order.Len() > 0 {
+		w, f := order.first()
+		mayBegin := s.mayBegin(w, f)
+		available := w.deadline.Sub(now)
+		expected, inTime := s.waitIn(order, available)
+		if !mayBegin {
+			blocked := s.transactionWait(w)
+			inTime = inTime && float64(blocked)*transactionConfidence <= float64(available)
+			expected = max(expected, blocked)
+		}
+		switch {
+		case !inTime:
 			s.queue.remove(w)
-			w.granted <- grant{failure: s.saturated(now, excess, s.reason(w, RefusedInQueue))}
+			order.removed()
+			w.granted <- grant{failure: s.saturated(now, expected-available, s.reason(w, RefusedInQueue))}
+		case mayBegin:
+			order.pass(s.serviceTime / time.Duration(w.weight))
+		default:
+			order.pass(0)
 		}
 	}
 }
 
+// waitIn estimates as queueWait how long the first waiter of an order still waits, and
+// reports whether it can be served in the available time. The requests that will arrive
+// are counted only if the result depends on them.
+func (s *serverState) waitIn(order *serviceOrder, available time.Duration) (wait time.Duration, inTime bool) {
+	confidence := s.confidence(queuedConfidence)
+	interval := s.interval.get()
+	wait = time.Duration(order.ahead+1) * interval
+	if longest := float64(wait) * (1 + s.arrivalRate*interval.Seconds()); longest*confidence <= float64(available) {
+		return wait, true
+	}
+	arrivals := s.arrivalRate * wait.Seconds() / float64(len(s.queue.flows))
+	wait += time.Duration(order.arriving(arrivals) * float64(interval))
+	return wait, float64(wait)*confidence <= float64(available)
+}
+
 // reason returns RefusedTransaction for a transaction that was removed from the queue and
 // that other transactions kept from beginning, and the given reason for all others.
 func (s *serverState) reason(w *waiter, reason RefusalReason) RefusalReason {
