fix: choosing the next request looks for a replaceable connection once

For each waiting workspace without a connection the pool searched all idle connections for one that may be replaced, and for each of these whether its workspace waits. The result is the same for all of them. Workspaces with more service than the best one found are skipped before.

--- a/pool/queue.go
+++ b/pool/queue.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		w := f.waiters[first]
-		if best != nil && w.priority > best.priority {
+		if best != nil && (w.priority > best.priority || (w.priority == best.priority && f.charged > bestTag)) {
 			continue
 		}
 		handshake, ok := cost(w, f)
--- a/pool/server.go
+++ b/pool/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -105,7 +106,9 @@
 	for len(s.control) > 0 && s.grantControl() {
 	}
 	for s.queue.size > 0 && s.mayServe() {
-		w := s.queue.next(s.mayBegin, func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
+		// Whether a connection can be replaced is the same for all waiters.
+		replaceable := sync.OnceValue(func() bool { return s.replaceable() >= 0 })
+		w := s.queue.next(s.mayBegin, func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f, replaceable) })
 		if w == nil {
 			break
 		}
@@ -162,8 +165,9 @@
 }
 
 // handshakeFor returns the handshake time that serving a waiter takes now. It reports
-// false if the waiter needs a connection and none can be opened.
-func (s *serverState) handshakeFor(now time.Time, w *waiter, f *flow) (time.Duration, bool) {
+// false if the waiter needs a connection and none can be opened. The function replaceable
+// reports whether an idle connection may be replaced.
+func (s *serverState) handshakeFor(now time.Time, w *waiter, f *flow, replaceable func() bool) (time.Duration, bool) {
 	if slices.ContainsFunc(s.idle, func(conn *PooledConn) bool { return conn.workspace == w.workspace }) {
 		return 0, true
 	}
@@ -174,7 +178,7 @@
 		// A connection of the workspace will be free sooner.
 		return 0, false
 	}
-	return s.handshake.get(), s.replaceable() >= 0
+	return s.handshake.get(), replaceable()
 }
 
 // mayOpen reports whether a connection may be opened in addition to the open ones.
