fix: idle time is not measured as the time that a server needs for a request

The pool refuses requests by the interval between two grants while requests wait. If the last waiting request left at its deadline, on arrival or because the server was abandoned, the mark that requests wait stayed set, and the next grant added the idle time to the interval. Requests that leave without a connection now clear the mark.

--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -151,7 +151,7 @@
 		return nil
 	}
 	excess := s.expectedWait(w) - w.deadline.Sub(now)
-	s.queue.remove(w)
+	s.leave(w)
 	return s.saturated(now, excess, s.reason(w, RefusedOnArrival))
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -269,7 +269,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.servers[server]; s != nil {
-		if s.queue.remove(w) {
+		if s.leave(w) {
 			return grant{failure: s.saturated(p.clock(), 0, s.reason(w, RefusedAtDeadline))}, true
 		}
 		if i := slices.Index(s.control, w); i >= 0 {
--- a/pool/server.go
+++ b/pool/server.go
@@ -363,12 +363,21 @@
 	s.idle = nil
 }
 
+// leave removes a waiter that is not served. It reports false if the waiter is not queued.
+func (s *serverState) leave(w *waiter) bool {
+	if !s.queue.remove(w) {
+		return false
+	}
+	s.backlogged = s.backlogged && s.queue.singles > 0
+	return true
+}
+
 // failWaiters makes all waiters fail.
 func (s *serverState) failWaiters(text string) {
 	for _, w := range append(s.queue.takeAll(), s.control...) {
 		w.granted <- grant{failure: &session.RunError{Kind: session.KindBusy, Text: text}}
 	}
-	s.control = nil
+	s.control, s.backlogged = nil, false
 }
 
 // waiting returns the number of waiters.
