--- a/gateway/health.go
+++ b/gateway/health.go
@@ -95,8 +95,8 @@
 }
 
 // probeServer checks one server. If the server becomes unreachable, its idle
-// connections are closed and the requests that wait for it fail. A change in either direction is logged and reported to
-// the other instances.
+// connections are closed and the requests that wait for it fail. A change in either
+// direction is logged and reported to the other instances.
 func (g *Gateway) probeServer(ctx context.Context, server pool.Server) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/pool/server.go
+++ b/pool/server.go
@@ -49,8 +49,9 @@
 	handshake average
 	service   average
 	// interval is the time between two grants while requests wait, last measured at
-	// intervalAt, and backlogTime is the sum of these times up to minBacklogTime. The last grant was at lastGrant, and backlogged is true if requests that
-	// may be served have waited since.
+	// intervalAt, and backlogTime is the sum of these times up to minBacklogTime. The last
+	// grant was at lastGrant, and backlogged is true if requests that may be served have
+	// waited since.
 	interval    average
 	intervalAt  time.Time
 	lastGrant   time.Time
