fix: a request keeps its place when the server refuses its connection

Each time a server refused the connection that was opened for a request, the request was queued anew: it was charged the handshake and the statement again, counted as another arrival, and lost the time it had waited, so it came behind requests of other workspaces, and the rate of arrivals was too high while a server refused connections. The charge is now taken back, and the request returns to the queue with its first arrival. If it then reaches its deadline, it is refused as saturated.

TestRefusedDialKeepsPlace failed before: the other workspace was served first.

--- a/pool/estimate_test.go
+++ b/pool/estimate_test.go
@@ -29,7 +29,9 @@
 				speed := &steppedSpeed{concurrency: 1}
 				p := pool.New(newReplayServer(4), time.Now)
 				p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 8, Limit: 8, Slots: 4, Speed: speed}})
-				request := func() pool.Request { return pool.Request{Deadline: time.Now().Add(500 * time.Millisecond), Workspace: "w"} }
+				request := func() pool.Request {
+					return pool.Request{Deadline: time.Now().Add(500 * time.Millisecond), Workspace: "w"}
+				}
 				if _, failure := p.Acquire("s", request()); failure != nil {
 					t.Fatal(failure.Text)
 				}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -174,12 +174,14 @@
 // Acquire returns a connection to a server for the request's workspace. It waits
 // for one until the deadline. An error means that no command was sent.
 func (p *Pool) Acquire(server fleet.ServerID, request Request) (*PooledConn, *session.RunError) {
-	for {
-		now := p.clock()
+	arrivedAt := p.clock()
+	for now, again := arrivedAt, false; ; now, again = p.clock(), true {
 		if !now.Before(request.Deadline) {
-			return nil, errAllInUse()
+			failure := errAllInUse()
+			failure.Saturated = again
+			return nil, failure
 		}
-		w, failure := p.enqueue(now, server, request)
+		w, failure := p.enqueue(now, arrivedAt, again, server, request)
 		if failure != nil {
 			return nil, failure
 		}
@@ -193,7 +195,7 @@
 		if granted.conn != nil {
 			return granted.conn, nil
 		}
-		conn, failure, retry := p.open(request.Deadline, granted.server, request)
+		conn, failure, retry := p.open(request.Deadline, granted, request)
 		if !retry {
 			return conn, failure
 		}
@@ -204,8 +206,10 @@
 	return &session.RunError{Kind: session.KindBusy, Text: refusalTexts[RefusedAtDeadline]}
 }
 
-// enqueue adds a request to the queue of a server and serves it at once if possible.
-func (p *Pool) enqueue(now time.Time, server fleet.ServerID, request Request) (*waiter, *session.RunError) {
+// enqueue adds a request to the queue of a server and serves it at once if possible. If
+// again is true, the request was granted the right to open a connection that the server
+// refused, and is no new arrival.
+func (p *Pool) enqueue(now, arrivedAt time.Time, again bool, server fleet.ServerID, request Request) (*waiter, *session.RunError) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[server]
@@ -213,10 +217,14 @@
 		return nil, &session.RunError{Kind: session.KindBusy, Text: "the server is not known"}
 	}
 	w := &waiter{
-		deadline: request.Deadline, enqueuedAt: now, granted: make(chan grant, 1), priority: request.Priority, transaction: request.Transaction,
+		deadline: request.Deadline, enqueuedAt: arrivedAt, granted: make(chan grant, 1), priority: request.Priority, transaction: request.Transaction,
 		variables: request.Variables, weight: max(1, request.Weight), workspace: request.Workspace,
 	}
 	s.queue.add(w)
+	if again {
+		s.dispatch(now)
+		return w, nil
+	}
 	s.recordArrival(now)
 	s.dispatch(now)
 	return w, s.refuseArrival(now, w)
@@ -248,7 +256,7 @@
 	if granted.conn != nil {
 		return granted.conn, nil
 	}
-	conn, failure, _ := p.open(deadline, granted.server, Request{Workspace: controlWorkspace})
+	conn, failure, _ := p.open(deadline, granted, Request{Workspace: controlWorkspace})
 	return conn, failure
 }
 
@@ -288,8 +296,9 @@
 // open opens a connection for which a place is already counted. Retry is true if
 // the server refused it because it accepts no further connection for now, or if its
 // address has changed.
-func (p *Pool) open(deadline time.Time, s *serverState, request Request) (pooledConn *PooledConn, failure *session.RunError, retry bool) {
+func (p *Pool) open(deadline time.Time, granted grant, request Request) (pooledConn *PooledConn, failure *session.RunError, retry bool) {
 	p.mu.Lock()
+	s := granted.server
 	target := s.server
 	if p.servers[target.ID] != s {
 		p.mu.Unlock()
@@ -312,14 +321,18 @@
 		}, nil, false
 	}
 	s.open--
+	refused := failure.Kind == session.KindBusy
 	if request.Workspace != controlWorkspace {
+		if refused {
+			// The request is charged again when it is granted again.
+			s.queue.refund(request.Workspace, granted.charge)
+		}
 		s.endService(now, request.Workspace)
 		if request.Transaction {
 			s.transactions--
 			s.queue.flow(request.Workspace).transactions--
 		}
 	}
-	refused := failure.Kind == session.KindBusy
 	if refused {
 		s.refuse(now)
 		time.AfterFunc(s.refusedUntil.Sub(now), func() { p.dispatch(s) })
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -12,6 +12,8 @@
 // grant is what a waiter receives: a connection, a failure, or if both are nil the right
 // to open a connection to the server.
 type grant struct {
+	// charge is what the workspace was charged for the grant.
+	charge  time.Duration
 	conn    *PooledConn
 	failure *session.RunError
 	server  *serverState
@@ -166,6 +168,11 @@
 	f.charged = max(f.charged, q.virtual) + service/time.Duration(weight)
 }
 
+// refund takes back a charge for service that the workspace did not receive.
+func (q *queue) refund(workspace fleet.WorkspaceID, charge time.Duration) {
+	q.flow(workspace).charged -= charge
+}
+
 // advance raises the charge with which a workspace starts, after one with the given charge
 // was served at a priority: to the least charge of those that wait with this priority or a
 // higher one. A workspace that waits with a lower priority, or for transactions to end,
--- a/pool/server.go
+++ b/pool/server.go
@@ -239,7 +239,7 @@
 	if conn != nil {
 		conn.inService, conn.grantedAt, conn.transaction, conn.weight = true, now, w.transaction, w.weight
 	}
-	w.granted <- grant{conn: conn, server: s}
+	w.granted <- grant{charge: cost / time.Duration(w.weight), conn: conn, server: s}
 }
 
 // beginService counts a statement on a connection that is not in service: one of a
--- a/pool/server_test.go
+++ b/pool/server_test.go
@@ -99,6 +99,48 @@
 	})
 }
 
+// TestRefusedDialKeepsPlace guards against a request that loses its place in the queue
+// because the server refused the connection that was opened for it.
+func TestRefusedDialKeepsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &refusingServer{replayServer: newReplayServer(4)}
+		server.maxConns = 1
+		p := pool.New(server, time.Now)
+		p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: 1, Limit: 1}})
+		held, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Second), Workspace: "x"})
+		if failure != nil {
+			t.Fatal(failure.Text)
+		}
+		granted := make(chan fleet.WorkspaceID, 2)
+		for i, workspace := range []fleet.WorkspaceID{"w", "v"} {
+			go func() {
+				conn, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Duration(5+i) * time.Second), Workspace: workspace})
+				if failure != nil {
+					t.Error(failure.Text)
+					return
+				}
+				granted <- workspace
+				conn.MarkBroken()
+				p.Release("s", conn)
+			}()
+			synctest.Wait()
+		}
+		// Another instance takes the place of the closed connection for a while.
+		server.mu.Lock()
+		server.open++
+		server.mu.Unlock()
+		held.MarkBroken()
+		p.Release("s", held)
+		time.Sleep(20 * time.Millisecond)
+		server.mu.Lock()
+		server.open--
+		server.mu.Unlock()
+		if first, second := <-granted, <-granted; first != "w" || second != "v" {
+			t.Errorf("granted to %q and then %q, want w and then v", first, second)
+		}
+	})
+}
+
 // refusingServer takes the time of a handshake to refuse a connection.
 type refusingServer struct{ *replayServer }
 
