fix: closing an idle connection lets a waiting request open one

A request that waited for a connection of its workspace then kept waiting beside a free place until another statement ended. Both now serve the queue.

TestClosedConnectionIsReplaced failed before in both cases.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -375,7 +375,9 @@
 	s.idle = append(s.idle, conn)
 	s.dispatch(now)
 	// Close connections above the limit, so that other instances can open some.
-	s.trimIdle()
+	if s.trimIdle() {
+		s.dispatch(now)
+	}
 }
 
 // Sweep closes connections that were idle for longer than maxIdleTime.
@@ -383,9 +385,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
+		open := s.open
 		for len(s.idle) > 0 && now.Sub(s.idle[0].releasedAt) > maxIdleTime {
 			s.closeOldest()
 		}
+		if s.open < open {
+			s.dispatch(now)
+		}
 	}
 }
 
--- a/pool/server.go
+++ b/pool/server.go
@@ -341,11 +341,14 @@
 }
 
 // trimIdle closes idle connections until their number is within the limit, the
-// least recently used ones first.
-func (s *serverState) trimIdle() {
+// least recently used ones first. It reports whether it closed any, so that others may
+// be opened.
+func (s *serverState) trimIdle() bool {
+	open := s.open
 	for len(s.idle) > s.server.Idle {
 		s.closeOldest()
 	}
+	return s.open < open
 }
 
 // closeOldest closes the least recently used idle connection.
--- a/pool/server_test.go
+++ b/pool/server_test.go
@@ -141,6 +141,54 @@
 	})
 }
 
+// TestClosedConnectionIsReplaced guards against a place for a connection that stays empty
+// while a request waits for one, after an idle connection was closed.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// idle is the number of idle connections that are kept.
+		idle int
+	}{
+		{name: "released", idle: 0},
+		{name: "swept", idle: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := pool.New(newReplayServer(4), time.Now)
+				p.SetServers(time.Now(), []pool.Server{{Address: "a", ID: "s", Idle: test.idle, Limit: 2, Slots: 1}})
+				request := func(workspace fleet.WorkspaceID) *pool.PooledConn {
+					conn, failure := p.Acquire("s", pool.Request{Deadline: time.Now().Add(time.Second), Workspace: workspace})
+					if failure != nil {
+						t.Error(failure.Text)
+					}
+					return conn
+				}
+				other, own := request("v"), request("w")
+				if test.idle > 0 {
+					p.Release("s", other)
+					time.Sleep(time.Minute)
+				}
+				// A request waits for the connection of its workspace rather than replace another.
+				go request("w")
+				synctest.Wait()
+				if waiting := p.Counts("s").Waiting; waiting != 1 {
+					t.Fatalf("%d requests wait, want 1", waiting)
+				}
+				if test.idle > 0 {
+					p.Sweep(time.Now())
+				} else {
+					p.Release("s", other)
+				}
+				if counts := p.Counts("s"); counts.Waiting != 0 || counts.Open != 2 {
+					t.Errorf("%d requests wait and %d connections are open, want 0 and 2", counts.Waiting, counts.Open)
+				}
+				p.Release("s", own)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // refusingServer takes the time of a handshake to refuse a connection.
 type refusingServer struct{ *replayServer }
 
