fix: an owner that is lost after an attempt's deadline is avoided

The first request for a connection waits for the owner's response until the deadline of the request, but a failed call was compared with the earlier deadline of the attempt. If the connection to the owner was lost in between, the failure counted as a timeout, the owner was not recorded as silent, and the next requests were sent to it as well. The comparison now uses the time until which the call waits.

TestOwnerLostAfterAttempt failed before: kind Timeout, and a third call of an owner.

--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -129,7 +129,7 @@
 	l.lost = err != nil
 	l.ended = batch.Final || err != nil || (opens && response.Failure != nil)
 	if err != nil {
-		return session.Reply{}, l.lostResponse(deadline, err)
+		return session.Reply{}, l.lostResponse(waitUntil, err)
 	}
 	l.exclusive = response.Exclusive
 	if response.Server != "" {
@@ -180,8 +180,9 @@
 	}
 }
 
-// lostResponse returns the error of a call without a response.
-func (l *remoteLease) lostResponse(deadline time.Time, err error) *session.RunError {
+// lostResponse returns the error of a call without a response, for which the lease would
+// have waited until waitUntil.
+func (l *remoteLease) lostResponse(waitUntil time.Time, err error) *session.RunError {
 	g := l.gateway
 	text := fmt.Sprintf("no response from instance %s: %v", l.peer.instance, err)
 	var ownerErr *owner.Error
@@ -189,7 +190,7 @@
 		g.recordOwnerSilent(l.peer.instance, err)
 		return &session.RunError{Kind: session.KindBusy, Text: text}
 	}
-	if !g.config.Clock().Before(deadline) {
+	if !g.config.Clock().Before(waitUntil) {
 		return &session.RunError{Kind: session.KindTimeout, Text: text}
 	}
 	g.recordOwnerSilent(l.peer.instance, err)
--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -296,3 +296,48 @@
 		})
 	}
 }
+
+// lossyOwner loses the connection of each request after a time.
+type lossyOwner struct {
+	after time.Duration
+	calls int
+}
+
+func (o *lossyOwner) Run(context.Context, string, []byte, owner.Request) (owner.Response, error) {
+	o.calls++
+	time.Sleep(o.after)
+	return owner.Response{}, &owner.Error{Err: io.ErrUnexpectedEOF, Kind: owner.KindUnknown, Op: "run"}
+}
+
+// TestOwnerLostAfterAttempt guards against calling an owner again whose connection was
+// lost after the deadline of the attempt, while the request waited for the response.
+func TestOwnerLostAfterAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		client := &lossyOwner{after: 200 * time.Millisecond}
+		g := newTrio(ctx, t, newSlotServers(map[fleet.ServerID]time.Duration{"primary": 0}), 30, client)
+		for range owner.Ranks {
+			now := time.Now()
+			lease, err := g.Acquire(session.Requirements{Deadline: now.Add(time.Second), Route: sheet.Route{Group: "g"}, Workspace: "w"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, failure := lease.Run(now.Add(50*time.Millisecond), session.Batch{Commands: []session.Command{{}}, Final: true})
+			if failure == nil || failure.Kind != session.KindUnknown {
+				t.Errorf("failure %+v, want one of kind %s", failure, session.KindUnknown)
+			}
+		}
+		lease, err := g.Acquire(session.Requirements{Deadline: time.Now().Add(time.Second), Route: sheet.Route{Consistency: sheet.ConsistencyPrimary, Group: "g"}, Workspace: "w"})
+		if err == nil {
+			_, _ = lease.Run(time.Now().Add(50*time.Millisecond), session.Batch{Commands: []session.Command{{}}, Final: true})
+			lease.Release()
+		}
+		if client.calls != owner.Ranks {
+			t.Errorf("%d calls of owners, want %d: one of each", client.calls, owner.Ranks)
+		}
+	})
+}
