fix: a read whose response was lost on the way from its owner is tried again

The first batch of a forwarded request waits until the deadline of the request, because it may wait for a connection at the owner. A read whose response was lost while the owner answered probes therefore also waited until then and was not tried elsewhere. Owners of earlier versions don't answer this, and are waited for as before.

The test's own owner client can now lose responses.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -60,6 +60,8 @@
 	mu sync.Mutex
 	// completions are the statements of the callers, except begins.
 	completions []session.Completion
+	// loseResponses loses the responses of owners.
+	loseResponses bool
 	// noRelay makes the instance get no sheet from other instances.
 	noRelay bool
 }
@@ -237,8 +239,14 @@
 	request.Batch.AuthorizedUntil = time.Time{}
 	responses := make(chan owner.Response, 1)
 	go func() { responses <- target.RunForPeer(request) }()
+	received := responses
+	c.mu.Lock()
+	if c.loseResponses {
+		received = nil
+	}
+	c.mu.Unlock()
 	select {
-	case response := <-responses:
+	case response := <-received:
 		return response, nil
 	case <-ctx.Done():
 		return owner.Response{}, &owner.Error{Err: ctx.Err(), Kind: owner.KindUnknown, Op: "run"}
--- a/gateway/peerleases.go
+++ b/gateway/peerleases.go
@@ -50,14 +50,16 @@
 
 // peerLeases are the leases of other instances. It is safe for concurrent use.
 type peerLeases struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// calls are the calls with an ID whose batches are being run.
+	calls  map[owner.CallID]bool
 	leases map[owner.LeaseID]*peerLease
 	// running counts the batches that are being run.
 	running int
 }
 
 func newPeerLeases() *peerLeases {
-	return &peerLeases{leases: map[owner.LeaseID]*peerLease{}}
+	return &peerLeases{calls: map[owner.CallID]bool{}, leases: map[owner.LeaseID]*peerLease{}}
 }
 
 func (p *peerLeases) get(id owner.LeaseID) *peerLease {
@@ -66,11 +68,29 @@
 	return p.leases[id]
 }
 
-// addRunning adds to the number of batches that are being run.
-func (p *peerLeases) addRunning(delta int) {
+// begin counts a batch that is being run. The call may be empty.
+func (p *peerLeases) begin(call owner.CallID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.running += delta
+	p.running++
+	if call != "" {
+		p.calls[call] = true
+	}
+}
+
+// end counts the end of a batch.
+func (p *peerLeases) end(call owner.CallID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+	delete(p.calls, call)
+}
+
+// isRunning reports whether the batch of a call is being run.
+func (p *peerLeases) isRunning(call owner.CallID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[call]
 }
 
 // count returns the number of leases and running batches.
@@ -88,8 +108,8 @@
 
 // RunForPeer runs one batch for a session of another instance.
 func (g *Gateway) RunForPeer(request owner.Request) owner.Response {
-	g.peerLeases.addRunning(1)
-	defer g.peerLeases.addRunning(-1)
+	g.peerLeases.begin(request.Call)
+	defer g.peerLeases.end(request.Call)
 	now := g.config.Clock()
 	g.mu.Lock()
 	deadline, calibrated := g.storeClock.DeadlineTime(request.Deadline)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
@@ -32,6 +33,8 @@
 
 // PeerRequest is a request from one instance to another.
 type PeerRequest struct {
+	// Call is a call of the sender's, and asks whether the receiver is running its batch.
+	Call owner.CallID `json:",omitempty"`
 	// Look tells the leader to read the instances' rows now, because the sender's
 	// row has new information about a primary.
 	Look bool `json:",omitempty"`
@@ -46,6 +49,9 @@
 
 // PeerResponse is the response to a PeerRequest.
 type PeerResponse struct {
+	// CallEnded is true if the batch of Call is not being run: it has ended, or was not
+	// received.
+	CallEnded bool `json:",omitempty"`
 	// Grants answers Takes, in the same order.
 	Grants []workspace.TakeGrant `json:",omitempty"`
 	// RetryAfter is set if the pool for Take is empty.
@@ -77,6 +83,9 @@
 // response processes a request of another instance and returns the response.
 func (g *Gateway) response(request PeerRequest) PeerResponse {
 	var response PeerResponse
+	if request.Call != "" {
+		response.CallEnded = !g.peerLeases.isRunning(request.Call)
+	}
 	if request.Look {
 		select {
 		case g.memberPollRequests <- struct{}{}:
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -124,6 +124,7 @@
 	if opens && l.requirements.Deadline.After(deadline) {
 		// The wait for a connection doesn't count towards the deadline of an attempt.
 		waitUntil = l.requirements.Deadline
+		request.Call = owner.CallID(l.id)
 	}
 	response, err := l.call(deadline, waitUntil, request)
 	l.lost = err != nil
@@ -142,7 +143,8 @@
 }
 
 // call sends one request with a deadline, and waits for the response until waitUntil.
-// While that takes long, the instance is probed, and the call fails if it doesn't answer.
+// While that takes long, the instance is probed, and the call fails if it doesn't answer,
+// or if it no longer runs the batch after the deadline.
 func (l *remoteLease) call(deadline, waitUntil time.Time, request owner.Request) (owner.Response, error) {
 	g := l.gateway
 	now := g.config.Clock()
@@ -155,7 +157,7 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), waitUntil.Sub(now)+ownerResponseGrace)
 	defer cancel()
-	probing := time.AfterFunc(ownerSilenceThreshold, func() { l.probe(ctx, cancel) })
+	probing := time.AfterFunc(ownerSilenceThreshold, func() { l.probe(ctx, cancel, deadline, request.Call) })
 	defer probing.Stop()
 	response, err := g.config.OwnerClient.Run(ctx, l.peer.address, l.peer.secret, request)
 	countOwnerCall(err)
@@ -163,19 +165,29 @@
 }
 
 // probe probes the other instance at intervals until the context ends, and cancels the
-// call once it is silent.
-func (l *remoteLease) probe(ctx context.Context, cancel context.CancelFunc) {
+// call once it is silent. From the deadline on, it also asks whether the call is still
+// running, unless that has no ID, and cancels it if its response was lost.
+func (l *remoteLease) probe(ctx context.Context, cancel context.CancelFunc, deadline time.Time, call owner.CallID) {
 	for ctx.Err() == nil {
-		answered := false
+		answered, ended := false, false
 		for attempt := 0; attempt < ownerProbeAttempts && !answered && ctx.Err() == nil; attempt++ {
-			_, err := l.gateway.callPeer(l.peer.instance, PeerRequest{})
-			answered = err == nil
+			request := PeerRequest{}
+			if !l.gateway.config.Clock().Before(deadline) {
+				request.Call = call
+			}
+			response, err := l.gateway.callPeer(l.peer.instance, request)
+			answered, ended = err == nil, response.CallEnded
 		}
 		if !answered && ctx.Err() == nil {
 			l.gateway.recordOwnerSilent(l.peer.instance, errors.New("it does not answer probes"))
 			cancel()
 			return
 		}
+		if ended && sleep(ctx, ownerResponseGrace) {
+			l.gateway.recordOwnerSilent(l.peer.instance, errors.New("its response was lost"))
+			cancel()
+			return
+		}
 		sleep(ctx, ownerSilenceThreshold)
 	}
 }
--- a/gateway/saturation_test.go
+++ b/gateway/saturation_test.go
@@ -341,3 +341,38 @@
 		}
 	})
 }
+
+// TestLostResponseOfOwner guards against a read that waits until its deadline for a response
+// that was lost, and against giving up a read that waits for a connection at its owner.
+func TestLostResponseOfOwner(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		dialTime time.Duration
+		lost     bool
+	}{
+		{name: "the response is lost", lost: true},
+		{name: "the owner opens a connection", dialTime: 1500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runFleet(t, 3, keySheet(1, "k"), func(f *testFleet) {
+				caller := f.other()
+				caller.mu.Lock()
+				caller.loseResponses = test.lost
+				caller.mu.Unlock()
+				f.servers.set(func(s *testServers) { s.dialTime = test.dialTime })
+				began := time.Now()
+				lease, err := caller.Acquire(session.Requirements{Deadline: began.Add(5 * time.Second), Route: keySheet(1).Sheet.Routes[0], Workspace: "w"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, failure := lease.Run(began.Add(200*time.Millisecond), session.Batch{Commands: []session.Command{{Statement: session.Statement{Kind: session.StatementRead}}}, Final: true})
+				if lost := failure != nil && failure.Kind == session.KindUnknown; lost != test.lost || (!lost && failure != nil) {
+					t.Errorf("failure %+v, want a lost response: %t", failure, test.lost)
+				}
+				if took := time.Since(began); test.lost && took > time.Second {
+					t.Errorf("the lost response was noticed after %v, want at most 1 s", took)
+				}
+			})
+		})
+	}
+}
--- a/owner/client.go
+++ b/owner/client.go
@@ -50,7 +50,7 @@
 
 func encodeRequest(request Request) *nutmegpierv1.RunRequest {
 	message := &nutmegpierv1.RunRequest{
-		AuthorizedUntilNs: int64(request.AuthorizedUntil), DeadlineNs: int64(request.Deadline), Final: request.Batch.Final,
+		AuthorizedUntilNs: int64(request.AuthorizedUntil), Call: string(request.Call), DeadlineNs: int64(request.Deadline), Final: request.Batch.Final,
 		Lease: string(request.Lease), SheetVersion: uint64(request.Batch.SheetVersion), Variables: request.Batch.Variables,
 	}
 	if template := request.Batch.Template; template != nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,12 +14,18 @@
 // instances and their restarts.
 type LeaseID string
 
+// CallID identifies a call of one instance at another. It is unique over all instances and
+// their restarts.
+type CallID string
+
 // Request asks an instance to run one batch of a lease.
 type Request struct {
 	// AuthorizedUntil is Batch.AuthorizedUntil as the store's monotonic time. It is
 	// zero if the batch needs no key. Batch.AuthorizedUntil itself is not sent.
 	AuthorizedUntil time.Duration
 	Batch           session.Batch
+	// Call is empty unless the caller may ask whether the batch is still being run.
+	Call CallID
 	// Deadline is the store's monotonic time after which the caller no longer waits
 	// for the response.
 	Deadline time.Duration
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -49,7 +49,7 @@
 			Commands:      []session.Command{{Statement: session.Statement{Arguments: "x 1", ID: "5c", Kind: session.StatementExecute, Name: "s1", Text: "EXECUTE s1 x 1"}}},
 			Final:         true, Template: &session.Template{Body: "q", Write: true}, Variables: variables,
 		},
-		Deadline: time.Hour, Lease: "i-1-2",
+		Call: "i-1-2", Deadline: time.Hour, Lease: "i-1-2",
 		Requirements: &session.Requirements{
 			Avoid: map[fleet.ServerID]bool{"s-1": true}, LastWrite: fleet.Position{Log: 7, Term: 2},
 			Route:     sheet.Route{Consistency: sheet.ConsistencyBoundedAge, Group: "g", MaxAge: 1500, Priority: 2},
--- a/owner/server.go
+++ b/owner/server.go
@@ -57,6 +57,7 @@
 	request := Request{
 		AuthorizedUntil: time.Duration(message.GetAuthorizedUntilNs()),
 		Batch:           session.Batch{Final: message.GetFinal(), Variables: message.GetVariables()},
+		Call:            CallID(message.GetCall()),
 		Deadline:        time.Duration(message.GetDeadlineNs()),
 		Lease:           LeaseID(message.GetLease()),
 	}
