--- a/owner/client.go
+++ b/owner/client.go
@@ -50,7 +50,7 @@
 
 func encodeRequest(request Request) *nutmegpierv1.RunRequest {
 	message := &nutmegpierv1.RunRequest{
-		AuthorizedUntilNs: int64(request.AuthorizedUntil), DeadlineNs: int64(request.Deadline), Final: request.Batch.Final,
+		AuthorizedUntilNs: int64(request.AuthorizedUntil), Call: string(request.Call), DeadlineNs: int64(request.Deadline), Final: request.Batch.Final,
 		Lease: string(request.Lease), SheetVersion: uint64(request.Batch.SheetVersion), Variables: request.Batch.Variables,
 	}
 	if template := request.Batch.Template; template != nil {
@@ -88,7 +88,7 @@
 	if failure := message.GetFailure(); failure != nil {
 		response.Unavailable = failure.GetUnavailable()
 		response.Failure = &session.RunError{
-			Kind: session.Kind(failure.GetKind()), RetryAfter: time.Duration(failure.GetRetryAfterMs()) * time.Millisecond, Text: failure.GetText(),
+			Kind: session.Kind(failure.GetKind()), RetryAfter: time.Duration(failure.GetRetryAfterMs()) * time.Millisecond, Saturated: failure.GetSaturated(), Text: failure.GetText(),
 		}
 	}
 	return response
--- a/owner/server.go
+++ b/owner/server.go
@@ -57,6 +57,7 @@
 	request := Request{
 		AuthorizedUntil: time.Duration(message.GetAuthorizedUntilNs()),
 		Batch:           session.Batch{Final: message.GetFinal(), Variables: message.GetVariables()},
+		Call:            CallID(message.GetCall()),
 		Deadline:        time.Duration(message.GetDeadlineNs()),
 		Lease:           LeaseID(message.GetLease()),
 	}
@@ -116,7 +117,8 @@
 	}
 	if failure := response.Failure; failure != nil {
 		message.Failure = &nutmegpierv1.RunFailure{
-			Kind: string(failure.Kind), RetryAfterMs: failure.RetryAfter.Milliseconds(), Text: failure.Text, Unavailable: response.Unavailable,
+			Kind: string(failure.Kind), RetryAfterMs: failure.RetryAfter.Milliseconds(), Saturated: failure.Saturated, Text: failure.Text,
+			Unavailable: response.Unavailable,
 		}
 	}
 	return message
--- a/pool/server.go
+++ b/pool/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/fleet"
@@ -48,8 +49,9 @@
 	handshake average
 	service   average
 	// interval is the time between two grants while requests wait, last measured at
-	// intervalAt, and backlogTime is the sum of these times up to minBacklogTime. The last grant was at lastGrant, and backlogged is true if requests that
-	// may be served have waited since.
+	// intervalAt, and backlogTime is the sum of these times up to minBacklogTime. The last
+	// grant was at lastGrant, and backlogged is true if requests that may be served have
+	// waited since.
 	interval    average
 	intervalAt  time.Time
 	lastGrant   time.Time
@@ -105,7 +107,9 @@
 	for len(s.control) > 0 && s.grantControl() {
 	}
 	for s.queue.size > 0 && s.mayServe() {
-		w := s.queue.next(s.mayBegin, func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f) })
+		// Whether a connection can be replaced is the same for all waiters.
+		replaceable := sync.OnceValue(func() bool { return s.replaceable() >= 0 })
+		w := s.queue.next(s.mayBegin, func(w *waiter, f *flow) (time.Duration, bool) { return s.handshakeFor(now, w, f, replaceable) })
 		if w == nil {
 			break
 		}
@@ -162,8 +166,9 @@
 }
 
 // handshakeFor returns the handshake time that serving a waiter takes now. It reports
-// false if the waiter needs a connection and none can be opened.
-func (s *serverState) handshakeFor(now time.Time, w *waiter, f *flow) (time.Duration, bool) {
+// false if the waiter needs a connection and none can be opened. The function replaceable
+// reports whether an idle connection may be replaced.
+func (s *serverState) handshakeFor(now time.Time, w *waiter, f *flow, replaceable func() bool) (time.Duration, bool) {
 	if slices.ContainsFunc(s.idle, func(conn *PooledConn) bool { return conn.workspace == w.workspace }) {
 		return 0, true
 	}
@@ -174,7 +179,7 @@
 		// A connection of the workspace will be free sooner.
 		return 0, false
 	}
-	return s.handshake.get(), s.replaceable() >= 0
+	return s.handshake.get(), replaceable()
 }
 
 // mayOpen reports whether a connection may be opened in addition to the open ones.
@@ -234,7 +239,7 @@
 	if conn != nil {
 		conn.inService, conn.grantedAt, conn.transaction, conn.weight = true, now, w.transaction, w.weight
 	}
-	w.granted <- grant{conn: conn, server: s}
+	w.granted <- grant{charge: cost / time.Duration(w.weight), conn: conn, server: s}
 }
 
 // beginService counts a statement on a connection that is not in service: one of a
@@ -336,11 +341,14 @@
 }
 
 // trimIdle closes idle connections until their number is within the limit, the
-// least recently used ones first.
-func (s *serverState) trimIdle() {
+// least recently used ones first. It reports whether it closed any, so that others may
+// be opened.
+func (s *serverState) trimIdle() bool {
+	open := s.open
 	for len(s.idle) > s.server.Idle {
 		s.closeOldest()
 	}
+	return s.open < open
 }
 
 // closeOldest closes the least recently used idle connection.
@@ -359,12 +367,21 @@
 	s.idle = nil
 }
 
+// leave removes a waiter that is not served. It reports false if the waiter is not queued.
+func (s *serverState) leave(w *waiter) bool {
+	if !s.queue.remove(w) {
+		return false
+	}
+	s.backlogged = s.backlogged && s.queue.singles > 0
+	return true
+}
+
 // failWaiters makes all waiters fail.
 func (s *serverState) failWaiters(text string) {
 	for _, w := range append(s.queue.takeAll(), s.control...) {
 		w.granted <- grant{failure: &session.RunError{Kind: session.KindBusy, Text: text}}
 	}
-	s.control = nil
+	s.control, s.backlogged = nil, false
 }
 
 // waiting returns the number of waiters.
