fix: give other instances more descriptors of those of an owner

Each other instance keeps up to four connections to an owner of groups, and readers of a relay have a pending call for each table. With 295 instances and 4,400 descriptors that is 1,372 connections, and the limit was 1,100, so that an owner closed connections which others were about to use. The ports for metrics and readiness get half of what they had, 47 connections each on the smallest machine.

--- a/cmd/gatewayd/limits.go
+++ b/cmd/gatewayd/limits.go
@@ -25,9 +25,16 @@
 	results *budget.Bytes
 }
 
+// otherPorts returns the limits on connections of other instances, and on those to each of
+// the ports for metrics and readiness. Of the descriptors, half are for callers, five
+// sixteenths for other instances, which each keep up to maxIdleOwnerConnections, and a
+// thirty-second for metrics and readiness. The others are for the instance's own
+// connections.
+func otherPorts(descriptors int) (peers, probes int) {
+	return max(1, descriptors*5/16), max(1, descriptors/64)
+}
+
 // newLimits derives the limits from the settings and the descriptor limit of the process.
-// Of the descriptors, half are for callers, a quarter for other instances and a sixteenth
-// for metrics and readiness. The others are for the instance's own connections.
 func newLimits(settings gateway.Settings) (processLimits, error) {
 	var descriptors syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
@@ -42,7 +49,8 @@
 	}
 	callers := budget.New(limits)
 	expvar.Publish("CallerBudget", expvar.Func(func() any { return map[string]any{"Limits": limits, "Use": callers.Use()} }))
-	return processLimits{callers: callers, peerConnections: max(1, open/4), probeConnections: max(1, open/32), results: budget.NewBytes(limits.Bytes / 2)}, nil
+	peers, probes := otherPorts(open)
+	return processLimits{callers: callers, peerConnections: peers, probeConnections: probes, results: budget.NewBytes(limits.Bytes / 2)}, nil
 }
 
 // callerLimits returns the limits of the server for callers.
