--- a/cmd/gatewayd/limits.go
+++ b/cmd/gatewayd/limits.go
@@ -11,8 +11,13 @@
 	"github.com/nutmegpier/nutmegpier/platform"
 )
 
-// megabyte is the unit of the memory limit.
-const megabyte = 1 << 20
+const (
+	// fallbackDescriptors is the descriptor limit that is assumed if it can't be read,
+	// which is a common default of Linux.
+	fallbackDescriptors = 1024
+	// megabyte is the unit of the memory limit.
+	megabyte = 1 << 20
+)
 
 // processLimits divides the memory and the descriptors of the process.
 type processLimits struct {
@@ -35,12 +40,12 @@
 }
 
 // newLimits derives the limits from the settings and the descriptor limit of the process.
-func newLimits(settings gateway.Settings) (processLimits, error) {
+func newLimits(settings gateway.Settings) processLimits {
+	open := fallbackDescriptors
 	var descriptors syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
-		return processLimits{}, err
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err == nil {
+		open = int(min(descriptors.Cur, 1<<20))
 	}
-	open := int(min(descriptors.Cur, 1<<20))
 	memory := settings.MemoryLimit * megabyte
 	derived := budget.LimitsOf(memory, open)
 	limits := budget.Limits{
@@ -50,7 +55,7 @@
 	callers := budget.New(limits)
 	expvar.Publish("CallerBudget", expvar.Func(func() any { return map[string]any{"Limits": limits, "Use": callers.Use()} }))
 	peers, probes := otherPorts(open)
-	return processLimits{callers: callers, peerConnections: peers, probeConnections: probes, results: budget.NewBytes(limits.Bytes / 2)}, nil
+	return processLimits{callers: callers, peerConnections: peers, probeConnections: probes, results: budget.NewBytes(limits.Bytes / 2)}
 }
 
 // callerLimits returns the limits of the server for callers.
--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -144,10 +144,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 
-	limits, err := newLimits(settings)
-	if err != nil {
-		return err
-	}
+	limits := newLimits(settings)
 	log := gateway.NewLog(recorder, settings.Log.LinesPerSecond)
 	gw, peerHandler := newGateway(settings, epoch, log, opened.peers, limits)
 	callers := platform.NewCallerServer(session.Config{
