--- a/cmd/gatewayd/limits.go
+++ b/cmd/gatewayd/limits.go
@@ -11,8 +11,13 @@
 	"github.com/nutmegpier/nutmegpier/platform"
 )
 
-// megabyte is the unit of the memory limit.
-const megabyte = 1 << 20
+const (
+	// fallbackDescriptors is the descriptor limit that is assumed if it can't be read,
+	// which is a common default of Linux.
+	fallbackDescriptors = 1024
+	// megabyte is the unit of the memory limit.
+	megabyte = 1 << 20
+)
 
 // processLimits divides the memory and the descriptors of the process.
 type processLimits struct {
@@ -25,15 +30,22 @@
 	results *budget.Bytes
 }
 
+// otherPorts returns the limits on connections of other instances, and on those to each of
+// the ports for metrics and readiness. Of the descriptors, half are for callers, five
+// sixteenths for other instances, which each keep up to maxIdleOwnerConnections, and a
+// thirty-second for metrics and readiness. The others are for the instance's own
+// connections.
+func otherPorts(descriptors int) (peers, probes int) {
+	return max(1, descriptors*5/16), max(1, descriptors/64)
+}
+
 // newLimits derives the limits from the settings and the descriptor limit of the process.
-// Of the descriptors, half are for callers, a quarter for other instances and a sixteenth
-// for metrics and readiness. The others are for the instance's own connections.
-func newLimits(settings gateway.Settings) (processLimits, error) {
+func newLimits(settings gateway.Settings) processLimits {
+	open := fallbackDescriptors
 	var descriptors syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
-		return processLimits{}, err
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err == nil {
+		open = int(min(descriptors.Cur, 1<<20))
 	}
-	open := int(min(descriptors.Cur, 1<<20))
 	memory := settings.MemoryLimit * megabyte
 	derived := budget.LimitsOf(memory, open)
 	limits := budget.Limits{
@@ -42,7 +54,8 @@
 	}
 	callers := budget.New(limits)
 	expvar.Publish("CallerBudget", expvar.Func(func() any { return map[string]any{"Limits": limits, "Use": callers.Use()} }))
-	return processLimits{callers: callers, peerConnections: max(1, open/4), probeConnections: max(1, open/32), results: budget.NewBytes(limits.Bytes / 2)}, nil
+	peers, probes := otherPorts(open)
+	return processLimits{callers: callers, peerConnections: peers, probeConnections: probes, results: budget.NewBytes(limits.Bytes / 2)}
 }
 
 // callerLimits returns the limits of the server for callers.
