--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"iter"
 	"math"
 	"slices"
 	"strconv"
@@ -16,7 +15,6 @@
 	"github.com/nutmegpier/nutmegpier/feed"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/primacy"
-	"github.com/nutmegpier/nutmegpier/usage"
 	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
@@ -65,113 +63,6 @@
 	maxDirectReaders = 16
 )
 
-// GroupLeft confirms that an instance has stopped using a group's primary, as of a
-// generation of the primary record.
-type GroupLeft struct {
-	Generation primacy.Generation
-	Group      fleet.GroupID
-}
-
-// MemberRow is the membership row that an instance writes periodically for the others
-// to read.
-type MemberRow struct {
-	// At is the store's monotonic time at which the row was sent. The fields that
-	// change with each write come first, because only the changed part is relayed. It is
-	// rounded down to milliseconds, which shortens the relayed change and is well within
-	// primacy.LeaseMargin.
-	At time.Duration
-	// Beat is a heartbeat counter that changes with each write.
-	Beat uint64
-	// Demand is the demand on the instance in requests per second.
-	Demand float64
-	// Address is where the instance serves requests of other instances.
-	Address    string `json:",omitempty"`
-	DataCentre fleet.DataCentre
-	// Draining says that the instance is about to stop.
-	Draining bool `json:",omitempty"`
-	// Epoch identifies the run of the instance's process.
-	Epoch fleet.Epoch
-	// Left lists the primaries that the instance has stopped using.
-	Left []GroupLeft `json:",omitempty"`
-	// LinkMegabits is the speed of the instance's network link in Mbit/s, or zero if it is
-	// not known.
-	LinkMegabits float64 `json:",omitempty"`
-	// Phase is whether the instance holds shares of the rate limits.
-	Phase workspace.Phase
-	// ProcessorShare is the processor time that the instance may use, in cores.
-	ProcessorShare float64 `json:",omitempty"`
-	// Since is the store's monotonic time since which the row has been valid
-	// without interruption.
-	Since time.Duration
-	// Secret authenticates requests to the instance: only readers of this row
-	// know it.
-	Secret []byte `json:",omitempty"`
-	// Unreachable lists the primaries that the instance can't use.
-	Unreachable []fleet.ServerID `json:",omitempty"`
-	// WallOffset is the offset of the instance's wall clock from the store's clock. It is
-	// missing if usage is not reported.
-	WallOffset usage.Offset `json:",omitempty"`
-}
-
-// memberView is what this instance knows about all instances. It is guarded by the
-// gateway's mu.
-type memberView struct {
-	heartbeatCount uint64
-	epoch          fleet.Epoch
-	leaderRevision feed.Revision
-	leadership     *primacy.Leadership
-	// leading is whether this instance was the leader when last checked.
-	leading bool
-	// left maps a group to the generation of the primary record as of which this
-	// instance has stopped using the primary.
-	left map[fleet.GroupID]primacy.Generation
-	// lossLogged is true once an expiry of this instance's row has been logged.
-	lossLogged bool
-	// linkMegabits is that of this instance.
-	linkMegabits float64
-	// members holds the rows of all instances, this one included.
-	members     map[fleet.InstanceID]*member
-	ownRevision feed.Revision
-	// participation decides when this instance holds shares of the rate limits.
-	participation *workspace.Participation
-	// phaseRevision is the revision as of which this instance's row has its phase.
-	phaseRevision feed.Revision
-	// verifiedAt is a time at which members was verified to be up to date.
-	verifiedAt time.Time
-	// verifiedStoreTime is verifiedAt on the store's clock.
-	verifiedStoreTime time.Duration
-	// recordsVerifiedAt is a time at which the primary records were verified to
-	// be up to date.
-	recordsVerifiedAt time.Time
-	// processorShare is that of this instance.
-	processorShare float64
-	self           fleet.InstanceID
-	// resumedRowValidUntil is when the row written by an earlier run of this
-	// instance expires. Until then it counts as this instance's row.
-	resumedRowValidUntil time.Time
-	// lastWritten is this instance's row as it was last written.
-	lastWritten MemberRow
-	// rowSince is MemberRow.Since of this instance's row.
-	rowSince time.Duration
-}
-
-// member is the row of an instance as last read, and its revision in the store.
-type member struct {
-	revision feed.Revision
-	row      MemberRow
-}
-
-func newMemberView(self fleet.InstanceID, epoch fleet.Epoch) memberView {
-	return memberView{
-		epoch:         epoch,
-		leadership:    primacy.NewLeadership(self, epoch),
-		left:          map[fleet.GroupID]primacy.Generation{},
-		members:       map[fleet.InstanceID]*member{},
-		participation: workspace.NewParticipation(),
-		self:          self,
-	}
-}
-
 // memberPartitions returns all partitions of memberTable.
 func memberPartitions() []Partition {
 	partitions := []Partition{leaderPartition}
@@ -187,46 +78,6 @@
 	return Partition("instances-" + strconv.Itoa(int(xxhash.Sum64String(string(dataCentre))%memberPartitionCount)))
 }
 
-// isLive reports whether the lease of an instance may still be valid.
-func (v *memberView) isLive(m *member) bool {
-	return !primacy.IsLeaseExpired(v.verifiedStoreTime - m.row.At)
-}
-
-// otherLive iterates over the rows of the other live instances.
-func (v *memberView) otherLive() iter.Seq2[fleet.InstanceID, MemberRow] {
-	return func(yield func(fleet.InstanceID, MemberRow) bool) {
-		for id, m := range v.members {
-			if id != v.self && v.isLive(m) && !yield(id, m.row) {
-				return
-			}
-		}
-	}
-}
-
-// liveInstances returns the live instances, this one first.
-func (v *memberView) liveInstances() []fleet.InstanceID {
-	instances := []fleet.InstanceID{v.self}
-	for id := range v.otherLive() {
-		instances = append(instances, id)
-	}
-	return instances
-}
-
-// liveCount returns the number of live instances, this one included.
-func (v *memberView) liveCount() int {
-	return len(v.liveInstances())
-}
-
-// reportedUnreachable reports whether another live instance can't use a primary.
-func (v *memberView) reportedUnreachable(primary fleet.ServerID) bool {
-	for _, row := range v.otherLive() {
-		if slices.Contains(row.Unreachable, primary) {
-			return true
-		}
-	}
-	return false
-}
-
 // maintainMembership periodically writes this instance's row, reads those of the
 // others, and renews the leadership and the lease on the rate limits.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
@@ -351,18 +202,6 @@
 	return true, phaseChanged
 }
 
-// isNews reports whether the row says something that other instances wait for, compared
-// with an earlier row of the instance.
-func (r MemberRow) isNews(earlier MemberRow) bool {
-	return r.Draining != earlier.Draining || r.Phase != earlier.Phase || r.concernsLeader(earlier)
-}
-
-// concernsLeader reports whether the row says something new about a primary, compared
-// with an earlier row of the instance.
-func (r MemberRow) concernsLeader(earlier MemberRow) bool {
-	return !slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
-}
-
 // writeUnlessRequested writes this instance's row. A heartbeat request that arrives while
 // the row waits for others ends the write, whose outcome is then unknown, so that the
 // newer row can be written at once.
