--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -62,6 +62,7 @@
 		t.Fatal(err)
 	}
 	want := gateway.Settings{
+		Callers:    gateway.CallerSettings{MaxStateBytes: 4 << 20},
 		DataCentre: "mixco", Instance: "front-mixco-1", KeyLease: 4500 * time.Millisecond, LinkMegabits: 20,
 		Listen: gateway.Listen{Callers: "10.1.0.26:8465", Metrics: "10.1.0.26:7560", Peers: "10.1.0.26:7575", Ready: "10.1.0.26:8460"},
 		Log:    gateway.LogSettings{LinesPerSecond: 20}, MemoryLimit: 284, ProcessorShare: 0.4, PromotionAddress: "10.200.0.2:8466",
