fix: connections without a session keep no callers out of nutmegpier serve

Connections that sent nothing used all descriptors, so that accepting failed and the instance answered no further query. The number of connections was bounded only by Limits.MaxSessions, whose default is far above the usual descriptor limit.

The connections of callers are now limited to half of the descriptors by package budget: a new one replaces the oldest one without a session, and is refused with 53300 if all have one. Budget.Start reports whether the connection is still held, so that no session begins on a connection that is about to be closed.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -87,13 +87,17 @@
 	return b.lastID, decision
 }
 
-// Start records that a connection has a session.
-func (b *Budget) Start(id ConnID) {
+// Start records that a connection has a session. It reports false if the connection was
+// chosen to be closed before, so that no request begins on it.
+func (b *Budget) Start(id ConnID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.holders[id]; h != nil {
-		h.started = true
+	h := b.holders[id]
+	if h == nil {
+		return false
 	}
+	h.started = true
+	return true
 }
 
 // Charge adds bytes to those that a connection holds. If the total exceeds the limit,
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -42,7 +42,8 @@
 }
 
 // TestAcceptLimit guards against connections without a session that keep callers out,
-// and against sessions that are closed for a new connection.
+// against sessions that are closed for a new connection, and against sessions that begin
+// on a connection that is about to be closed.
 func TestAcceptLimit(t *testing.T) {
 	b := budget.New(budget.Limits{Bytes: 1, Connections: 2})
 	first, _ := b.Open()
@@ -51,8 +52,10 @@
 	if diff := cmp.Diff(budget.Decision{Close: []budget.ConnID{first}}, decision); diff != "" {
 		t.Errorf("connection without a session (-want +got):\n%s", diff)
 	}
-	b.Start(second)
-	b.Start(third)
+	started := []bool{b.Start(first), b.Start(second), b.Start(third)}
+	if diff := cmp.Diff([]bool{false, true, true}, started); diff != "" {
+		t.Errorf("sessions that may begin (-want +got):\n%s", diff)
+	}
 	if _, decision := b.Open(); !decision.Refused {
 		t.Error("a connection over the limit was accepted")
 	}
--- a/caller/events.go
+++ b/caller/events.go
@@ -12,6 +12,9 @@
 	EventAuthenticationFailed EventName = "AuthenticationFailed"
 	// EventBackendLost means that a backend connection failed during a request.
 	EventBackendLost EventName = "BackendLost"
+	// EventCallerRefused means that a connection was refused or closed because there
+	// were too many.
+	EventCallerRefused EventName = "CallerRefused"
 	// EventCommitNotRun means that a commit was certainly lost in a change of
 	// primary.
 	EventCommitNotRun EventName = "CommitNotRun"
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/budget"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -28,7 +29,7 @@
 
 // openSession performs startup and authentication on a connection. If it fails,
 // the error was already sent to the caller.
-func (s *Server) openSession(conn net.Conn) (*session, error) {
+func (s *Server) openSession(conn net.Conn, id budget.ConnID) (*session, error) {
 	_ = conn.SetDeadline(s.config.Now().Add(s.config.StartupTimeout))
 	conn, startup, err := s.negotiate(conn)
 	if err != nil {
@@ -48,6 +49,9 @@
 		s.record(workspaceEvent(EventAuthenticationFailed, session.workspace, session.group, ""))
 		return nil, s.reject(conn, err)
 	}
+	if !s.startConn(id) {
+		return nil, net.ErrClosed
+	}
 	if err := s.addSession(session); err != nil {
 		return nil, s.reject(conn, err)
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/budget"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -35,13 +36,17 @@
 )
 
 // Config holds the dependencies and settings of a Server. All interfaces are
-// required, except for Barrier, CancelForwarder, EventRecorder and Routes.
+// required, except for Barrier, Budget, CancelForwarder, EventRecorder and Routes.
 type Config struct {
 	// AllowCleartext makes the server request the key in cleartext on TLS
 	// connections, instead of SCRAM.
 	AllowCleartext bool
 	// Barrier provides read barriers for sessions without a token. Nil means none.
 	Barrier Barrier
+	// Budget limits the open connections. At its limit a new connection replaces the
+	// oldest one that has no session yet, and is refused with 53300 if all have one. Nil
+	// means no limit.
+	Budget *budget.Budget
 	// CancelForwarder forwards cancel requests to other instances. Nil means that
 	// they aren't forwarded.
 	CancelForwarder CancelForwarder
@@ -102,7 +107,12 @@
 
 // Server serves PostgreSQL connections of callers.
 type Server struct {
-	config   Config
+	// closedConns counts the connections that were refused or closed because of the
+	// budget.
+	closedConns uint64
+	config      Config
+	// conns holds the connections that the budget counts.
+	conns    map[budget.ConnID]net.Conn
 	draining bool
 	// sessionRemoved is closed and replaced whenever a session ends.
 	sessionRemoved chan struct{}
@@ -111,7 +121,11 @@
 	nextID         uint64
 	// openConns is the number of connections, including those that aren't
 	// authenticated yet.
-	openConns  int
+	openConns int
+	// refusalEventAt is when a refused connection was last recorded as an event.
+	refusalEventAt time.Time
+	// refusals is the number of connections over the budget that are being refused.
+	refusals   int
 	retries    *retryBudget
 	sessions   map[uint32]*session
 	writerPool sync.Pool
@@ -122,6 +136,7 @@
 	config = config.withDefaults()
 	s := &Server{
 		config:         config,
+		conns:          make(map[budget.ConnID]net.Conn),
 		sessionRemoved: make(chan struct{}),
 		retries:        newRetryBudget(),
 		sessions:       make(map[uint32]*session),
@@ -190,19 +205,34 @@
 			}
 			return err
 		}
-		go s.ServeConn(conn)
+		if id, admitted := s.admitConn(conn); admitted {
+			go s.serveConn(conn, id)
+		} else {
+			go s.refuseOverBudget(conn)
+		}
 	}
 }
 
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(conn net.Conn) {
+	id, admitted := s.admitConn(conn)
+	if !admitted {
+		s.refuseOverBudget(conn)
+		return
+	}
+	s.serveConn(conn, id)
+}
+
+// serveConn serves a connection that the budget admitted.
+func (s *Server) serveConn(conn net.Conn, id budget.ConnID) {
+	defer s.forgetConn(id)
 	defer conn.Close()
 	if !s.reserveConn() {
 		s.refuseOverLimit(conn)
 		return
 	}
 	defer s.releaseConn()
-	session, err := s.openSession(conn)
+	session, err := s.openSession(conn, id)
 	if err != nil {
 		linger(conn)
 		return
--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -39,10 +39,15 @@
 	if err != nil {
 		return err
 	}
+	descriptors, err := descriptorLimit()
+	if err != nil {
+		return err
+	}
 	inst, err := instance.Open(instance.Options{
-		Listeners: listeners,
-		LogOutput: cmd.ErrOrStderr(),
-		Settings:  configured,
+		Descriptors: descriptors,
+		Listeners:   listeners,
+		LogOutput:   cmd.ErrOrStderr(),
+		Settings:    configured,
 	})
 	if err != nil {
 		return err
@@ -56,6 +61,18 @@
 	return inst.Run(ctx)
 }
 
+// maxDescriptors replaces an unlimited or very large descriptor limit.
+const maxDescriptors = 1 << 20
+
+// descriptorLimit returns the descriptor limit of the process.
+func descriptorLimit() (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, err
+	}
+	return int(min(limit.Cur, maxDescriptors)), nil
+}
+
 // reloadSettings reads the settings file again at each signal and applies it. An
 // invalid file changes nothing.
 func reloadSettings(ctx context.Context, reload <-chan os.Signal, file string, inst *instance.Instance) {
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -1,9 +1,11 @@
 package instance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/nutmegpier/nutmegpier/budget"
 	"github.com/nutmegpier/nutmegpier/caller"
 	"github.com/nutmegpier/nutmegpier/group"
 	"github.com/nutmegpier/nutmegpier/settings"
@@ -16,6 +18,15 @@
 // noIdleTimeout stands for no idle timeout: it is longer than any session lasts.
 const noIdleTimeout = 10 * 365 * 24 * time.Hour
 
+// callerBudget returns the budget of the connections of callers, or nil without a known
+// descriptor limit.
+func (i *Instance) callerBudget() *budget.Budget {
+	if i.config.Descriptors == 0 {
+		return nil
+	}
+	return budget.New(budget.Limits{Bytes: math.MaxInt, Connections: budget.LimitsOf(0, i.config.Descriptors).Connections})
+}
+
 // callerConfig returns the configuration of the server for callers.
 func (i *Instance) callerConfig() caller.Config {
 	configured := i.config.Settings
@@ -26,6 +37,7 @@
 	return caller.Config{
 		AllowCleartext:      configured.TLS.AllowCleartextKeys,
 		Barrier:             i.router,
+		Budget:              i.callerBudget(),
 		CancelForwarder:     i,
 		CommitWaiter:        i.router,
 		Credentials:         &credentials{now: i.config.Now, sheet: i.board.Sheet},
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -40,7 +40,7 @@
 }
 
 // Config holds the dependencies of an instance. All fields except
-// BackendPassword, CallerTLS and PeerTLS are required.
+// BackendPassword, CallerTLS, Descriptors and PeerTLS are required.
 type Config struct {
 	// BackendPassword is the password with which the proxy logs in to backend
 	// servers.
@@ -48,6 +48,9 @@
 	// CallerTLS returns the TLS configuration of the listener for callers. Nil
 	// means no TLS.
 	CallerTLS func() *tls.Config
+	// Descriptors is the descriptor limit of the process, of which half are for
+	// connections of callers. Zero means that these aren't limited.
+	Descriptors int
 	// Dial opens connections to backend servers.
 	Dial backend.Dial
 	// Epoch identifies this run of the instance.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -87,6 +87,7 @@
 
 // publishMetrics adds the metrics that are read from other components.
 func (i *Instance) publishMetrics() {
+	i.metrics.publish("CallersClosed", func() any { return i.callers.ClosedConnections() })
 	i.metrics.publish("Lifecycle", func() any { return i.board.Lifecycle.Load() })
 	i.metrics.publish("Pools", func() any { return i.allPoolStatus() })
 	i.metrics.publish("Promotions", func() any { return len(i.Promotions()) })
--- a/instance/open.go
+++ b/instance/open.go
@@ -28,7 +28,10 @@
 
 // Options holds the settings of an instance and what the process provides to it.
 type Options struct {
-	Listeners Listeners
+	// Descriptors is the descriptor limit of the process, which limits the connections
+	// of callers. Zero means that they aren't limited.
+	Descriptors int
+	Listeners   Listeners
 	// LogFormat overrides the log format of the settings if it is not empty.
 	LogFormat string
 	LogOutput io.Writer
@@ -57,6 +60,7 @@
 	return New(Config{
 		BackendPassword: password,
 		CallerTLS:       tlsConfig.callers,
+		Descriptors:     options.Descriptors,
 		Dial:            dialer.DialContext,
 		Epoch:           epoch,
 		Events:          event.New(configured.Instance, epoch, time.Now, logger, configured.Timeline.Capacity),
--- a/instance/recorder.go
+++ b/instance/recorder.go
@@ -146,6 +146,8 @@
 		return event.KeyWithdrawn, true
 	case caller.EventRetry:
 		return event.RequestRetried, true
+	case caller.EventCallerRefused:
+		return event.CallerRefused, true
 	case caller.EventSessionClosed:
 		return event.SessionClosed, true
 	}
--- a/settings/table.go
+++ b/settings/table.go
@@ -56,7 +56,7 @@
 		{"Maximum number of connections to one server that this instance uses at the same time, each for one statement at a time. 0 means all connections that it may open.", true, numberRule("Groups[].Slots", "3", 0, 10000), UnitStatements},
 		{"Name of the instance, unique in the deployment.", false, requiredRule("Instance", document.FormatName), UnitNone},
 		{"Maximum size of a message from a caller, of all its messages up to a Sync together, and of the prepared statements of a session.", false, numberRule("Limits.MaxMessageBytes", "16777216", 1024, 1<<30), UnitBytes},
-		{"Maximum number of connections from callers, including those that are not authenticated yet. Further ones are refused.", false, numberRule("Limits.MaxSessions", "100000", 1, 10000000), UnitSessions},
+		{"Maximum number of connections from callers, including those that are not authenticated yet. Further ones are refused. All connections together are also limited to half of the descriptor limit of the process, where a new one replaces the oldest one that is not authenticated yet.", false, numberRule("Limits.MaxSessions", "100000", 1, 10000000), UnitSessions},
 		{"Maximum time that a request waits for a connection, counted from its arrival.", false, durationRule("Limits.QueueTimeout", "5s", time.Millisecond, 10*time.Minute), UnitDuration},
 		{"Address on which the instance serves the administration API.", false, requiredRule("Listen.Admin", document.FormatAddress), UnitNone},
 		{"Address on which the instance accepts connections from callers.", false, requiredRule("Listen.Callers", document.FormatAddress), UnitNone},
