fix: connections without a request use a sixteenth of the descriptors of nutmegpier serve

Connections to the administration port that sent nothing used all descriptors. The port now has the bound of the ports of gatewayd: a sixteenth of the descriptors, at which a new connection replaces the oldest one without a request, or else an idle one. Its metric is PortConnectionsClosed.

--- a/instance/admin.go
+++ b/instance/admin.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -27,6 +28,15 @@
 	return &http.Server{Handler: mux, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
 }
 
+// adminConnections returns the limit on connections to the administration listener: a
+// sixteenth of the descriptors. Operators and probes have a few.
+func (i *Instance) adminConnections() int {
+	if i.config.Descriptors == 0 {
+		return math.MaxInt
+	}
+	return max(1, i.config.Descriptors/16)
+}
+
 // serveHealth is the liveness probe: it succeeds whenever the process can answer.
 func (i *Instance) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("healthy\n"))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,7 +49,8 @@
 	// means no TLS.
 	CallerTLS func() *tls.Config
 	// Descriptors is the descriptor limit of the process, of which half are for
-	// connections of callers. Zero means that these aren't limited.
+	// connections of callers and a sixteenth for those to the administration listener.
+	// Zero means that these aren't limited.
 	Descriptors int
 	// Dial opens connections to backend servers.
 	Dial backend.Dial
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -19,8 +19,11 @@
 // metrics holds the metrics of one instance. They are not in expvar's global
 // registry, because one process can run several instances.
 type metrics struct {
-	refusedNotServing expvar.Int
-	root              expvar.Map
+	// portConnectionsClosed counts the connections to the administration port that were
+	// closed because there were too many.
+	portConnectionsClosed expvar.Int
+	refusedNotServing     expvar.Int
+	root                  expvar.Map
 
 	mu         sync.Mutex
 	workspaces map[fleet.WorkspaceID]*workspaceMetrics
@@ -29,6 +32,7 @@
 // newMetrics returns metrics whose counters are zero.
 func newMetrics() *metrics {
 	m := &metrics{workspaces: make(map[fleet.WorkspaceID]*workspaceMetrics)}
+	m.root.Set("PortConnectionsClosed", &m.portConnectionsClosed)
 	m.root.Set("RefusedNotServing", &m.refusedNotServing)
 	m.root.Set("Workspaces", expvar.Func(m.workspaceValues))
 	return m
--- a/instance/open.go
+++ b/instance/open.go
@@ -29,7 +29,7 @@
 // Options holds the settings of an instance and what the process provides to it.
 type Options struct {
 	// Descriptors is the descriptor limit of the process, which limits the connections
-	// of callers. Zero means that they aren't limited.
+	// of callers and to the administration listener. Zero means that they aren't limited.
 	Descriptors int
 	Listeners   Listeners
 	// LogFormat overrides the log format of the settings if it is not empty.
--- a/instance/run.go
+++ b/instance/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegpier/nutmegpier/event"
+	"github.com/nutmegpier/nutmegpier/ports"
 )
 
 // leaveTimeout bounds the transfer of shares to the peers at a planned stop.
@@ -91,8 +93,10 @@
 	for _, section := range i.board.Groups {
 		tasks.Go(func() error { return i.watchGroup(ctx, section) })
 	}
-	tasks.Go(func() error { return serveHTTP(ctx, i.peerServer(), i.peerListener()) })
-	tasks.Go(func() error { return serveHTTP(ctx, i.adminServer(i.newAdminAPI()), i.config.Listeners.Admin) })
+	tasks.Go(func() error { return i.serveHTTP(ctx, i.peerServer(), i.peerListener(), math.MaxInt) })
+	tasks.Go(func() error {
+		return i.serveHTTP(ctx, i.adminServer(i.newAdminAPI()), i.config.Listeners.Admin, i.adminConnections())
+	})
 	tasks.Go(func() error {
 		_ = i.peers.Run(ctx)
 		return nil
@@ -122,11 +126,13 @@
 	return nil
 }
 
-// serveHTTP serves HTTP requests until the context ends.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+// serveHTTP serves HTTP requests on a number of connections until the context ends.
+func (i *Instance) serveHTTP(ctx context.Context, server *http.Server, listener net.Listener, connections int) error {
+	bounded := ports.NewListener(listener, connections, func() { i.metrics.portConnectionsClosed.Add(1) })
+	server.ConnState = bounded.ConnState
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
