fix: incomplete messages use a bounded part of the memory of nutmegpier serve

The read buffer of a session grew to the announced size of its message, so that many sessions with incomplete messages used up the memory.

Messages above 4 KiB, and messages before a Sync once they exceed 4 KiB together, are now charged to package budget before their buffer grows, twice for the buffer and the text or batch, until they are answered. At the limit the sessions that hold the most are closed; one whose request runs on a server is not. Budget.SetRunning reports whether the connection is still held, so that no request begins on one that is about to be closed. The session that is itself closed gets 53300. The new setting Limits.CallerBytes defaults to 32 MiB, or twice Limits.MaxMessageBytes, so that a single message of the largest size is served.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -149,13 +149,17 @@
 	return cmp.Or(cmp.Compare(other.bytes, h.bytes), cmp.Compare(id, otherID)) < 0
 }
 
-// SetRunning records whether a server works on a request of a connection.
-func (b *Budget) SetRunning(id ConnID, running bool) {
+// SetRunning records whether a server works on a request of a connection. It reports false
+// if the connection was chosen to be closed before, so that no request begins on it.
+func (b *Budget) SetRunning(id ConnID, running bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.holders[id]; h != nil {
-		h.running = running
+	h := b.holders[id]
+	if h == nil {
+		return false
 	}
+	h.running = running
+	return true
 }
 
 // Release subtracts bytes that a connection no longer holds.
--- a/caller/connections.go
+++ b/caller/connections.go
@@ -16,6 +16,15 @@
 	refusalEventInterval = time.Second
 )
 
+// closeReason says why a connection was refused or closed.
+type closeReason string
+
+// Reasons.
+const (
+	closeBytes       closeReason = "Bytes"
+	closeConnections closeReason = "Connections"
+)
+
 // ClosedConnections returns the number of connections that were refused or closed
 // because of the budget.
 func (s *Server) ClosedConnections() uint64 {
@@ -35,19 +44,10 @@
 	if !decision.Refused {
 		s.conns[id] = conn
 	}
-	var replaced []net.Conn
-	for _, closed := range decision.Close {
-		if other := s.conns[closed]; other != nil {
-			replaced = append(replaced, other)
-		}
-	}
 	s.mu.Unlock()
-	for _, other := range replaced {
-		s.countClosed(other)
-		_ = other.Close()
-	}
+	s.closeConns(decision, closeConnections)
 	if decision.Refused {
-		s.countClosed(conn)
+		s.countClosed(conn, closeConnections)
 	}
 	return id, !decision.Refused
 }
@@ -92,7 +92,7 @@
 
 // countClosed counts a connection that is refused or closed because of the budget, and
 // records an event unless there was one within refusalEventInterval.
-func (s *Server) countClosed(conn net.Conn) {
+func (s *Server) countClosed(conn net.Conn, reason closeReason) {
 	now := s.config.Now()
 	s.mu.Lock()
 	s.closedConns++
@@ -102,6 +102,6 @@
 	}
 	s.mu.Unlock()
 	if due {
-		s.record(Event{Name: EventCallerRefused, Text: "Connections " + conn.RemoteAddr().String()})
+		s.record(Event{Name: EventCallerRefused, Text: string(reason) + " " + conn.RemoteAddr().String()})
 	}
 }
--- a/caller/events.go
+++ b/caller/events.go
@@ -13,7 +13,7 @@
 	// EventBackendLost means that a backend connection failed during a request.
 	EventBackendLost EventName = "BackendLost"
 	// EventCallerRefused means that a connection was refused or closed because there
-	// were too many.
+	// were too many, or because callers held too many bytes.
 	EventCallerRefused EventName = "CallerRefused"
 	// EventCommitNotRun means that a commit was certainly lost in a change of
 	// primary.
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -49,6 +49,7 @@
 		s.record(workspaceEvent(EventAuthenticationFailed, session.workspace, session.group, ""))
 		return nil, s.reject(conn, err)
 	}
+	session.connID = id
 	if !s.startConn(id) {
 		return nil, net.ErrClosed
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -142,6 +142,10 @@
 func (s *session) serveRequest(r *request) error {
 	defer s.resetRequestState()
 	defer s.releaseWriter()
+	if !s.setRunning(true) {
+		return errNoBytes()
+	}
+	defer s.setRunning(false)
 	s.completedParses = 0
 	s.acquireWriter()
 	if s.transactionLost {
--- a/caller/server.go
+++ b/caller/server.go
@@ -43,7 +43,8 @@
 	AllowCleartext bool
 	// Barrier provides read barriers for sessions without a token. Nil means none.
 	Barrier Barrier
-	// Budget limits the open connections. At its limit a new connection replaces the
+	// Budget limits the open connections and the bytes of their messages. For bytes, it
+	// closes connections whose request does not run yet. At the limit of connections a new connection replaces the
 	// oldest one that has no session yet, and is refused with 53300 if all have one. Nil
 	// means no limit.
 	Budget *budget.Budget
--- a/caller/session.go
+++ b/caller/session.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/nutmegpier/nutmegpier/backend"
+	"github.com/nutmegpier/nutmegpier/budget"
 	"github.com/nutmegpier/nutmegpier/fleet"
 )
 
@@ -28,6 +30,10 @@
 	// ran in it, so that the block can move to another server. Otherwise it is
 	// empty.
 	replayableBegin string
+	// charged is the number of bytes of the current messages that are charged to the
+	// budget.
+	charged int
+	connID  budget.ConnID
 	// pendingChanges are the changes of the session state in the current request or
 	// transaction. Most take effect at its commit.
 	pendingChanges []settingChange
@@ -167,6 +173,7 @@
 		if err == nil {
 			err = s.handleMessage(frame)
 		}
+		s.releaseMessages()
 		if err != nil {
 			s.reportFatal(err)
 			return
@@ -312,6 +319,11 @@
 
 // handleMessage processes one message of the caller.
 func (s *session) handleMessage(frame backend.Frame) error {
+	if strings.IndexByte("QPBCDEHS", frame.Type) >= 0 {
+		if err := s.chargeMessage(frame.Size); err != nil {
+			return err
+		}
+	}
 	switch frame.Type {
 	case 'Q': // Query
 		return s.simpleQuery()
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -1,7 +1,7 @@
 package instance
 
 import (
-	"math"
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -15,6 +15,9 @@
 // unknown workspaces are derived.
 const mockSecretBytes = 32
 
+// minCallerBytes is the smallest default of Limits.CallerBytes.
+const minCallerBytes = 32 << 20
+
 // noIdleTimeout stands for no idle timeout: it is longer than any session lasts.
 const noIdleTimeout = 10 * 365 * 24 * time.Hour
 
@@ -24,7 +27,11 @@
 	if i.config.Descriptors == 0 {
 		return nil
 	}
-	return budget.New(budget.Limits{Bytes: math.MaxInt, Connections: budget.LimitsOf(0, i.config.Descriptors).Connections})
+	limits := i.config.Settings.Limits
+	return budget.New(budget.Limits{
+		Bytes:       cmp.Or(limits.CallerBytes, max(minCallerBytes, 2*limits.MaxMessageBytes)),
+		Connections: budget.LimitsOf(0, i.config.Descriptors).Connections,
+	})
 }
 
 // callerConfig returns the configuration of the server for callers.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,7 +50,7 @@
 	CallerTLS func() *tls.Config
 	// Descriptors is the descriptor limit of the process, of which half are for
 	// connections of callers and a sixteenth for those to the administration listener.
-	// Zero means that these aren't limited.
+	// Zero means that these, and the bytes of callers, aren't limited.
 	Descriptors int
 	// Dial opens connections to backend servers.
 	Dial backend.Dial
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -40,6 +40,7 @@
 	d := document.Decode(file, content, rules(), &parsed)
 	checkAddresses(d, parsed)
 	checkGroups(d, parsed.Groups)
+	checkLimits(d, parsed.Limits)
 	checkTLS(d, parsed.TLS)
 	checkTimes(d, parsed)
 	if problems := d.Problems(); len(problems) > 0 {
@@ -95,6 +96,14 @@
 	}
 }
 
+// checkLimits reports a limit on the bytes of callers that refuses a single message of the
+// largest size, which counts twice.
+func checkLimits(d *document.Document, limits Limits) {
+	if limits.CallerBytes > 0 && limits.CallerBytes < 2*limits.MaxMessageBytes {
+		d.Add("Limits.CallerBytes", fmt.Sprintf("%d is below twice Limits.MaxMessageBytes (%d)", limits.CallerBytes, limits.MaxMessageBytes))
+	}
+}
+
 // checkUnique reports an ID that is already in paths, and adds it otherwise. Kind is
 // "group" or "server". Missing IDs are reported elsewhere.
 func checkUnique[T ~string](d *document.Document, paths map[T]string, id T, path, kind string) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,9 @@
 
 // Limits holds the limits for callers.
 type Limits struct {
+	// CallerBytes limits the bytes of the large or incomplete messages of all callers.
+	// Zero means the larger of 32 MiB and twice MaxMessageBytes.
+	CallerBytes     int
 	MaxMessageBytes int
 	MaxSessions     int
 	QueueTimeout    time.Duration
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// TestParseCallerBytes guards against a limit on the bytes of all callers that refuses a
+// single message of the largest size.
+func TestParseCallerBytes(t *testing.T) {
+	for bytes, want := range map[string][]string{
+		"0":    nil,
+		"4096": nil,
+		"4095": {"f:2:27: Limits.CallerBytes: 4095 is below twice Limits.MaxMessageBytes (2048)"},
+	} {
+		content := strings.Replace(example(t), "{", "{\n\"Limits\": {\"CallerBytes\": "+bytes+", \"MaxMessageBytes\": 2048},", 1)
+		if diff := cmp.Diff(want, problemLines(t, content)); diff != "" {
+			t.Errorf("problems with CallerBytes %s (-want +got):\n%s", bytes, diff)
+		}
+	}
+}
+
 // TestParseSyntax guards against syntax errors and deep nesting that are not reported
 // or that exhaust the stack.
 func TestParseSyntax(t *testing.T) {
