fix: sessions that have ended hold no messages while their connection lingers

After its last message a connection lingers for up to a second, and its session kept the read buffer, the batch and the prepared statements although the budget no longer counted them. They are now freed when the session ends.

--- a/caller/session.go
+++ b/caller/session.go
@@ -259,6 +259,7 @@
 // connection rolls back an open transaction.
 func (s *session) releaseResources() {
 	s.releaseWriter()
+	s.releaseBuffers()
 	s.cancelWait()
 	s.mu.Lock()
 	current := s.lease
@@ -276,6 +277,12 @@
 	s.release(conn.Reusable())
 }
 
+// releaseBuffers frees the messages and statements of a session that has ended, because
+// its connection may linger.
+func (s *session) releaseBuffers() {
+	s.batch, s.heldMessages, s.portals, s.prepared, s.reader = batch{}, nil, nil, nil, nil
+}
+
 // enterIdle marks the session as idle and sets the read deadline. It returns an
 // error if the session must end now.
 func (s *session) enterIdle() error {
