fix: a large query that waits or runs is held once

A session kept its read buffer beside the text of a large query until the next message. The buffer is now freed once the text is copied.

--- a/caller/charge.go
+++ b/caller/charge.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/nutmegpier/nutmegpier/backend"
 	"github.com/nutmegpier/nutmegpier/budget"
 )
 
@@ -32,6 +33,14 @@
 	return nil
 }
 
+// dropReadBuffer frees the read buffer of a large message that was copied, so that it is
+// not held while the request waits and runs.
+func (s *session) dropReadBuffer(size int) {
+	if size > freeMessageBytes && s.reader.Buffered() == 0 {
+		s.reader = backend.NewFrameReader(s.conn, readBufferSize, s.server.config.MaxMessage)
+	}
+}
+
 // releaseMessages releases the bytes of the messages that were answered.
 func (s *session) releaseMessages() {
 	if s.charged > 0 && len(s.batch.messages) == 0 {
--- a/caller/request.go
+++ b/caller/request.go
@@ -112,6 +112,7 @@
 	}
 	s.skippingToSync = false
 	sql := string(body[:len(body)-1])
+	s.dropReadBuffer(len(body))
 	class := Classify(sql)
 	r := s.newRequest()
 	r.simpleQuery, r.endsWithSync = true, true
