fix: don't close connections of other instances that are in use

The port for other instances had a limit on all connections. Closing one that is about to be used makes an outcome unknown. Only connections that have sent no request count now; the server closes those whose request is not authenticated. TestAuthenticatedConnections fails without the change.

--- a/cmd/gatewayd/servecmd.go
+++ b/cmd/gatewayd/servecmd.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegpier/nutmegpier/gateway"
 	"github.com/nutmegpier/nutmegpier/owner"
 	"github.com/nutmegpier/nutmegpier/platform"
+	"github.com/nutmegpier/nutmegpier/ports"
 	"github.com/nutmegpier/nutmegpier/relay"
 	"github.com/nutmegpier/nutmegpier/session"
 	"github.com/nutmegpier/nutmegpier/traffic"
@@ -184,12 +185,14 @@
 	ready := platform.ReadyHandler(func() bool { return gw.Ready(bootTime()) })
 	go func() { failures <- gw.Run(ctx) }()
 	go func() { failures <- callers.Serve(opened.callers) }()
-	go serveHTTP(opened.ready, ready, limits.probeConnections, failures)
+	go serveHTTP(platform.NewBoundedListener(opened.ready, limits.probeConnections), ready, failures)
 	if peerHandler != nil {
-		go serveHTTP(opened.relay, peerHandler, limits.peerConnections, failures)
+		bounded := platform.NewBoundedListener(opened.relay, limits.peerConnections)
+		bounded.Authenticated = true
+		go serveHTTP(bounded, peerHandler, failures)
 	}
 	if opened.metrics != nil {
-		go serveHTTP(opened.metrics, expvar.Handler(), limits.probeConnections, failures)
+		go serveHTTP(platform.NewBoundedListener(opened.metrics, limits.probeConnections), expvar.Handler(), failures)
 	}
 	return failures
 }
@@ -266,10 +269,8 @@
 	return dialer.DialContext
 }
 
-// serveHTTP serves HTTP requests on a number of connections and sends the failure of the
-// server to the channel.
-func serveHTTP(listener net.Listener, handler http.Handler, connections int, failures chan<- error) {
-	bounded := platform.NewBoundedListener(listener, connections)
+// serveHTTP serves HTTP requests and sends the failure of the server to the channel.
+func serveHTTP(bounded *ports.Listener, handler http.Handler, failures chan<- error) {
 	server := &http.Server{ConnState: bounded.ConnState, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
 	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		failures <- err
--- a/ports/listener.go
+++ b/ports/listener.go
@@ -7,12 +7,17 @@
 	"sync"
 )
 
-// Listener limits the number of open connections of an HTTP server. At the limit,
-// a new connection replaces the oldest one that has not sent a request yet, or else the
+// Listener limits the number of open connections of an HTTP server, or, if Authenticated is
+// set, of those that have not sent a request yet. At the limit, a new connection replaces the oldest one that has not sent a request yet, or else the
 // one that has been idle between two requests for the longest, on which the peer is the
 // least likely to be sending a request. If there is none, the new one is closed.
 type Listener struct {
 	net.Listener
+	// Authenticated says that the server closes a connection whose first request is not
+	// authenticated. The others are then not limited: a relay or an owner has several
+	// connections of each instance, and to close one in use makes an outcome unknown. It
+	// must be set before the first Accept.
+	Authenticated bool
 	// closed is called for each connection that is closed because there are too many.
 	closed func()
 	limit  int
@@ -56,10 +61,10 @@
 func (l *Listener) admit(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= l.limit {
+	if l.counted() >= l.limit {
 		l.closed()
 		replaced := l.oldest(http.StateNew)
-		if replaced == nil {
+		if replaced == nil && !l.Authenticated {
 			replaced = l.oldest(http.StateIdle)
 		}
 		if replaced == nil {
@@ -73,6 +78,20 @@
 	return true
 }
 
+// counted returns the number of connections that count towards the limit. mu must be held.
+func (l *Listener) counted() int {
+	if !l.Authenticated {
+		return len(l.open)
+	}
+	count := 0
+	for _, entry := range l.open {
+		if entry.state == http.StateNew {
+			count++
+		}
+	}
+	return count
+}
+
 // oldest returns the oldest connection in a state, or nil. mu must be held.
 func (l *Listener) oldest(state http.ConnState) net.Conn {
 	var oldest net.Conn
--- a/ports/listener_test.go
+++ b/ports/listener_test.go
@@ -43,6 +43,37 @@
 	}
 }
 
+// TestAuthenticatedConnections guards against closing a connection of another instance that
+// is idle between two requests, because there are many instances.
+func TestAuthenticatedConnections(t *testing.T) {
+	closed := 0
+	listener := ports.NewListener(&pipeListener{}, 2, func() { closed++ })
+	listener.Authenticated = true
+	var conns []net.Conn
+	for range 8 {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener.ConnState(conn, http.StateActive)
+		listener.ConnState(conn, http.StateIdle)
+		conns = append(conns, conn)
+	}
+	for i, conn := range conns {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			t.Errorf("connection %d was closed: %v", i, err)
+		}
+	}
+	for range 3 {
+		if _, err := listener.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(1, closed); diff != "" {
+		t.Errorf("closed connections without a request (-want +got):\n%s", diff)
+	}
+}
+
 // pipeListener accepts connections in memory whose other end discards all data.
 type pipeListener struct {
 	net.Listener
