--- a/caller/request.go
+++ b/caller/request.go
@@ -112,6 +112,7 @@
 	}
 	s.skippingToSync = false
 	sql := string(body[:len(body)-1])
+	s.dropReadBuffer(len(body))
 	class := Classify(sql)
 	r := s.newRequest()
 	r.simpleQuery, r.endsWithSync = true, true
@@ -142,6 +143,10 @@
 func (s *session) serveRequest(r *request) error {
 	defer s.resetRequestState()
 	defer s.releaseWriter()
+	if !s.setRunning(true) {
+		return errNoBytes()
+	}
+	defer s.setRunning(false)
 	s.completedParses = 0
 	s.acquireWriter()
 	if s.transactionLost {
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/feed"
+	"github.com/nutmegpier/nutmegpier/relay"
 )
 
 const (
@@ -51,6 +52,12 @@
 
 	// partitions are the partitions of the table that hold rows.
 	partitions []Partition
+	// historyLost is true after the store has lost the changes that this copy lacks,
+	// until the next response. historyWaitFraction is the argument of mayAwaitRelay.
+	historyLost         bool
+	historyWaitFraction float64
+	// loadStartedAt is when the relay was first asked for the whole table in vain.
+	loadStartedAt time.Time
 	// loadRefusals counts the requests for the whole table that the relay refused.
 	loadRefusals int
 	// useRelay is true if the copy may be read from a relay, and may be relayed to
@@ -98,8 +105,8 @@
 		if err != nil && f.isInterrupted() {
 			continue
 		}
-		if isRelayRefusal(err) {
-			f.gateway.jitteredSleep(ctx, relayPollInterval)
+		if delay, mayRetry := relayRetryDelay(err); mayRetry || (err != nil && !f.mirror.Loaded() && f.awaitsNewSecret(err)) {
+			f.gateway.jitteredSleep(ctx, delay)
 			continue
 		}
 		if err != nil {
@@ -143,7 +150,7 @@
 		}
 		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, 0)
-		if err == nil && f.mirror.StoreTime() > storeTimeBefore {
+		if err == nil && (len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore) {
 			f.gateway.recordRelayRecovered(peer)
 			return changed, true
 		}
@@ -185,20 +192,46 @@
 	return timeoutCtx, cancel
 }
 
+// fetchWithin is fetch, but waits only for a relay, and not for a change at the store.
+func (f *tableFollower) fetchWithin(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
+	if _, found := f.gateway.currentRelay(f.gateway.config.Clock()); !found || !f.useRelay || f.bypassRelay {
+		wait = 0
+	}
+	return f.fetch(ctx, wait)
+}
+
 // fetch reads changes from the relay or the store, applies them to the copy and
 // returns them.
 func (f *tableFollower) fetch(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	now := f.gateway.config.Clock()
+	if peer, awaits := f.awaitsRelay(now); awaits {
+		return f.awaitRelay(ctx, peer)
+	}
 	peer, useRelay := f.gateway.currentRelay(now)
 	if useRelay && f.useRelay && !f.bypassRelay {
-		if !f.mirror.Loaded() {
+		if !f.mirror.Loaded() || f.historyLost {
 			wait = 0
 		}
+		storeTimeBefore := f.mirror.StoreTime()
 		changed, err := f.fetchFromRelay(ctx, peer, wait)
-		if err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return changed, err
 		}
-		if !f.mirror.Loaded() && isRelayRefusal(err) && f.loadRefusals < maxLoadRefusals {
+		if err == nil {
+			if len(changed) > 0 || f.mirror.StoreTime() > storeTimeBefore || mayAwaitRelay(f.gateway.config.Clock(), f.mirror.VerifiedAt(), 1) {
+				return changed, nil
+			}
+			// The relay repeats an old answer. The leases of this instance are about to end.
+			return f.readStore(ctx, 0)
+		}
+		if f.loadStartedAt.IsZero() {
+			f.loadStartedAt = now
+		}
+		since := later(f.mirror.VerifiedAt(), f.loadStartedAt)
+		if delay, mayAwait := loadRetryDelay(f.gateway.config.Clock(), since, err); mayAwait {
+			return nil, &relay.Error{Err: err, Kind: relay.KindRefused, Op: "load", RetryAfter: delay}
+		}
+		if !f.mirror.Loaded() && busyRelayDelay(err) == 0 && f.loadRefusals < maxLoadRefusals && (isRelayRefusal(err) || f.awaitsNewSecret(err)) {
 			f.loadRefusals++
 			return nil, err
 		}
@@ -211,6 +244,11 @@
 	if f.useRelay {
 		wait = min(wait, relayLongPollWait)
 	}
+	return f.readStore(ctx, wait)
+}
+
+// readStore is fetchFromStore, after whose failure the copy is not relayed.
+func (f *tableFollower) readStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
 	changed, err := f.fetchFromStore(ctx, wait)
 	if err != nil {
 		f.markStoreFailed()
@@ -218,6 +256,37 @@
 	return changed, err
 }
 
+// awaitsNewSecret reports whether the relay failed because it has restarted, and its row,
+// which the membership controller reads, is about to show its new secret.
+func (f *tableFollower) awaitsNewSecret(err error) bool {
+	f.gateway.mu.Lock()
+	defer f.gateway.mu.Unlock()
+	var relayErr *relay.Error
+	return f.gateway.members.liveCount() > maxDirectReaders &&
+		errors.As(err, &relayErr) && relayErr.Kind == relay.KindUnauthorized
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// awaitRelay asks the relay for a newer response than this copy has. Without one it
+// returns the error that the store's history is lost.
+func (f *tableFollower) awaitRelay(ctx context.Context, peer relayPeer) ([]feed.Row, error) {
+	storeTimeBefore := f.mirror.StoreTime()
+	changed, err := f.fetchFromRelay(ctx, peer, 0)
+	if err != nil || (len(changed) == 0 && f.mirror.StoreTime() <= storeTimeBefore) {
+		return nil, &Error{Err: err, Kind: KindHistory, Op: "await relay"}
+	}
+	f.historyLost = false
+	f.gateway.recordRelayRecovered(peer)
+	return changed, nil
+}
+
 // fetchFromStore reads changes from the store and applies them. It reads the whole
 // table if there is no copy yet, or if the store no longer has the changes.
 func (f *tableFollower) fetchFromStore(ctx context.Context, wait time.Duration) ([]feed.Row, error) {
@@ -229,8 +298,11 @@
 		callCtx, cancel := f.interruptibleContext(ctx, wait+longPollGrace)
 		snapshot, err = f.gateway.config.Store.Changes(callCtx, f.table, f.mirror.Revision(), wait)
 		cancel()
-		var storeErr *Error
-		if errors.As(err, &storeErr) && storeErr.Kind == KindHistory {
+		if isHistoryLost(err) {
+			f.recordHistoryLost()
+			if _, awaits := f.awaitsRelay(clock()); awaits {
+				return nil, err
+			}
 			sent = clock()
 			snapshot, err = f.readTable(ctx)
 		}
@@ -243,9 +315,20 @@
 	f.gateway.mu.Lock()
 	verifiedAt := f.gateway.storeClock.Observe(sent, clock(), snapshot.StoreTime)
 	f.gateway.mu.Unlock()
+	f.historyLost = false
 	return f.apply(snapshot, verifiedAt, true), nil
 }
 
+// recordHistoryLost records that the store no longer has the changes that this copy lacks.
+func (f *tableFollower) recordHistoryLost() {
+	if f.historyLost {
+		return
+	}
+	f.gateway.mu.Lock()
+	f.historyLost, f.historyWaitFraction = true, f.gateway.random.Float64()
+	f.gateway.mu.Unlock()
+}
+
 // readTable reads the whole table from the store.
 func (f *tableFollower) readTable(ctx context.Context) (feed.Snapshot, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -257,7 +340,7 @@
 // again. In the second case it also requests a write of this instance's row if that
 // is overdue.
 func (f *tableFollower) logAvailability(err error) {
-	if (err != nil) == f.unavailable || isRelayRefusal(err) {
+	if (err != nil) == f.unavailable || isRelayRefusal(err) || isHistoryLost(err) {
 		return
 	}
 	f.unavailable = err != nil
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -8,6 +8,7 @@
 	"github.com/nutmegpier/nutmegpier/event"
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 var (
@@ -20,33 +21,40 @@
 // store can't be reached: the duration of a few store calls.
 const storeRetryAfter = 500 * time.Millisecond
 
-// maxPoolAttempts limits how often one operation requests tokens from the pools of
-// its rate limit.
-const maxPoolAttempts = 2
-
 // Admit takes a token for one operation from the rate limit of the workspace: from
 // this instance's share, or else from the pools of the limit. An operation without
 // a workspace is not limited.
-func (g *Gateway) Admit(now time.Time, workspace fleet.WorkspaceID) *session.Error {
-	if workspace == "" {
+func (g *Gateway) Admit(now time.Time, admission session.Admission) *session.Error {
+	if admission.Workspace == "" {
 		return nil
 	}
-	g.rateLimits.RecordDemand(now, workspace)
-	decision := g.rateLimits.Admit(now, workspace)
-	reason := "other requests took what its pools gave"
-	for attempts := 0; !decision.Admitted && attempts < maxPoolAttempts; attempts++ {
-		taken, retryAfter, poolReason := g.takeFromPools(g.config.Clock(), workspace)
-		if !taken {
-			decision.RetryAfter, reason = min(decision.RetryAfter, retryAfter), poolReason
-			break
-		}
-		// A concurrent request may already have used the tokens.
-		decision = g.rateLimits.Admit(g.config.Clock(), workspace)
-	}
+	decision := g.tokens.admit(workspace.Request{
+		Priority:  admission.Route.Priority,
+		WaitUntil: workspace.TokenDeadline(now, admission.Route.TargetLatency.Duration(), admission.Deadline),
+		Workspace: admission.Workspace,
+	})
 	if decision.Admitted {
 		return nil
 	}
-	return &session.Error{Err: fmt.Errorf("the workspace is over its rate; %s", reason), Kind: session.KindBusy, Op: "admit", RetryAfter: decision.RetryAfter}
+	refusal := refusals[decision.Reason]
+	text := refusal.text
+	if decision.Owner != "" {
+		text += " on " + string(decision.Owner)
+	}
+	return &session.Error{Err: errors.New(text), Kind: session.KindBusy, Op: "admit", Reason: refusal.reason, RetryAfter: decision.RetryAfter}
+}
+
+// refusal describes a reason of a refusal to the caller.
+type refusal struct {
+	reason session.Reason
+	text   string
+}
+
+// refusals are the reasons for which an operation is not admitted.
+var refusals = map[workspace.RefusalReason]refusal{
+	workspace.RefusalLimitUnknown: {reason: session.ReasonLimitUnknown, text: "the limit of the workspace is not known to be in force"},
+	workspace.RefusalOverRate:     {reason: session.ReasonOverRate, text: "the workspace is over its rate"},
+	workspace.RefusalPoolSilent:   {reason: session.ReasonPoolSilent, text: "no answer from the pool of the workspace's limit"},
 }
 
 // Authorize returns the route and workspace for the credentials. Except for
@@ -108,6 +116,7 @@
 func (g *Gateway) Observe(now time.Time, completion session.Completion) {
 	route := completion.Requirements.Route
 	observeRequest(route.Database, completion.Latency, completion.Err)
+	countRefusal(route.Database, completion.Requirements.Workspace, completion.Err)
 	number := event.RequestFailed
 	if completion.Err == nil {
 		number = event.RequestLate
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,6 +163,11 @@
 	Settings    Settings
 	Source      Source
 	Store       Store
+	// UsageReporter reports usage to the platform. It may be nil if Settings.Usage says
+	// that nothing is reported.
+	UsageReporter UsageReporter
+	// WallClock returns the calendar time. If it is nil, time.Now is used.
+	WallClock session.Clock
 }
 
 // Gateway is one proxy instance. Its controllers run concurrently and share the
@@ -170,13 +175,19 @@
 type Gateway struct {
 	config     Config
 	rateLimits *workspace.DistributedLimiter
+	tokens     *tokenExchange
 	pool       *pool.Pool
+	// usage counts what is reported. It is nil if nothing is.
+	usage *usageState
 
 	// mu guards the fields below, except for the channels discovered, joined,
-	// memberPollRequests and heartbeatRequests.
+	// memberPollRequests, memberReadRequests and heartbeatRequests.
 	mu sync.Mutex
 	// stateChanged is closed and replaced by notifyStateChange.
 	stateChanged chan struct{}
+	// startComplete is true once requests could be run. Requests that are refused
+	// after that, for example because a primary is replaced, need no other instance.
+	startComplete bool
 	// routing is the sheet in force, or nil. It is written by followSheet.
 	routing *sheet.Routing
 	// sheetVerifiedAt is a time at which routing was verified to be the latest
@@ -185,6 +196,8 @@
 	// servers holds the registered backend servers. It is written by
 	// followServers.
 	servers map[fleet.ServerID]*backendServer
+	// speeds compare the servers of each group.
+	speeds map[fleet.GroupID]*pool.GroupSpeed
 	// outOfServiceSince is when this instance learned that a data centre is out of
 	// service, for those that are.
 	outOfServiceSince map[fleet.DataCentre]time.Time
@@ -224,7 +237,10 @@
 	// heartbeatRequests tells the membership controller to write this instance's
 	// row and to read those of all instances now.
 	heartbeatRequests chan struct{}
-	draining          bool
+	// memberReadRequests tells the membership controller that other instances wait for a
+	// read of the instances' rows.
+	memberReadRequests chan struct{}
+	draining           bool
 	// drainingSince is when Drain was called.
 	drainingSince time.Time
 	// owners says which instances own the servers of each group. It is written by
@@ -261,6 +277,9 @@
 	lagBackoff      time.Duration
 	lagBackoffUntil time.Time
 	latency         pool.LatencyEstimator
+	// speed compares the server with the others of its group. A restarted server has a new
+	// one.
+	speed *pool.ServerSpeed
 	// entryMissingSince is when the server's entry disappeared from the store, or
 	// zero.
 	entryMissingSince time.Time
@@ -277,6 +296,9 @@
 
 // New returns an instance that has not read anything from the store yet.
 func New(config Config) *Gateway {
+	if config.PeerTransport != nil {
+		config.PeerTransport = &countingTransport{PeerTransport: config.PeerTransport}
+	}
 	g := &Gateway{
 		stateChanged:       make(chan struct{}),
 		config:             config,
@@ -288,6 +310,7 @@
 		rateLimits:         workspace.NewDistributedLimiter(config.Instance),
 		members:            newMemberView(config.Instance, config.Epoch),
 		memberPollRequests: make(chan struct{}, 1),
+		memberReadRequests: make(chan struct{}, 1),
 		heartbeatRequests:  make(chan struct{}, 1),
 		owners:             owner.NewDirectory(),
 		peerLeases:         newPeerLeases(),
@@ -295,9 +318,13 @@
 		rowBatcher:         newRowBatcher(config.Store.Write),
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
+		speeds:             map[fleet.GroupID]*pool.GroupSpeed{},
 	}
+	g.members.linkMegabits = config.Settings.LinkMegabits
 	g.members.processorShare = config.Settings.ProcessorShare
+	g.tokens = newTokenExchange(config.Clock, config.Instance, g.rateLimits, g.takeTokens)
 	g.pool = pool.New(config.Dialer, config.Clock)
+	g.usage = newUsageState(config)
 	return g
 }
 
@@ -313,6 +340,10 @@
 	tasks.Go(func() error { return g.runHealthChecks(ctx) })
 	tasks.Go(func() error { return g.runCleanup(ctx) })
 	tasks.Go(func() error { return g.servePeers(ctx) })
+	if g.usage != nil {
+		tasks.Go(func() error { return g.maintainUsageRow(ctx) })
+		tasks.Go(func() error { return g.runUsageReports(ctx) })
+	}
 	err := tasks.Wait()
 	g.pool.Close()
 	return err
@@ -328,11 +359,35 @@
 }
 
 // Ready reports whether the instance should get new callers: it is not draining,
-// its key lease is valid, and it knows a sheet, a backend server and a group.
+// its key lease is valid, it knows a sheet and a backend server, and it has been able
+// to run requests since its start.
 func (g *Gateway) Ready(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining && g.routing != nil && g.keyLeaseValid(now) && len(g.servers) > 0 && len(g.groups) > 0
+	if g.draining || g.routing == nil || !g.keyLeaseValid(now) || len(g.servers) == 0 {
+		return false
+	}
+	g.startComplete = g.startComplete || (g.knowsPrimary() && g.limitsInForce(now))
+	return g.startComplete
+}
+
+// knowsPrimary reports whether a primary record has been read. The caller holds g.mu.
+func (g *Gateway) knowsPrimary() bool {
+	for _, state := range g.groups {
+		if state.primaryLease.Record().Generation != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// limitsInForce reports whether operations of workspaces can be admitted. All limits come
+// into force together, so that one is checked. The caller holds g.mu.
+func (g *Gateway) limitsInForce(now time.Time) bool {
+	for id := range g.routing.Limits() {
+		return g.rateLimits.InForce(now, id)
+	}
+	return true
 }
 
 // TransactionIdle returns the idle timeout of transactions: the one in the sheet,
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -25,6 +25,7 @@
 	generation primacy.Generation
 	group      fleet.GroupID
 	conn       *pool.PooledConn
+	route      pool.RouteClass
 	// primary is true if the lease was taken on the primary.
 	primary bool
 	server  fleet.ServerID
@@ -80,7 +81,8 @@
 		batch.Commands[0].MinPosition = l.minPosition
 		l.minPosition = fleet.Position{}
 	}
-	reply, failure := l.conn.State.Run(&authorizedConn{authorization: batch.Authorization, conn: l.conn, gateway: g}, deadline, batch)
+	conn := &authorizedConn{authorization: batch.Authorization, conn: l.conn, gateway: g}
+	reply, failure := l.conn.State.Run(conn, deadline, batch)
 	now := g.config.Clock()
 	if failure != nil && (failure.Kind == session.KindUnknown || failure.Kind == session.KindTimeout) {
 		l.conn.MarkBroken()
@@ -92,6 +94,9 @@
 	if server == nil {
 		return reply, failure
 	}
+	if conn.sent {
+		l.recordSpeed(server.speed, sent, now, deadline, batch, conn.failure)
+	}
 	switch {
 	case failure == nil:
 		server.latency.Record(now, now.Sub(l.requestedAt))
@@ -109,15 +114,17 @@
 	return reply, failure
 }
 
-// recordFailedWait adds the time waited for a connection that was not granted to
-// the server's latency estimate.
-func (l *lease) recordFailedWait() {
+// recordFailedWait adds a connection that was not granted to the server's latency
+// estimate, with the time until which the request could have waited. A refusal at once
+// would otherwise make the server seem fast.
+func (l *lease) recordFailedWait(waitable time.Time) {
 	g := l.gateway
 	now := g.config.Clock()
+	wait := max(now.Sub(l.requestedAt), waitable.Sub(l.requestedAt))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if server := g.servers[l.server]; server != nil {
-		server.latency.Record(now, now.Sub(l.requestedAt))
+		server.latency.Record(now, wait)
 	}
 }
 
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"iter"
 	"math"
 	"slices"
 	"strconv"
@@ -58,105 +57,12 @@
 	// startupPollInterval replaces memberPollInterval for an instance that is about
 	// to hold shares of the rate limits.
 	startupPollInterval = 400 * time.Millisecond
+	// maxDirectReaders is the number of instances up to which one that is about to hold
+	// shares reads the rows from the store itself. At 300 instances, the rows of all would
+	// be sent 750 times a second.
+	maxDirectReaders = 16
 )
 
-// GroupLeft confirms that an instance has stopped using a group's primary, as of a
-// generation of the primary record.
-type GroupLeft struct {
-	Generation primacy.Generation
-	Group      fleet.GroupID
-}
-
-// MemberRow is the membership row that an instance writes periodically for the others
-// to read.
-type MemberRow struct {
-	// At is the store's monotonic time at which the row was sent. The fields that
-	// change with each write come first, because only the changed part is relayed.
-	At time.Duration
-	// Beat is a heartbeat counter that changes with each write.
-	Beat uint64
-	// Demand is the demand on the instance in requests per second.
-	Demand float64
-	// Address is where the instance serves requests of other instances.
-	Address    string `json:",omitempty"`
-	DataCentre fleet.DataCentre
-	// Draining says that the instance is about to stop.
-	Draining bool `json:",omitempty"`
-	// Epoch identifies the run of the instance's process.
-	Epoch fleet.Epoch
-	// Left lists the primaries that the instance has stopped using.
-	Left []GroupLeft `json:",omitempty"`
-	// Phase is whether the instance holds shares of the rate limits.
-	Phase workspace.Phase
-	// ProcessorShare is the processor time that the instance may use, in cores.
-	ProcessorShare float64 `json:",omitempty"`
-	// Since is the store's monotonic time since which the row has been valid
-	// without interruption.
-	Since time.Duration
-	// Secret authenticates requests to the instance: only readers of this row
-	// know it.
-	Secret []byte `json:",omitempty"`
-	// Unreachable lists the primaries that the instance can't use.
-	Unreachable []fleet.ServerID `json:",omitempty"`
-}
-
-// memberView is what this instance knows about all instances. It is guarded by the
-// gateway's mu.
-type memberView struct {
-	heartbeatCount uint64
-	epoch          fleet.Epoch
-	leaderRevision feed.Revision
-	leadership     *primacy.Leadership
-	// leading is whether this instance was the leader when last checked.
-	leading bool
-	// left maps a group to the generation of the primary record as of which this
-	// instance has stopped using the primary.
-	left map[fleet.GroupID]primacy.Generation
-	// lossLogged is true once an expiry of this instance's row has been logged.
-	lossLogged bool
-	// members holds the rows of all instances, this one included.
-	members     map[fleet.InstanceID]*member
-	ownRevision feed.Revision
-	// participation decides when this instance holds shares of the rate limits.
-	participation *workspace.Participation
-	// phaseRevision is the revision as of which this instance's row has its phase.
-	phaseRevision feed.Revision
-	// verifiedAt is a time at which members was verified to be up to date.
-	verifiedAt time.Time
-	// verifiedStoreTime is verifiedAt on the store's clock.
-	verifiedStoreTime time.Duration
-	// recordsVerifiedAt is a time at which the primary records were verified to
-	// be up to date.
-	recordsVerifiedAt time.Time
-	// processorShare is that of this instance.
-	processorShare float64
-	self           fleet.InstanceID
-	// resumedRowValidUntil is when the row written by an earlier run of this
-	// instance expires. Until then it counts as this instance's row.
-	resumedRowValidUntil time.Time
-	// lastWritten is this instance's row as it was last written.
-	lastWritten MemberRow
-	// rowSince is MemberRow.Since of this instance's row.
-	rowSince time.Duration
-}
-
-// member is the row of an instance as last read, and its revision in the store.
-type member struct {
-	revision feed.Revision
-	row      MemberRow
-}
-
-func newMemberView(self fleet.InstanceID, epoch fleet.Epoch) memberView {
-	return memberView{
-		epoch:         epoch,
-		leadership:    primacy.NewLeadership(self, epoch),
-		left:          map[fleet.GroupID]primacy.Generation{},
-		members:       map[fleet.InstanceID]*member{},
-		participation: workspace.NewParticipation(),
-		self:          self,
-	}
-}
-
 // memberPartitions returns all partitions of memberTable.
 func memberPartitions() []Partition {
 	partitions := []Partition{leaderPartition}
@@ -172,52 +78,12 @@
 	return Partition("instances-" + strconv.Itoa(int(xxhash.Sum64String(string(dataCentre))%memberPartitionCount)))
 }
 
-// isLive reports whether the lease of an instance may still be valid.
-func (v *memberView) isLive(m *member) bool {
-	return !primacy.IsLeaseExpired(v.verifiedStoreTime - m.row.At)
-}
-
-// otherLive iterates over the rows of the other live instances.
-func (v *memberView) otherLive() iter.Seq2[fleet.InstanceID, MemberRow] {
-	return func(yield func(fleet.InstanceID, MemberRow) bool) {
-		for id, m := range v.members {
-			if id != v.self && v.isLive(m) && !yield(id, m.row) {
-				return
-			}
-		}
-	}
-}
-
-// liveInstances returns the live instances, this one first.
-func (v *memberView) liveInstances() []fleet.InstanceID {
-	instances := []fleet.InstanceID{v.self}
-	for id := range v.otherLive() {
-		instances = append(instances, id)
-	}
-	return instances
-}
-
-// liveCount returns the number of live instances, this one included.
-func (v *memberView) liveCount() int {
-	return len(v.liveInstances())
-}
-
-// reportedUnreachable reports whether another live instance can't use a primary.
-func (v *memberView) reportedUnreachable(primary fleet.ServerID) bool {
-	for _, row := range v.otherLive() {
-		if slices.Contains(row.Unreachable, primary) {
-			return true
-		}
-	}
-	return false
-}
-
 // maintainMembership periodically writes this instance's row, reads those of the
 // others, and renews the leadership and the lease on the rate limits.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	f := g.newFollower(memberTable, 0, memberPartitions()...)
 	nextHeartbeat, nextPoll := g.discoverMembers(ctx, f), time.Time{}
-	retryDelay := conflictRetry
+	lastPoll, retryDelay := time.Time{}, conflictRetry
 	for ctx.Err() == nil {
 		now := g.config.Clock()
 		if !now.Before(nextHeartbeat) {
@@ -235,47 +101,45 @@
 		}
 		g.renewLeadership(ctx, g.config.Clock())
 		if now = g.config.Clock(); !now.Before(nextPoll) {
-			nextPoll = now.Add(memberPollInterval)
+			lastPoll, nextPoll = now, now.Add(memberPollInterval)
 			err := g.pollMembers(ctx, f)
 			f.logAvailability(err)
+			if delay, mayRetry := relayRetryDelay(err); mayRetry && delay < memberPollInterval {
+				nextPoll = now.Add(delay)
+			}
+			if err != nil && !f.mirror.Loaded() && f.awaitsNewSecret(err) {
+				// The rows of the data centre, one of which is that of the relay, are fewer
+				// than all rows. Without them, the next attempt fails like this one.
+				_ = g.readLocalMembers(ctx)
+				nextPoll = now
+			}
 			if err == nil {
 				phaseChanged, aboutToHold := g.updateParticipation(g.config.Clock(), f.mirror.Revision())
 				if phaseChanged {
 					nextHeartbeat = now
 				}
-				if aboutToHold {
+				if aboutToHold || now.Sub(f.mirror.VerifiedAt()) > memberPollInterval {
+					// In the second case the relay is late. At the regular interval, this
+					// instance would turn to the store only when its leases end.
 					nextPoll = now.Add(startupPollInterval)
 				}
 				g.pruneMember(ctx)
 			}
 		}
 		g.renewLimitLease(now)
-		if g.waitForHeartbeatRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		switch g.waitForRequest(ctx, min(nextHeartbeat.Sub(now), nextPoll.Sub(now))) {
+		case heartbeatRequested:
 			g.leaveChangingPrimaries(g.config.Clock())
 			nextHeartbeat, nextPoll = time.Time{}, time.Time{}
+		case readRequested:
+			if requested := lastPoll.Add(startupPollInterval); requested.Before(nextPoll) {
+				nextPoll = requested
+			}
 		}
 	}
 	return nil
 }
 
-// waitForHeartbeatRequest waits until the timeout or a heartbeat request, and at
-// least for minHeartbeatSpacing. It reports whether there was a request.
-func (g *Gateway) waitForHeartbeatRequest(ctx context.Context, timeout time.Duration) bool {
-	if !sleep(ctx, minHeartbeatSpacing) {
-		return false
-	}
-	timer := time.NewTimer(max(0, timeout-minHeartbeatSpacing))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-g.heartbeatRequests:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // leaveChangingPrimaries stops the use of primaries that are being replaced, and
 // records the generations for this instance's row. If transactions may still go on
 // at a primary, it requests a heartbeat so as to try again shortly.
@@ -338,18 +202,6 @@
 	return true, phaseChanged
 }
 
-// isNews reports whether the row says something that other instances wait for, compared
-// with an earlier row of the instance.
-func (r MemberRow) isNews(earlier MemberRow) bool {
-	return r.Draining != earlier.Draining || r.Phase != earlier.Phase || r.concernsLeader(earlier)
-}
-
-// concernsLeader reports whether the row says something new about a primary, compared
-// with an earlier row of the instance.
-func (r MemberRow) concernsLeader(earlier MemberRow) bool {
-	return !slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
-}
-
 // writeUnlessRequested writes this instance's row. A heartbeat request that arrives while
 // the row waits for others ends the write, whose outcome is then unknown, so that the
 // newer row can be written at once.
@@ -471,7 +323,7 @@
 func (g *Gateway) buildOwnRow(now time.Time, phase workspace.Phase) MemberRow {
 	g.members.heartbeatCount++
 	g.members.rowSince = g.ownRowSince(now)
-	row := MemberRow{At: g.storeClock.StoreTime(now), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince}
+	row := MemberRow{At: g.storeClock.StoreTime(now).Truncate(time.Millisecond), Beat: g.members.heartbeatCount, DataCentre: g.config.Settings.DataCentre, Demand: math.Round(g.rateLimits.TotalDemand(now)), Draining: g.draining, Epoch: g.members.epoch, LinkMegabits: g.config.Settings.LinkMegabits, Phase: phase, ProcessorShare: g.config.Settings.ProcessorShare, Since: g.members.rowSince, WallOffset: g.publishedWallOffset(now)}
 	if g.config.PeerTransport != nil {
 		row.Address, row.Secret = g.config.PeerTransport.Address(), g.config.PeerTransport.Secret()
 	}
@@ -532,10 +384,16 @@
 func (g *Gateway) pollMembers(ctx context.Context, f *tableFollower) error {
 	g.mu.Lock()
 	// Instances that start together begin to hold shares at the same moment only if
-	// their reads are equally recent. The others wait until they have joined.
-	f.bypassRelay = f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	// their reads are equally recent. The others wait until they have joined. If they are
+	// many, the relay reads for them at the interval of a start.
+	needsFreshRead := f.mirror.Loaded() && g.members.participation.NeedsFreshRead()
+	f.bypassRelay = needsFreshRead && g.members.liveCount() <= maxDirectReaders
 	g.mu.Unlock()
-	changed, err := f.fetch(ctx, 0)
+	wait := time.Duration(0)
+	if needsFreshRead {
+		wait = startupPollInterval
+	}
+	changed, err := f.fetchWithin(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -614,6 +472,10 @@
 	if known != nil && known.revision >= row.Revision {
 		return false
 	}
+	if known != nil && known.row.Epoch != decoded.Epoch {
+		// Its failure as a relay was that of its earlier run, whose secret it had.
+		delete(g.relayBackoffUntil, id)
+	}
 	g.members.members[id] = &member{revision: row.Revision, row: decoded}
 	return known == nil || known.row.Address != decoded.Address || known.row.Epoch != decoded.Epoch ||
 		known.row.Since != decoded.Since || decoded.isNews(known.row)
@@ -626,6 +488,7 @@
 	write := Write{Key: string(g.members.self), Partition: memberPartition(g.config.Settings.DataCentre), Remove: true, Revision: g.members.ownRevision, Table: memberTable}
 	g.presence.Reset()
 	g.mu.Unlock()
+	defer g.leaveUsage(ctx)()
 	if _, err := g.config.Store.Write(ctx, []Write{write}); err != nil {
 		g.config.Log.Record(event.StoreUnavailable, event.Fields{Text: "delete this instance's row at shutdown: " + err.Error()})
 	}
--- a/gateway/memorystore_test.go
+++ b/gateway/memorystore_test.go
@@ -16,6 +16,9 @@
 // storeLatency is the time that the memory store takes for each call.
 const storeLatency = 4 * time.Millisecond
 
+// slowLatency is the additional time of responses for a slow table.
+const slowLatency = 500 * time.Millisecond
+
 // memoryStore is a store in memory, whose clock starts at an hour.
 type memoryStore struct {
 	startedAt time.Time
@@ -41,7 +44,11 @@
 }
 
 func (s *memoryStore) put(table gateway.Table, key string, value []byte) {
-	_, _ = s.write([]gateway.Write{{Key: key, Table: table, Value: value}}, false)
+	s.putIn("", table, key, value)
+}
+
+func (s *memoryStore) putIn(partition gateway.Partition, table gateway.Table, key string, value []byte) {
+	_, _ = s.write([]gateway.Write{{Key: key, Partition: partition, Table: table, Value: value}}, false)
 }
 
 func (s *memoryStore) write(writes []gateway.Write, conditional bool) (gateway.WriteResult, error) {
@@ -51,6 +58,10 @@
 	for _, w := range writes {
 		current := s.rows[w.Table][w.Key].Row
 		current.Key = w.Key
+		if current.Deleted {
+			// A row that was deleted does not exist.
+			current.Revision = 0
+		}
 		result.Applied = result.Applied && (!conditional || current.Revision == w.Revision)
 		result.Current = append(result.Current, gateway.CurrentRow{Row: current, Table: w.Table})
 	}
@@ -83,12 +94,15 @@
 	return snapshot, s.changed
 }
 
-// storeLink is the connection of one instance to the store. Its faults affect only the
-// sheet, so that leases on primaries and limits, which depend on other tables, hide no
+// storeLink is the connection of one instance to the store. Its faults below mu affect
+// only the sheet, so that leases on primaries and limits, which depend on other tables, hide no
 // failure of the check of keys.
 type storeLink struct {
 	store *memoryStore
 
+	// slowTable is a table whose responses take slowLatency more.
+	slowTable gateway.Table
+
 	mu sync.Mutex
 	// delay is added to the way of each response, also after the call has timed out, as
 	// if the instance had been suspended meanwhile.
@@ -107,6 +121,9 @@
 // transmit stands for the way of a request or response.
 func (l *storeLink) transmit(ctx context.Context, table gateway.Table, response bool) error {
 	time.Sleep(storeLatency / 2)
+	if response && table == l.slowTable {
+		time.Sleep(slowLatency)
+	}
 	if table != sheetTable {
 		return nil
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,9 +21,17 @@
 	// the relay. After it an instance calls the store, while its leases are still
 	// valid for more than 2 s.
 	relayGrace = 500 * time.Millisecond
+	// maxMemberWait is how long a request for the instances' rows waits for a newer
+	// response of the store. It is shorter than the caller's timeout of
+	// startupPollInterval plus relayGrace, so that a slow store does not make the callers
+	// take the relay as lost and all read the store.
+	maxMemberWait = 700 * time.Millisecond
 	// relayLoadTimeout is the timeout of a request for a whole table. When all instances
 	// start together, the relay sends it to each of them at the same time.
 	relayLoadTimeout = 2 * time.Second
+	// maxLoadWait is how long an instance that starts asks a relay that is sending whole
+	// tables to others. It leaves time to read the store and to serve within 4 s.
+	maxLoadWait = 2500 * time.Millisecond
 	// relayPollTimeout is the timeout of a request that the relay serves without
 	// waiting for a change.
 	relayPollTimeout = 300 * time.Millisecond
@@ -41,6 +49,10 @@
 	// again that can't serve it, before it reads the store. The relay may just have
 	// started too.
 	maxLoadRefusals = 4
+	// maxHistoryWait is how old the last verification of a copy may become while its
+	// instance waits for the relay to read the table that the store has lost the history
+	// of. It leaves 1.5 s of the leases to read the table from the store.
+	maxHistoryWait = 3 * time.Second
 	// relayStartSpread and relayMinAge say when an instance may be a relay: if it has
 	// started together with the first ones, or long enough ago to have read the tables.
 	relayStartSpread = 3 * time.Second
@@ -56,8 +68,7 @@
 	// of the called instance. The function known returns the version of a row that
 	// this instance has.
 	Changes(ctx context.Context, address string, secret []byte, request relay.Request, known func(key string) feed.RowVersion) (feed.Snapshot, error)
-	// WriteRow writes this instance's membership row through the instance at an
-	// address.
+	// WriteRow writes a row of this instance through the instance at an address.
 	WriteRow(ctx context.Context, address string, secret []byte, write relay.RowWrite) (relay.RowWriteResult, error)
 }
 
@@ -72,7 +83,8 @@
 
 // ReadChanges serves a request of another instance for the changes that this one has
 // read from the store. If request.Wait is set, it waits for a response of the store
-// that is newer than request.StoreTime.
+// that is newer than request.StoreTime, but for the instances' rows not longer than
+// maxMemberWait.
 func (g *Gateway) ReadChanges(ctx context.Context, request relay.Request) (feed.Snapshot, error) {
 	g.mu.Lock()
 	f := g.followers[Table(request.Table)]
@@ -80,19 +92,39 @@
 	if f == nil {
 		return feed.Snapshot{}, &Error{Err: errors.New("the table is not followed"), Kind: KindInvalid, Op: "relay"}
 	}
+	var waitEnds <-chan time.Time
+	if f.table == memberTable {
+		timer := time.NewTimer(maxMemberWait)
+		defer timer.Stop()
+		waitEnds = timer.C
+	}
 	for {
 		snapshot, nextResponse, err := f.relaySnapshot(request.After)
 		if err != nil || snapshot.StoreTime > request.StoreTime || !request.Wait {
 			return snapshot, err
 		}
+		if f.table == memberTable {
+			g.requestMemberRead()
+		}
 		select {
 		case <-nextResponse:
+		case <-waitEnds:
+			return snapshot, nil
 		case <-ctx.Done():
 			return feed.Snapshot{}, &Error{Err: ctx.Err(), Kind: KindNotDone, Op: "relay"}
 		}
 	}
 }
 
+// requestMemberRead tells the membership controller that another instance waits for a
+// read of the instances' rows.
+func (g *Gateway) requestMemberRead() {
+	select {
+	case g.memberReadRequests <- struct{}{}:
+	default:
+	}
+}
+
 // relaySnapshot returns the changes since a revision, and a channel that is closed at
 // the next response or failure. It fails unless the last response came from the
 // store itself.
@@ -150,13 +182,13 @@
 		if startedLater(row.Since) || row.Address == "" || row.Draining {
 			continue
 		}
-		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, ProcessorShare: row.ProcessorShare}
+		candidate := owner.Candidate{DataCentre: row.DataCentre, Instance: id, LinkMegabits: row.LinkMegabits, ProcessorShare: row.ProcessorShare}
 		all = append(all, candidate)
 		if row.DataCentre == dataCentre {
 			local = append(local, candidate)
 		}
 	}
-	if own := (owner.Candidate{DataCentre: dataCentre, Instance: v.self, ProcessorShare: v.processorShare}); len(all) == 0 || (v.rowSince != 0 && !startedLater(v.rowSince)) {
+	if own := (owner.Candidate{DataCentre: dataCentre, Instance: v.self, LinkMegabits: v.linkMegabits, ProcessorShare: v.processorShare}); len(all) == 0 || (v.rowSince != 0 && !startedLater(v.rowSince)) {
 		local, all = append(local, own), append(all, own)
 	}
 	if len(local) < minLocalRelayGroup {
@@ -181,12 +213,67 @@
 	}
 }
 
+// mayAwaitRelay reports whether an instance that needs a whole table, because the store
+// has lost its history, leaves the read to the relay for now. The fraction, between 0 and
+// 1, spreads the instances over the last half second, in case the relay stays away.
+func mayAwaitRelay(now, verifiedAt time.Time, fraction float64) bool {
+	const spread = 500 * time.Millisecond
+	return now.Sub(verifiedAt) < maxHistoryWait-time.Duration(fraction*float64(spread))
+}
+
+// awaitsRelay reports whether this instance waits for its relay to read the table that
+// the store has lost the history of, and returns the relay.
+func (f *tableFollower) awaitsRelay(now time.Time) (peer relayPeer, awaits bool) {
+	peer, found := f.gateway.currentRelay(time.Time{})
+	if !f.historyLost || !f.useRelay || !found || !f.mirror.Loaded() {
+		return relayPeer{}, false
+	}
+	return peer, mayAwaitRelay(now, f.mirror.VerifiedAt(), f.historyWaitFraction)
+}
+
+// relayRetryDelay returns after which time a relay that refused a request may be asked
+// again, and whether it may.
+func relayRetryDelay(err error) (delay time.Duration, mayRetry bool) {
+	if isHistoryLost(err) {
+		// What is left of the leases is shorter than the time that a relay may name.
+		return relayPollInterval, true
+	}
+	if delay := busyRelayDelay(err); delay > 0 {
+		return delay, true
+	}
+	return relayPollInterval, isRelayRefusal(err)
+}
+
+// loadRetryDelay returns after which time an instance that the relay told to ask again for
+// a whole table does so. It reports false if the instance reads the store instead, because
+// it started to load the table, or last verified its copy, maxLoadWait ago.
+func loadRetryDelay(now, since time.Time, err error) (delay time.Duration, mayAwait bool) {
+	retryAfter, remaining := busyRelayDelay(err), maxLoadWait-now.Sub(since)
+	return max(min(retryAfter, remaining), relayPollInterval), retryAfter > 0 && remaining > 0
+}
+
+// isHistoryLost reports whether the store no longer has the requested changes.
+func isHistoryLost(err error) bool {
+	var storeErr *Error
+	return errors.As(err, &storeErr) && storeErr.Kind == KindHistory
+}
+
 // isRelayRefusal reports whether the relay answered that it can't serve the request.
 func isRelayRefusal(err error) bool {
 	var relayErr *relay.Error
 	return errors.As(err, &relayErr) && relayErr.Kind == relay.KindRefused
 }
 
+// busyRelayDelay returns after which time the relay told this instance to ask again, or
+// zero.
+func busyRelayDelay(err error) time.Duration {
+	var relayErr *relay.Error
+	if !errors.As(err, &relayErr) {
+		return 0
+	}
+	return max(0, relayErr.RetryAfter)
+}
+
 // recordRelayRecovered makes this instance read from its relay again.
 func (g *Gateway) recordRelayRecovered(peer relayPeer) {
 	g.mu.Lock()
@@ -195,15 +282,15 @@
 }
 
 // fetchFromRelay sends one request to the relay and applies the response. If wait is
-// not zero, the request is a long poll, with a timeout of relayLongPollWait plus
-// relayGrace.
+// not zero, the request is a long poll, with a timeout of wait or relayLongPollWait,
+// whichever is shorter, plus relayGrace.
 func (f *tableFollower) fetchFromRelay(ctx context.Context, peer relayPeer, wait time.Duration) ([]feed.Row, error) {
 	timeout := relayPollTimeout
 	if !f.mirror.Loaded() {
 		timeout = relayLoadTimeout
 	}
 	if wait > 0 {
-		timeout = relayLongPollWait + relayGrace
+		timeout = min(wait, relayLongPollWait) + relayGrace
 	}
 	callCtx, cancel := f.interruptibleContext(ctx, timeout)
 	defer cancel()
--- a/gateway/remotelease.go
+++ b/gateway/remotelease.go
@@ -39,9 +39,11 @@
 	ended bool
 	// exclusive is the result of Exclusive at the other instance, as of the last
 	// response.
-	exclusive    bool
-	gateway      *Gateway
-	id           owner.LeaseID
+	exclusive bool
+	gateway   *Gateway
+	id        owner.LeaseID
+	// lost is true if the other instance did not respond to the last batch.
+	lost         bool
 	peer         relayPeer
 	requirements session.Requirements
 	server       fleet.ServerID
@@ -99,7 +101,8 @@
 	l.ended = true
 	rollback := session.Batch{Commands: []session.Command{{Statement: session.Statement{Kind: session.StatementRollback}}}, Final: true}
 	go func() {
-		_, _ = l.call(l.gateway.config.Clock().Add(ownerSilenceThreshold), owner.Request{Batch: rollback, Lease: l.id})
+		deadline := l.gateway.config.Clock().Add(ownerSilenceThreshold)
+		_, _ = l.call(deadline, deadline, owner.Request{Batch: rollback, Lease: l.id})
 	}()
 }
 
@@ -117,10 +120,17 @@
 		}
 	}
 	l.started = true
-	response, err := l.call(deadline, request)
+	waitUntil := deadline
+	if opens && l.requirements.Deadline.After(deadline) {
+		// The wait for a connection doesn't count towards the deadline of an attempt.
+		waitUntil = l.requirements.Deadline
+		request.Call = owner.CallID(l.id)
+	}
+	response, err := l.call(deadline, waitUntil, request)
+	l.lost = err != nil
 	l.ended = batch.Final || err != nil || (opens && response.Failure != nil)
 	if err != nil {
-		return session.Reply{}, l.lostResponse(deadline, err)
+		return session.Reply{}, l.lostResponse(waitUntil, err)
 	}
 	l.exclusive = response.Exclusive
 	if response.Server != "" {
@@ -132,9 +142,10 @@
 	return response.Reply, response.Failure
 }
 
-// call sends one request. While the response takes long, the instance is probed, and
-// the call fails if it doesn't answer.
-func (l *remoteLease) call(deadline time.Time, request owner.Request) (owner.Response, error) {
+// call sends one request with a deadline, and waits for the response until waitUntil.
+// While that takes long, the instance is probed, and the call fails if it doesn't answer,
+// or if it no longer runs the batch after the deadline.
+func (l *remoteLease) call(deadline, waitUntil time.Time, request owner.Request) (owner.Response, error) {
 	g := l.gateway
 	now := g.config.Clock()
 	g.mu.Lock()
@@ -144,9 +155,9 @@
 		request.AuthorizedUntil = g.storeClock.StoreTime(until)
 	}
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(now)+ownerResponseGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), waitUntil.Sub(now)+ownerResponseGrace)
 	defer cancel()
-	probing := time.AfterFunc(ownerSilenceThreshold, func() { l.probe(ctx, cancel) })
+	probing := time.AfterFunc(ownerSilenceThreshold, func() { l.probe(ctx, cancel, deadline, request.Call) })
 	defer probing.Stop()
 	response, err := g.config.OwnerClient.Run(ctx, l.peer.address, l.peer.secret, request)
 	countOwnerCall(err)
@@ -154,25 +165,36 @@
 }
 
 // probe probes the other instance at intervals until the context ends, and cancels the
-// call once it is silent.
-func (l *remoteLease) probe(ctx context.Context, cancel context.CancelFunc) {
+// call once it is silent. From the deadline on, it also asks whether the call is still
+// running, unless that has no ID, and cancels it if its response was lost.
+func (l *remoteLease) probe(ctx context.Context, cancel context.CancelFunc, deadline time.Time, call owner.CallID) {
 	for ctx.Err() == nil {
-		answered := false
+		answered, ended := false, false
 		for attempt := 0; attempt < ownerProbeAttempts && !answered && ctx.Err() == nil; attempt++ {
-			_, err := l.gateway.callPeer(l.peer.instance, PeerRequest{})
-			answered = err == nil
+			request := PeerRequest{}
+			if !l.gateway.config.Clock().Before(deadline) {
+				request.Call = call
+			}
+			response, err := l.gateway.callPeer(l.peer.instance, request)
+			answered, ended = err == nil, response.CallEnded
 		}
 		if !answered && ctx.Err() == nil {
 			l.gateway.recordOwnerSilent(l.peer.instance, errors.New("it does not answer probes"))
 			cancel()
 			return
 		}
+		if ended && sleep(ctx, ownerResponseGrace) {
+			l.gateway.recordOwnerSilent(l.peer.instance, errors.New("its response was lost"))
+			cancel()
+			return
+		}
 		sleep(ctx, ownerSilenceThreshold)
 	}
 }
 
-// lostResponse returns the error of a call without a response.
-func (l *remoteLease) lostResponse(deadline time.Time, err error) *session.RunError {
+// lostResponse returns the error of a call without a response, for which the lease would
+// have waited until waitUntil.
+func (l *remoteLease) lostResponse(waitUntil time.Time, err error) *session.RunError {
 	g := l.gateway
 	text := fmt.Sprintf("no response from instance %s: %v", l.peer.instance, err)
 	var ownerErr *owner.Error
@@ -180,7 +202,7 @@
 		g.recordOwnerSilent(l.peer.instance, err)
 		return &session.RunError{Kind: session.KindBusy, Text: text}
 	}
-	if !g.config.Clock().Before(deadline) {
+	if !g.config.Clock().Before(waitUntil) {
 		return &session.RunError{Kind: session.KindTimeout, Text: text}
 	}
 	g.recordOwnerSilent(l.peer.instance, err)
--- a/gateway/rowbatcher.go
+++ b/gateway/rowbatcher.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// rowBatchWindow is how long a batch collects the rows of instances. It delays
-	// heartbeats, so that it is well below the time that is left of a lease when it is
-	// renewed.
+	// rowBatchWindow is how long a batch collects the rows of instances, unless it is full
+	// before. It delays heartbeats, so that it is well below the time that is left of a
+	// lease when it is renewed.
 	rowBatchWindow = 700 * time.Millisecond
 	// urgentBatchWindow replaces rowBatchWindow once a row in the batch is urgent. When
 	// a primary is to be replaced, the rows of all instances become urgent together.
@@ -41,11 +41,14 @@
 	pending []*pendingRow
 	// urgent is signalled when an urgent row is added.
 	urgent chan struct{}
+	// full is signalled when there are enough rows for a whole transaction.
+	full chan struct{}
 }
 
 // pendingRow is a row that is to be written.
 type pendingRow struct {
 	result chan rowResult
+	urgent bool
 	write  Write
 }
 
@@ -62,8 +65,8 @@
 // Write adds a row to the next batch of its partition and waits for the result. If the
 // context ends first, the row may still be written.
 func (b *rowBatcher) Write(ctx context.Context, write Write, urgent bool) (WriteResult, error) {
-	row := &pendingRow{result: make(chan rowResult, 1), write: write}
-	b.add(row, urgent)
+	row := &pendingRow{result: make(chan rowResult, 1), urgent: urgent, write: write}
+	b.add(row)
 	select {
 	case result := <-row.result:
 		return result.result, result.err
@@ -74,12 +77,12 @@
 
 // add adds a row to the batch of its partition, and starts the batch if there is none. A
 // row with the same key that has not been written yet is replaced.
-func (b *rowBatcher) add(row *pendingRow, urgent bool) {
+func (b *rowBatcher) add(row *pendingRow) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := b.batches[row.write.Partition]
 	if batch == nil {
-		batch = &rowBatch{urgent: make(chan struct{}, 1)}
+		batch = &rowBatch{full: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 		b.batches[row.write.Partition] = batch
 		go b.run(row.write.Partition, batch)
 	}
@@ -91,11 +94,25 @@
 		}
 	}
 	batch.pending = append(batch.pending, row)
-	if urgent {
-		select {
-		case batch.urgent <- struct{}{}:
-		default:
-		}
+	batch.signal()
+}
+
+// signal tells run whether the rows are to be written before the end of the window. The
+// caller holds the batcher's mu.
+func (b *rowBatch) signal() {
+	if slices.ContainsFunc(b.pending, func(row *pendingRow) bool { return row.urgent }) {
+		signal(b.urgent)
+	}
+	if len(b.pending) >= maxRowsPerBatch {
+		signal(b.full)
+	}
+}
+
+// signal sends to a channel with a buffer of one, unless a signal is pending.
+func signal(to chan<- struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
 	}
 }
 
@@ -105,9 +122,13 @@
 		timer := time.NewTimer(rowBatchWindow)
 		select {
 		case <-timer.C:
+		case <-batch.full:
 		case <-batch.urgent:
 			timer.Reset(urgentBatchWindow)
-			<-timer.C
+			select {
+			case <-timer.C:
+			case <-batch.full:
+			}
 		}
 		timer.Stop()
 		b.writeRows(b.take(batch))
@@ -124,6 +145,13 @@
 	count := min(len(batch.pending), maxRowsPerBatch)
 	rows := slices.Clone(batch.pending[:count])
 	batch.pending = slices.Delete(batch.pending, 0, count)
+	for _, signalled := range []chan struct{}{batch.full, batch.urgent} {
+		select {
+		case <-signalled:
+		default:
+		}
+	}
+	batch.signal()
 	return rows
 }
 
--- a/session/router.go
+++ b/session/router.go
@@ -23,6 +23,8 @@
 	// A read may miss commits that are newer than this time minus the route's
 	// maximum age, but no older ones.
 	StartedAt time.Time
+	// Transaction means that the lease is kept for several statements.
+	Transaction bool
 	// Variables are the session variables. The map must not be modified.
 	Variables map[string]string
 	Workspace fleet.WorkspaceID
@@ -47,11 +49,20 @@
 	SheetVersion fleet.SheetVersion
 }
 
+// Admission describes an operation that asks for admission.
+type Admission struct {
+	// Deadline is when the operation times out.
+	Deadline time.Time
+	Route    sheet.Route
+	// Workspace is empty if the operation is not limited.
+	Workspace fleet.WorkspaceID
+}
+
 // AccessController authorizes callers and enforces rate limits.
 type AccessController interface {
-	// Admit counts one operation against the rate limit of the workspace. It
-	// returns an error if the limit is exceeded.
-	Admit(now time.Time, workspace fleet.WorkspaceID) *Error
+	// Admit counts one operation against the rate limit of the workspace, and may
+	// wait for it. It returns an error if the limit is exceeded.
+	Admit(now time.Time, admission Admission) *Error
 	// Authorize returns the access that the credentials give at time now.
 	Authorize(now time.Time, credentials Credentials) (Access, *Error)
 	// Reauthorize returns the present authorization for an access that Authorize
@@ -74,6 +85,9 @@
 	// RetryAfter is how long to wait before a retry can succeed, or zero if it
 	// isn't known.
 	RetryAfter time.Duration
+	// Saturated means that the request was refused because the server has more requests
+	// than it can serve in time.
+	Saturated bool
 	// Text is the server's error message, or describes the connection error.
 	Text string
 }
