--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -25,7 +25,13 @@
 // renderTemplateWith also renders values that most deployments do not have.
 func renderTemplateWith(t *testing.T, values map[string]string) string {
 	t.Helper()
-	template, err := os.ReadFile("../deploy/gateway.hujson")
+	return renderFile(t, "../deploy/instance.hujson", values)
+}
+
+// renderFile renders a template.
+func renderFile(t *testing.T, file string, values map[string]string) string {
+	t.Helper()
+	template, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,6 +80,24 @@
 	}
 }
 
+// TestTemplateWithoutOptionalValues guards against a template that scripts can't render
+// because it has placeholders that only some platforms know.
+func TestTemplateWithoutOptionalValues(t *testing.T) {
+	want, err := gateway.ParseSettings("node", []byte(renderTemplate(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := renderFile(t, "../deploy/gateway.hujson", nil)
+	got, err := gateway.ParseSettings("node", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.LinkMegabits = 0
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
 // TestUsageTemplate guards against a deployment that asks for usage reports and gets none,
 // and against one that does not and gets some.
 func TestUsageTemplate(t *testing.T) {
