--- a/gateway/history_test.go
+++ b/gateway/history_test.go
@@ -54,7 +54,7 @@
 
 func (s *compactedStore) Changes(context.Context, gateway.Table, feed.Revision, time.Duration) (feed.Snapshot, error) {
 	time.Sleep(storeResponseTime)
-	return feed.Snapshot{}, &gateway.Error{Kind: gateway.KindHistory, Op: "rows-feed"}
+	return feed.Snapshot{}, &gateway.Error{Kind: gateway.KindHistory, Op: "changes"}
 }
 
 // interruptedRelay serves whole tables, and then fails from 1 s on for the given time.
