--- a/usage/window.go
+++ b/usage/window.go
@@ -1,4 +1,4 @@
-// Package usage counts the statements that servers began for each workspace, and
+// Package usage counts the operations that servers began for each workspace, and
 // decides what is reported about each window of true time, when and by whom. It does no
 // I/O, starts no goroutines and doesn't read a clock.
 package usage
