--- a/cmd/gatewayd/limits.go
+++ b/cmd/gatewayd/limits.go
@@ -22,19 +22,20 @@
 // processLimits divides the memory and the descriptors of the process.
 type processLimits struct {
 	callers *budget.Budget
-	// peerConnections and probeConnections limit the connections to the port for other
-	// instances, and to each of those for metrics and readiness.
+	// peerConnections limits the connections to the port for other instances that have
+	// not sent a request yet, and probeConnections those to each of the ports for metrics
+	// and readiness.
 	peerConnections  int
 	probeConnections int
 	// results limits the bytes of the large results that are being received.
 	results *budget.Bytes
 }
 
-// otherPorts returns the limits on connections of other instances, and on those to each of
-// the ports for metrics and readiness. Of the descriptors, half are for callers, five
-// sixteenths for other instances, which each keep up to maxIdleOwnerConnections, and a
-// thirty-second for metrics and readiness. The others are for the instance's own
-// connections.
+// otherPorts returns the limits on connections without a request to the port for other
+// instances, and on connections to each of the ports for metrics and readiness. Of the
+// descriptors, half are for callers, five sixteenths are the first limit, and a
+// thirty-second is for metrics and readiness. The others are for the instance's own
+// connections. Those of other instances that have authenticated a request are not limited.
 func otherPorts(descriptors int) (peers, probes int) {
 	return max(1, descriptors*5/16), max(1, descriptors/64)
 }
