--- /dev/null
+++ b/review/cases-2/instance.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// loopback is the address of all processes and stand-ins.
+	loopback = "127.0.0.1"
+	// program and template are those of deploy/system.toml.
+	program  = "target/gatewayd"
+	template = "deploy/instance.hujson"
+	// memoryMB, descriptors and graceSeconds are those of the machines of cpq-pier.
+	memoryMB     = 284
+	descriptors  = 4200
+	graceSeconds = 6
+	// memoryInterval is the time between two looks at the memory of a process.
+	memoryInterval = 5 * time.Millisecond
+)
+
+// instance is a process of the project.
+type instance struct {
+	callers, metrics, peers, ready string
+	command                        *exec.Cmd
+	done                           chan struct{}
+	name, zone                     string
+
+	mu sync.Mutex
+	// exceeded is true once the process was ended because of its memory.
+	exceeded bool
+	peakKB   int
+}
+
+// deployment is a set of instances that use the same store and services.
+type deployment struct {
+	cloud     string
+	directory string
+	instances []*instance
+	nextPort  int
+	record    *record
+	store     *store
+}
+
+func newDeployment(rec *record, st *store, cloud string) *deployment {
+	directory, err := os.MkdirTemp("", "nutmegpier-case-")
+	check(err)
+	check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: descriptors, Max: descriptors}))
+	d := &deployment{cloud: cloud, directory: directory, nextPort: 20_000 + os.Getpid()%8000, record: rec, store: st}
+	cleanUp = d.stop
+	return d
+}
+
+func zoneName(i int) string { return "zone-" + strconv.Itoa(i%4) }
+
+// freeAddress returns an address with a free port below the range from which the system
+// takes the ports of connections.
+func (d *deployment) freeAddress() string {
+	for {
+		d.nextPort++
+		address := loopback + ":" + strconv.Itoa(d.nextPort)
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = tcp.Close()
+		udp, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		return address
+	}
+}
+
+// startInstances starts a number of instances and waits until they are ready.
+func (d *deployment) startInstances(count int) {
+	for n := range count {
+		i := &instance{callers: d.freeAddress(), metrics: d.freeAddress(), name: "front-" + strconv.Itoa(n), peers: d.freeAddress(), ready: d.freeAddress(), zone: zoneName(n)}
+		d.start(i)
+		d.instances = append(d.instances, i)
+	}
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, i := range d.instances {
+			if i.isReady() {
+				ready++
+			}
+		}
+		if ready == count {
+			d.record.add("ready", "instances", strconv.Itoa(count))
+			return
+		}
+	}
+	check(fmt.Errorf("the %d instances are not ready", count))
+}
+
+// settings fills in the template as the platform does.
+func (d *deployment) settings(i *instance) string {
+	content, err := os.ReadFile(template)
+	check(err)
+	_, metricsPort, _ := net.SplitHostPort(i.metrics)
+	_, peersPort, _ := net.SplitHostPort(i.peers)
+	filled := regexp.MustCompile(`(?s)\{\{#.*?\}\}.*\{\{/.*?\}\}`).ReplaceAllString(string(content), "")
+	return strings.NewReplacer(
+		"{{zone|json}}", strconv.Quote(i.zone), "{{node|json}}", strconv.Quote(i.name), "{{limits.link_mbps}}", "1000.0",
+		"{{listen.front|json}}", strconv.Quote(i.callers), "{{listen.ready|json}}", strconv.Quote(i.ready), "{{ip}}", loopback,
+		"{{internal_ports.0}}", metricsPort, "{{internal_ports.1}}", peersPort, "{{limits.memory_mb}}", strconv.Itoa(memoryMB),
+		"{{limits.cpu_share}}", "0.4", "{{cloud.addr|json}}", strconv.Quote(d.cloud), "{{bounds.grace_s}}", strconv.Itoa(graceSeconds),
+		"{{platform.addr|json}}", strconv.Quote(d.store.address),
+	).Replace(filled)
+}
+
+// start starts the process of an instance.
+func (d *deployment) start(i *instance) {
+	file := filepath.Join(d.directory, i.name+".hujson")
+	check(os.WriteFile(file, []byte(d.settings(i)), 0o600))
+	output, err := os.Create(filepath.Join(d.directory, i.name+".log"))
+	check(err)
+	i.command = exec.Command(program, "serve")
+	i.command.Env = append(os.Environ(), "NUTMEGPIER_CONFIG="+file, "GOMAXPROCS=1")
+	i.command.Stdout, i.command.Stderr = output, output
+	check(i.command.Start())
+	i.done = make(chan struct{})
+	go func() {
+		_ = i.command.Wait()
+		_ = output.Close()
+		d.record.add("process-ended", "instance", i.name, "state", strings.ReplaceAll(i.command.ProcessState.String(), " ", "-"))
+		close(i.done)
+	}()
+	go i.watchMemory(d.record)
+}
+
+// watchMemory ends the process if it exceeds its memory, as the platform does.
+func (i *instance) watchMemory(rec *record) {
+	for {
+		select {
+		case <-i.done:
+			return
+		case <-time.After(memoryInterval):
+		}
+		kb := anonymousKB(i.command.Process.Pid)
+		i.mu.Lock()
+		i.peakKB = max(i.peakKB, kb)
+		i.exceeded = kb > memoryMB<<10
+		exceeded := i.exceeded
+		i.mu.Unlock()
+		if exceeded {
+			rec.add("memory-exceeded", "instance", i.name, "resident_mb", strconv.Itoa(kb>>10), "limit_mb", strconv.Itoa(memoryMB))
+			_ = i.command.Process.Kill()
+			return
+		}
+	}
+}
+
+// anonymousKB returns the resident memory of a process without its program file.
+func anonymousKB(pid int) int {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, rest, found := strings.Cut(string(status), "RssAnon:")
+	if !found {
+		return 0
+	}
+	kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+	return kb
+}
+
+func (i *instance) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + i.ready + "/nutmegpier/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// exceeded returns the number of processes that exceeded their memory, and the largest peak
+// of all.
+func (d *deployment) exceeded() (count, peakMB int) {
+	for _, i := range d.instances {
+		i.mu.Lock()
+		if i.exceeded {
+			count++
+		}
+		peakMB = max(peakMB, i.peakKB>>10)
+		i.mu.Unlock()
+	}
+	return count, peakMB
+}
+
+// stop ends all processes and removes their files.
+func (d *deployment) stop() {
+	for _, i := range d.instances {
+		_ = i.command.Process.Kill()
+	}
+	for _, i := range d.instances {
+		<-i.done
+	}
+	_ = os.RemoveAll(d.directory)
+}
