--- a/review/cases-2/group.go
+++ b/review/cases-2/group.go
@@ -82,14 +82,19 @@
 	zone     string
 
 	// The group's mu guards the fields below.
-	conns    map[net.Conn]bool
+	conns map[net.Conn]bool
+	// deaf is true while the server receives no commits.
+	deaf     bool
 	down     bool
 	log      []entry
 	lastBeat time.Time
 	primary  bool
-	seq      int
-	term     int
-	waiting  int
+	// returnDelay is the time after an outage of the store until an entry that expired in
+	// it is back.
+	returnDelay time.Duration
+	seq         int
+	term        int
+	waiting     int
 }
 
 // startGroup starts three servers, of which the first one is the primary. The lags are those
@@ -121,24 +126,43 @@
 	return g
 }
 
-// keepEntries writes the entries of the servers that run, and removes those that expired.
+// keepEntries writes the entries of the servers that run, and removes those that expired, also
+// during an outage of the store.
 func (g *group) keepEntries() {
 	for range time.Tick(50 * time.Millisecond) {
+		storeDown, upFor := g.store.outage()
 		g.mu.Lock()
 		for _, s := range g.servers {
-			switch silent := time.Since(s.lastBeat); {
-			case !s.down && silent >= heartbeatInterval:
-				s.beat()
-			case s.down && silent >= entryLifetime && !s.lastBeat.IsZero():
+			silent, expired := time.Since(s.lastBeat), s.lastBeat.IsZero()
+			switch {
+			case !expired && silent >= entryLifetime:
 				s.lastBeat = time.Time{}
 				g.record.add("entry-removed", "server", s.id)
 				g.store.put("servers", s.id, nil)
+			case s.down || storeDown || (expired && upFor < s.returnDelay):
+			case expired || silent >= heartbeatInterval:
+				if expired {
+					g.record.add("entry-back", "server", s.id)
+				}
+				s.beat()
 			}
 		}
 		g.mu.Unlock()
 	}
 }
 
+// setDeaf begins or ends a time in which a replica receives no commits. At the end it
+// receives those that it lacks.
+func (s *server) setDeaf(deaf bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.deaf = deaf
+	s.group.record.add("deaf", "server", s.id, "deaf", strconv.FormatBool(deaf), "position", s.position())
+	if !deaf && !s.primary {
+		s.follow()
+	}
+}
+
 // beat writes the server's entry to the store. The caller holds the group's mu, or is alone.
 func (s *server) beat() {
 	role := "replica"
@@ -504,7 +528,7 @@
 		time.AfterFunc(other.lag, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if s.down || other.down || other.term != s.term || !s.primary {
+			if s.down || other.down || other.deaf || other.term != s.term || !s.primary {
 				return
 			}
 			if len(other.log) < n {
--- a/review/cases-2/instance.go
+++ b/review/cases-2/instance.go
@@ -132,24 +132,25 @@
 	i.command.Stdout, i.command.Stderr = output, output
 	check(i.command.Start())
 	i.done = make(chan struct{})
+	command, done := i.command, i.done
 	go func() {
-		_ = i.command.Wait()
+		_ = command.Wait()
 		_ = output.Close()
-		d.record.add("process-ended", "instance", i.name, "state", strings.ReplaceAll(i.command.ProcessState.String(), " ", "-"))
-		close(i.done)
+		d.record.add("process-ended", "instance", i.name, "state", strings.ReplaceAll(command.ProcessState.String(), " ", "-"))
+		close(done)
 	}()
-	go i.watchMemory(d.record)
+	go i.watchMemory(d.record, command.Process.Pid, done)
 }
 
 // watchMemory ends the process if it exceeds its memory, as the platform does.
-func (i *instance) watchMemory(rec *record) {
+func (i *instance) watchMemory(rec *record, pid int, done chan struct{}) {
 	for {
 		select {
-		case <-i.done:
+		case <-done:
 			return
 		case <-time.After(memoryInterval):
 		}
-		kb := anonymousKB(i.command.Process.Pid)
+		kb := anonymousKB(pid)
 		i.mu.Lock()
 		i.peakKB = max(i.peakKB, kb)
 		i.exceeded = kb > memoryMB<<10
@@ -157,7 +158,7 @@
 		i.mu.Unlock()
 		if exceeded {
 			rec.add("memory-exceeded", "instance", i.name, "resident_mb", strconv.Itoa(kb>>10), "limit_mb", strconv.Itoa(memoryMB))
-			_ = i.command.Process.Kill()
+			_ = syscall.Kill(pid, syscall.SIGKILL)
 			return
 		}
 	}
@@ -198,13 +199,26 @@
 	return count, peakMB
 }
 
-// stop ends all processes and removes their files.
-func (d *deployment) stop() {
+// killAll kills all processes.
+func (d *deployment) killAll() {
 	for _, i := range d.instances {
 		_ = i.command.Process.Kill()
 	}
 	for _, i := range d.instances {
 		<-i.done
 	}
+}
+
+// restartAll starts all processes again.
+func (d *deployment) restartAll() {
+	for _, i := range d.instances {
+		d.start(i)
+	}
+	d.record.add("restarted")
+}
+
+// stop ends all processes and removes their files.
+func (d *deployment) stop() {
+	d.killAll()
 	_ = os.RemoveAll(d.directory)
 }
--- a/review/cases-2/store.go
+++ b/review/cases-2/store.go
@@ -35,8 +35,11 @@
 	address string
 	began   time.Time
 
-	mu       sync.Mutex
-	changed  chan struct{}
+	mu      sync.Mutex
+	changed chan struct{}
+	// down is true during an outage, and upSince is when the last one ended.
+	down     bool
+	upSince  time.Time
 	history  []row
 	revision uint64
 	rows     map[string]row
@@ -56,6 +59,29 @@
 	return s
 }
 
+// setDown begins or ends an outage, in which all calls are refused.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.upSince = down, time.Now()
+	s.wake()
+}
+
+// outage reports whether the store is down, and how long ago the last outage ended.
+func (s *store) outage() (down bool, upFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down, time.Since(s.upSince)
+}
+
+// refused refuses a call during an outage, and reports whether it did. The caller holds mu.
+func (s *store) refused(w http.ResponseWriter) bool {
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return s.down
+}
+
 // put writes or, with a nil value, removes a row as the operator and the servers do.
 func (s *store) put(table, key string, value any) {
 	encoded, err := json.Marshal(value)
@@ -97,6 +123,9 @@
 	query := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refused(w) {
+		return
+	}
 	rows := []row{}
 	for _, candidate := range s.rows {
 		if candidate.Table == query.Get("table") && candidate.Part == query.Get("part") && candidate.Key >= query.Get("from") &&
@@ -126,6 +155,10 @@
 	defer timer.Stop()
 	for ended := wait == 0; ; {
 		s.mu.Lock()
+		if s.refused(w) {
+			s.mu.Unlock()
+			return
+		}
 		rows := []row{}
 		for i := len(s.history) - 1; i >= 0 && s.history[i].Ver > after; i-- {
 			if s.history[i].Table == query.Get("table") {
@@ -166,6 +199,9 @@
 	time.Sleep(storeWriteTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refused(w) {
+		return
+	}
 	current, holds := []row{}, true
 	for _, condition := range transaction.Conditions {
 		known, found := s.rows[condition.id()]
