--- a/review/cases-2/instance.go
+++ b/review/cases-2/instance.go
@@ -55,7 +55,10 @@
 func newDeployment(rec *record, st *store, cloud string) *deployment {
 	directory, err := os.MkdirTemp("", "nutmegpier-case-")
 	check(err)
-	check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: descriptors, Max: descriptors}))
+	var limit syscall.Rlimit
+	check(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	limit.Cur = min(descriptors, limit.Max)
+	check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit))
 	d := &deployment{cloud: cloud, directory: directory, nextPort: 20_000 + os.Getpid()%8000, record: rec, store: st}
 	cleanUp = d.stop
 	return d
