--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,9 +4,9 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-if [ ! -x target/gatewayd ] || [ ! -x target/review-2/cases-2 ]; then
+if [ ! -x target/gatewayd ] || [ ! -x target/review-2/6 ]; then
 	echo "build target/gatewayd as the deploy file says, and run review/build-2.sh" >&2
 	exit 2
 fi
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2/cases-2 lost "$here"
+exec target/review-2/6 "$here"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start.
+# Builds what the scripts of the second review start, with its stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/cases-2 ./review/cases-2
+for case in 6 7 8 9 10; do
+	go build -o "target/review-2/$case" "./review/$case"
+done
--- a/review/cases-2/client.go
+++ b/review/harness2/client.go
@@ -1,4 +1,4 @@
-package main
+package harness2
 
 import (
 	"bufio"
@@ -14,27 +14,27 @@
 // recordedText is how much of a query is recorded.
 const recordedText = 24
 
-// client is a session of a client.
-type client struct {
+// Client is a session of a client.
+type Client struct {
 	conn   net.Conn
 	reader *bufio.Reader
-	record *record
+	record *Record
 }
 
-// reply is the answer to a query.
-type reply struct {
+// Reply is the answer to a query.
+type Reply struct {
 	code, text, signature, state, position string
 	rows                                   []string
-	err                                    error
+	Err                                    error
 }
 
-// connect opens a session.
-func connect(rec *record, address, database, key string) (*client, error) {
+// Connect opens a session.
+func Connect(rec *Record, address, database, key string) (*Client, error) {
 	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
-	c := &client{conn: conn, reader: bufio.NewReaderSize(conn, 64<<10), record: rec}
+	c := &Client{conn: conn, reader: bufio.NewReaderSize(conn, 64<<10), record: rec}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
 		return nil, err
@@ -50,25 +50,25 @@
 	return c, nil
 }
 
-// query sends a query, reads the answer and records both.
-func (c *client) query(timeout time.Duration, id, text string) reply {
-	c.record.add("sent", "id", id, "bytes", strconv.Itoa(len(text)), "text", strconv.Quote(text[:min(recordedText, len(text))]))
+// Query sends a query, reads the answer and records both.
+func (c *Client) Query(timeout time.Duration, id, text string) Reply {
+	c.record.Add("sent", "id", id, "bytes", strconv.Itoa(len(text)), "text", strconv.Quote(text[:min(recordedText, len(text))]))
 	r := c.ask(timeout, id, text)
-	c.record.add("answer", "id", id, "outcome", r.outcome(), "text", strconv.Quote(r.text))
+	c.record.Add("answer", "id", id, "outcome", r.Outcome(), "text", strconv.Quote(r.text))
 	return r
 }
 
 // ask sends a query and reads the answer.
-func (c *client) ask(timeout time.Duration, id, text string) reply {
+func (c *Client) ask(timeout time.Duration, id, text string) Reply {
 	_ = c.conn.SetDeadline(time.Now().Add(timeout))
 	if _, err := io.Copy(c.conn, io.MultiReader(strings.NewReader("QUERY "+id+" "), strings.NewReader(text), strings.NewReader("\r\n"))); err != nil {
-		return reply{err: err}
+		return Reply{Err: err}
 	}
-	var r reply
+	var r Reply
 	for {
 		line, err := readLine(c.reader)
 		if err != nil {
-			r.err = err
+			r.Err = err
 			return r
 		}
 		kind, rest, _ := strings.Cut(line, " ")
@@ -86,13 +86,16 @@
 	}
 }
 
-// outcome is the answer in one word.
-func (r reply) outcome() string {
+// Outcome is the answer in one word.
+func (r Reply) Outcome() string {
 	switch {
-	case r.err != nil:
+	case r.Err != nil:
 		return "broken"
 	case r.code != "":
 		return r.code
 	}
 	return "ok"
 }
+
+// Close ends the session.
+func (c *Client) Close() { _ = c.conn.Close() }
--- a/review/cases-2/group.go
+++ b/review/harness2/group.go
@@ -1,4 +1,4 @@
-package main
+package harness2
 
 import (
 	"bufio"
@@ -45,18 +45,18 @@
 // write changes an item.
 type write struct{ item, data string }
 
-// group is a service of one primary and two replicas, with the platform's call that
+// Group is a service of one primary and two replicas, with the platform's call that
 // promotes one of them.
-type group struct {
+type Group struct {
 	address      string
 	maxConns     int
 	name         string
-	record       *record
-	store        *store
+	record       *Record
+	store        *Store
 	syncReplicas int
 
 	mu      sync.Mutex
-	servers []*server
+	Servers []*Server
 	term    int
 	// terms are the terms in which the commits were made.
 	terms map[string]int
@@ -70,11 +70,11 @@
 	ids    map[string]bool
 }
 
-// server is one database server.
-type server struct {
+// Server is one database server.
+type Server struct {
 	address  string
 	born     int64
-	group    *group
+	group    *Group
 	id       string
 	lag      time.Duration
 	listener net.Listener
@@ -89,9 +89,9 @@
 	log      []entry
 	lastBeat time.Time
 	primary  bool
-	// returnDelay is the time after an outage of the store until an entry that expired in
+	// ReturnDelay is the time after an outage of the store until an entry that expired in
 	// it is back.
-	returnDelay time.Duration
+	ReturnDelay time.Duration
 	seq         int
 	term        int
 	waiting     int
@@ -99,8 +99,8 @@
 
 // startGroup starts three servers, of which the first one is the primary. The lags are those
 // of the two replicas.
-func startGroup(name string, st *store, rec *record, maxConns, syncReplicas int, lags [2]time.Duration) *group {
-	g := &group{maxConns: maxConns, name: name, record: rec, store: st, syncReplicas: syncReplicas, term: 1, terms: map[string]int{}}
+func startGroup(name string, st *Store, rec *Record, maxConns, syncReplicas int, lags [2]time.Duration) *Group {
+	g := &Group{maxConns: maxConns, name: name, record: rec, store: st, syncReplicas: syncReplicas, term: 1, terms: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promote", g.promote)
 	listener, err := net.Listen("tcp", loopback+":0")
@@ -108,14 +108,14 @@
 	g.address = listener.Addr().String()
 	go func() { _ = http.Serve(listener, mux) }()
 	for i := range 3 {
-		s := &server{
+		s := &Server{
 			born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}, group: g, id: fmt.Sprintf("i-%s-%d", name, i),
 			primary: i == 0, slots: make(chan struct{}, slotsPerServer), term: 1, zone: zoneName(i),
 		}
 		if i > 0 {
 			s.lag = lags[i-1]
 		}
-		g.servers = append(g.servers, s)
+		g.Servers = append(g.Servers, s)
 		s.listener, err = net.Listen("tcp", loopback+":0")
 		check(err)
 		s.address = s.listener.Addr().String()
@@ -128,21 +128,21 @@
 
 // keepEntries writes the entries of the servers that run, and removes those that expired, also
 // during an outage of the store.
-func (g *group) keepEntries() {
+func (g *Group) keepEntries() {
 	for range time.Tick(50 * time.Millisecond) {
 		storeDown, upFor := g.store.outage()
 		g.mu.Lock()
-		for _, s := range g.servers {
+		for _, s := range g.Servers {
 			silent, expired := time.Since(s.lastBeat), s.lastBeat.IsZero()
 			switch {
 			case !expired && silent >= entryLifetime:
 				s.lastBeat = time.Time{}
-				g.record.add("entry-removed", "server", s.id)
+				g.record.Add("entry-removed", "server", s.id)
 				g.store.put("servers", s.id, nil)
-			case s.down || storeDown || (expired && upFor < s.returnDelay):
+			case s.down || storeDown || (expired && upFor < s.ReturnDelay):
 			case expired || silent >= heartbeatInterval:
 				if expired {
-					g.record.add("entry-back", "server", s.id)
+					g.record.Add("entry-back", "server", s.id)
 				}
 				s.beat()
 			}
@@ -151,20 +151,20 @@
 	}
 }
 
-// setDeaf begins or ends a time in which a replica receives no commits. At the end it
+// SetDeaf begins or ends a time in which a replica receives no commits. At the end it
 // receives those that it lacks.
-func (s *server) setDeaf(deaf bool) {
+func (s *Server) SetDeaf(deaf bool) {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.deaf = deaf
-	s.group.record.add("deaf", "server", s.id, "deaf", strconv.FormatBool(deaf), "position", s.position())
+	s.group.record.Add("deaf", "server", s.id, "deaf", strconv.FormatBool(deaf), "position", s.position())
 	if !deaf && !s.primary {
 		s.follow()
 	}
 }
 
 // beat writes the server's entry to the store. The caller holds the group's mu, or is alone.
-func (s *server) beat() {
+func (s *Server) beat() {
 	role := "replica"
 	if s.primary {
 		role = "primary"
@@ -177,7 +177,7 @@
 	})
 }
 
-func (s *server) accept(listener net.Listener) {
+func (s *Server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -187,11 +187,11 @@
 	}
 }
 
-// crash stops a server. It keeps its log.
-func (s *server) crash() {
+// Crash stops a server. It keeps its log.
+func (s *Server) Crash() {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	s.group.record.add("crash", "server", s.id, "position", s.position())
+	s.group.record.Add("crash", "server", s.id, "position", s.position())
 	s.down = true
 	_ = s.listener.Close()
 	for conn := range s.conns {
@@ -199,9 +199,9 @@
 	}
 }
 
-// restart starts a server that crashed, with its log: as a replica if another server was
+// Restart starts a server that crashed, with its log: as a replica if another server was
 // promoted.
-func (s *server) restart() {
+func (s *Server) Restart() {
 	listener, err := net.Listen("tcp", s.address)
 	check(err)
 	g := s.group
@@ -211,15 +211,15 @@
 	if s.term < g.term {
 		s.follow()
 	}
-	g.record.add("restart", "server", s.id, "position", s.position())
+	g.record.Add("restart", "server", s.id, "position", s.position())
 	s.beat()
 	go s.accept(listener)
 }
 
 // follow makes a server a replica with the log of the primary. The caller holds the group's
 // mu.
-func (s *server) follow() {
-	for _, other := range s.group.servers {
+func (s *Server) follow() {
+	for _, other := range s.group.Servers {
 		if other.primary && other.term == s.group.term && other != s {
 			s.log, s.primary, s.term = slices.Clone(other.log), false, other.term
 		}
@@ -227,25 +227,25 @@
 }
 
 // promote serves a promotion order.
-func (g *group) promote(w http.ResponseWriter, r *http.Request) {
+func (g *Group) promote(w http.ResponseWriter, r *http.Request) {
 	var order struct{ Service, ID string }
 	_ = json.NewDecoder(r.Body).Decode(&order)
-	g.record.add("promote", "server", order.ID, "holder", r.Header.Get("X-Duty-Holder"), "token", r.Header.Get("X-Fencing-Token"))
+	g.record.Add("promote", "server", order.ID, "holder", r.Header.Get("X-Duty-Holder"), "token", r.Header.Get("X-Fencing-Token"))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	index := slices.IndexFunc(g.servers, func(s *server) bool { return s.id == order.ID && !s.down })
+	index := slices.IndexFunc(g.Servers, func(s *Server) bool { return s.id == order.ID && !s.down })
 	if index < 0 {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	if s := g.servers[index]; !s.primary || s.term != g.term {
+	if s := g.Servers[index]; !s.primary || s.term != g.term {
 		time.AfterFunc(promoteTime, s.lead)
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
 // lead makes a server the primary of the next term. The others follow it a second later.
-func (s *server) lead() {
+func (s *Server) lead() {
 	g := s.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -259,12 +259,12 @@
 		ids[e.id] = true
 	}
 	g.promotions = append(g.promotions, promotion{server: s.id, ids: ids})
-	g.record.add("leads", "server", s.id, "term", strconv.Itoa(s.term), "position", s.position())
+	g.record.Add("leads", "server", s.id, "term", strconv.Itoa(s.term), "position", s.position())
 	s.beat()
 	time.AfterFunc(time.Second, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		for _, other := range g.servers {
+		for _, other := range g.Servers {
 			if other != s && !other.down && other.term < s.term {
 				other.follow()
 				other.beat()
@@ -280,7 +280,7 @@
 	writes              []write
 }
 
-func (s *server) serve(conn net.Conn) {
+func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReaderSize(conn, 64<<10)
 	line, err := readLine(reader)
@@ -331,14 +331,14 @@
 	}
 }
 
-func (s *server) lockedPosition() string {
+func (s *Server) lockedPosition() string {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	return s.position()
 }
 
 // position returns the end of the log. The caller holds the group's mu.
-func (s *server) position() string {
+func (s *Server) position() string {
 	if len(s.log) == 0 {
 		return "1.0"
 	}
@@ -347,10 +347,10 @@
 
 // query runs one query and returns the answer. It reports false if the server crashed
 // meanwhile.
-func (s *server) query(state *connState, id, text string) (answer []byte, ran bool) {
+func (s *Server) query(state *connState, id, text string) (answer []byte, ran bool) {
 	row, code := s.run(state, id, text)
 	if id != "-" {
-		s.group.record.add("ran", "id", id, "server", s.id, "code", cmp.Or(code, "ok"))
+		s.group.record.Add("ran", "id", id, "server", s.id, "code", cmp.Or(code, "ok"))
 	}
 	if code == "" {
 		if row != "" {
@@ -374,7 +374,7 @@
 }
 
 // occupy waits for a slot and works. It reports false if the server is full.
-func (s *server) occupy() bool {
+func (s *Server) occupy() bool {
 	g := s.group
 	g.mu.Lock()
 	full := s.waiting >= slotsPerServer+queuePerServer
@@ -395,7 +395,7 @@
 }
 
 // run runs a query and returns its row or its error code.
-func (s *server) run(state *connState, id, text string) (row, code string) {
+func (s *Server) run(state *connState, id, text string) (row, code string) {
 	after := ""
 	if rest, found := strings.CutPrefix(text, "AFTER "); found {
 		after, text, _ = strings.Cut(rest, " ")
@@ -483,7 +483,7 @@
 }
 
 // status returns the row of a status query. The caller holds the group's mu.
-func (s *server) status() string {
+func (s *Server) status() string {
 	role := "replica"
 	if s.primary {
 		role = "primary"
@@ -492,14 +492,14 @@
 }
 
 // contains reports whether the log contains a position. The caller holds the group's mu.
-func (s *server) contains(position string) bool {
+func (s *Server) contains(position string) bool {
 	term, number, _ := strings.Cut(position, ".")
 	n, _ := strconv.Atoi(number)
 	return n == 0 || (n <= len(s.log) && strconv.Itoa(s.log[n-1].term) == term)
 }
 
 // item returns the last committed data of an item. The caller holds the group's mu.
-func (s *server) item(item string) string {
+func (s *Server) item(item string) string {
 	for _, e := range slices.Backward(s.log) {
 		for _, w := range e.writes {
 			if w.item == item {
@@ -513,15 +513,15 @@
 // commit appends a commit to the log and sends it to the replicas. With synchronous replicas
 // it waits until one has received it. The caller holds the group's mu, which is released
 // meanwhile.
-func (s *server) commit(id string, writes []write) (code string) {
+func (s *Server) commit(id string, writes []write) (code string) {
 	g := s.group
 	if !s.primary || s.down {
 		return "READONLY"
 	}
 	s.log = append(s.log, entry{id: id, term: s.term, writes: writes})
 	g.terms[id] = s.term
-	n, received := len(s.log), make(chan struct{}, len(g.servers))
-	for _, other := range g.servers {
+	n, received := len(s.log), make(chan struct{}, len(g.Servers))
+	for _, other := range g.Servers {
 		if other == s {
 			continue
 		}
@@ -547,7 +547,7 @@
 		g.mu.Lock()
 	}
 	if !s.down {
-		g.record.add("commit", "id", id, "server", s.id, "position", fmt.Sprintf("%d.%d", s.term, n), "code", code)
+		g.record.Add("commit", "id", id, "server", s.id, "position", fmt.Sprintf("%d.%d", s.term, n), "code", code)
 	}
 	return code
 }
--- a/review/cases-2/instance.go
+++ b/review/harness2/instance.go
@@ -1,4 +1,4 @@
-package main
+package harness2
 
 import (
 	"fmt"
@@ -29,12 +29,15 @@
 	memoryInterval = 5 * time.Millisecond
 )
 
-// instance is a process of the project.
-type instance struct {
-	callers, metrics, peers, ready string
-	command                        *exec.Cmd
-	done                           chan struct{}
-	name, zone                     string
+// Instance is a process of the project.
+type Instance struct {
+	// Callers is the address for clients.
+	Callers string
+
+	metrics, peers, ready string
+	command               *exec.Cmd
+	done                  chan struct{}
+	name, zone            string
 
 	mu sync.Mutex
 	// exceeded is true once the process was ended because of its memory.
@@ -42,25 +45,25 @@
 	peakKB   int
 }
 
-// deployment is a set of instances that use the same store and services.
-type deployment struct {
+// Deployment is a set of instances that use the same store and services.
+type Deployment struct {
 	cloud     string
 	directory string
-	instances []*instance
+	Instances []*Instance
 	nextPort  int
-	record    *record
-	store     *store
+	record    *Record
+	store     *Store
 }
 
-func newDeployment(rec *record, st *store, cloud string) *deployment {
+func newDeployment(rec *Record, st *Store, cloud string) *Deployment {
 	directory, err := os.MkdirTemp("", "nutmegpier-case-")
 	check(err)
 	var limit syscall.Rlimit
 	check(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
 	limit.Cur = min(descriptors, limit.Max)
 	check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit))
-	d := &deployment{cloud: cloud, directory: directory, nextPort: 20_000 + os.Getpid()%8000, record: rec, store: st}
-	cleanUp = d.stop
+	d := &Deployment{cloud: cloud, directory: directory, nextPort: 20_000 + os.Getpid()%8000, record: rec, store: st}
+	cleanUp = d.Stop
 	return d
 }
 
@@ -68,7 +71,7 @@
 
 // freeAddress returns an address with a free port below the range from which the system
 // takes the ports of connections.
-func (d *deployment) freeAddress() string {
+func (d *Deployment) freeAddress() string {
 	for {
 		d.nextPort++
 		address := loopback + ":" + strconv.Itoa(d.nextPort)
@@ -87,21 +90,21 @@
 }
 
 // startInstances starts a number of instances and waits until they are ready.
-func (d *deployment) startInstances(count int) {
+func (d *Deployment) startInstances(count int) {
 	for n := range count {
-		i := &instance{callers: d.freeAddress(), metrics: d.freeAddress(), name: "front-" + strconv.Itoa(n), peers: d.freeAddress(), ready: d.freeAddress(), zone: zoneName(n)}
+		i := &Instance{Callers: d.freeAddress(), metrics: d.freeAddress(), name: "front-" + strconv.Itoa(n), peers: d.freeAddress(), ready: d.freeAddress(), zone: zoneName(n)}
 		d.start(i)
-		d.instances = append(d.instances, i)
+		d.Instances = append(d.Instances, i)
 	}
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		ready := 0
-		for _, i := range d.instances {
+		for _, i := range d.Instances {
 			if i.isReady() {
 				ready++
 			}
 		}
 		if ready == count {
-			d.record.add("ready", "instances", strconv.Itoa(count))
+			d.record.Add("ready", "instances", strconv.Itoa(count))
 			return
 		}
 	}
@@ -109,7 +112,7 @@
 }
 
 // settings fills in the template as the platform does.
-func (d *deployment) settings(i *instance) string {
+func (d *Deployment) settings(i *Instance) string {
 	content, err := os.ReadFile(template)
 	check(err)
 	_, metricsPort, _ := net.SplitHostPort(i.metrics)
@@ -117,7 +120,7 @@
 	filled := regexp.MustCompile(`(?s)\{\{#.*?\}\}.*\{\{/.*?\}\}`).ReplaceAllString(string(content), "")
 	return strings.NewReplacer(
 		"{{zone|json}}", strconv.Quote(i.zone), "{{node|json}}", strconv.Quote(i.name), "{{limits.link_mbps}}", "1000.0",
-		"{{listen.front|json}}", strconv.Quote(i.callers), "{{listen.ready|json}}", strconv.Quote(i.ready), "{{ip}}", loopback,
+		"{{listen.front|json}}", strconv.Quote(i.Callers), "{{listen.ready|json}}", strconv.Quote(i.ready), "{{ip}}", loopback,
 		"{{internal_ports.0}}", metricsPort, "{{internal_ports.1}}", peersPort, "{{limits.memory_mb}}", strconv.Itoa(memoryMB),
 		"{{limits.cpu_share}}", "0.4", "{{cloud.addr|json}}", strconv.Quote(d.cloud), "{{bounds.grace_s}}", strconv.Itoa(graceSeconds),
 		"{{platform.addr|json}}", strconv.Quote(d.store.address),
@@ -125,7 +128,7 @@
 }
 
 // start starts the process of an instance.
-func (d *deployment) start(i *instance) {
+func (d *Deployment) start(i *Instance) {
 	file := filepath.Join(d.directory, i.name+".hujson")
 	check(os.WriteFile(file, []byte(d.settings(i)), 0o600))
 	output, err := os.Create(filepath.Join(d.directory, i.name+".log"))
@@ -139,14 +142,14 @@
 	go func() {
 		_ = command.Wait()
 		_ = output.Close()
-		d.record.add("process-ended", "instance", i.name, "state", strings.ReplaceAll(command.ProcessState.String(), " ", "-"))
+		d.record.Add("process-ended", "instance", i.name, "state", strings.ReplaceAll(command.ProcessState.String(), " ", "-"))
 		close(done)
 	}()
 	go i.watchMemory(d.record, command.Process.Pid, done)
 }
 
 // watchMemory ends the process if it exceeds its memory, as the platform does.
-func (i *instance) watchMemory(rec *record, pid int, done chan struct{}) {
+func (i *Instance) watchMemory(rec *Record, pid int, done chan struct{}) {
 	for {
 		select {
 		case <-done:
@@ -160,7 +163,7 @@
 		exceeded := i.exceeded
 		i.mu.Unlock()
 		if exceeded {
-			rec.add("memory-exceeded", "instance", i.name, "resident_mb", strconv.Itoa(kb>>10), "limit_mb", strconv.Itoa(memoryMB))
+			rec.Add("memory-exceeded", "instance", i.name, "resident_mb", strconv.Itoa(kb>>10), "limit_mb", strconv.Itoa(memoryMB))
 			_ = syscall.Kill(pid, syscall.SIGKILL)
 			return
 		}
@@ -178,7 +181,7 @@
 	return kb
 }
 
-func (i *instance) isReady() bool {
+func (i *Instance) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + i.ready + "/nutmegpier/ready")
 	if err != nil {
@@ -190,8 +193,8 @@
 
 // exceeded returns the number of processes that exceeded their memory, and the largest peak
 // of all.
-func (d *deployment) exceeded() (count, peakMB int) {
-	for _, i := range d.instances {
+func (d *Deployment) exceeded() (count, peakMB int) {
+	for _, i := range d.Instances {
 		i.mu.Lock()
 		if i.exceeded {
 			count++
@@ -202,26 +205,26 @@
 	return count, peakMB
 }
 
-// killAll kills all processes.
-func (d *deployment) killAll() {
-	for _, i := range d.instances {
+// KillAll kills all processes.
+func (d *Deployment) KillAll() {
+	for _, i := range d.Instances {
 		_ = i.command.Process.Kill()
 	}
-	for _, i := range d.instances {
+	for _, i := range d.Instances {
 		<-i.done
 	}
 }
 
-// restartAll starts all processes again.
-func (d *deployment) restartAll() {
-	for _, i := range d.instances {
+// RestartAll starts all processes again.
+func (d *Deployment) RestartAll() {
+	for _, i := range d.Instances {
 		d.start(i)
 	}
-	d.record.add("restarted")
+	d.record.Add("restarted")
 }
 
-// stop ends all processes and removes their files.
-func (d *deployment) stop() {
-	d.killAll()
+// Stop ends all processes and removes their files.
+func (d *Deployment) Stop() {
+	d.KillAll()
 	_ = os.RemoveAll(d.directory)
 }
--- a/review/cases-2/main.go
+++ b/review/harness2/main.go
@@ -1,10 +1,8 @@
-// Command cases-2 runs the scripts of the second review: it starts target/gatewayd with the
-// commands and the template of the deploy file, and stand-ins for the platform's store and
-// its promotions, for servers and for clients, all on loopback addresses.
-//
-// It exits with 1 if the rule of the case was broken, with 0 if it held and with 2 if the
-// case could not run. With TROUBLE=0 it does the same without the disruption.
-package main
+// Package harness2 holds what the scripts of the second review share: the start of
+// target/gatewayd with the command and the template of the deploy file, stand-ins for the
+// platform's store and its promotions, for servers and for clients, all on loopback addresses,
+// sessions that write, and the record. What one case does is in its folder.
+package harness2
 
 import (
 	"fmt"
@@ -16,11 +14,8 @@
 	"time"
 )
 
-// scenario runs a case and returns what was broken, or an empty text.
-type scenario func(rec *record, trouble bool) (broken string)
-
-// scenarios are the cases by name.
-var scenarios = map[string]scenario{}
+// Scenario runs a case and returns what was broken, or an empty text.
+type Scenario func(rec *Record, trouble bool) (broken string)
 
 // Exit codes besides 0, which says that the rule held.
 const (
@@ -31,14 +26,17 @@
 // caseTimeout is the time after which a case counts as one that could not run.
 const caseTimeout = 115 * time.Second
 
-func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE FOLDER, in the root of the repository")
+// Main runs a case, with its folder as the only argument. It exits with 1 if the rule of the case
+// was broken, with 0 if it held and with 2 if the case could not run. With TROUBLE=0 the
+// scenario leaves the disruption out.
+func Main(run Scenario) {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "want the folder of the case; start in the root of the repository")
 		os.Exit(exitNotRun)
 	}
-	rec := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec := newRecord(filepath.Join(os.Args[1], "record.txt"))
 	trouble := os.Getenv("TROUBLE") != "0"
-	rec.add("case", "name", os.Args[1], "trouble", strconv.FormatBool(trouble))
+	rec.Add("case", "trouble", strconv.FormatBool(trouble))
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	go func() {
@@ -46,16 +44,16 @@
 		case <-interrupted:
 		case <-time.After(caseTimeout):
 		}
-		rec.add("ended-early")
+		rec.Add("ended-early")
 		rec.close()
 		cleanUp()
 		os.Exit(exitNotRun)
 	}()
-	broken := scenarios[os.Args[1]](rec, trouble)
+	broken := run(rec, trouble)
 	if broken == "" {
-		rec.add("held")
+		rec.Add("held")
 	} else {
-		rec.add("broken", "what", strconv.Quote(broken))
+		rec.Add("broken", "what", strconv.Quote(broken))
 		fmt.Println(broken)
 	}
 	rec.close()
@@ -67,7 +65,8 @@
 // tenants is the number of tenants of cpq-pier.
 const tenants = 8
 
-func keyOf(n int) string { return "key-" + strconv.Itoa(n%tenants) }
+// KeyOf returns the key of one of the tenants.
+func KeyOf(n int) string { return "key-" + strconv.Itoa(n%tenants) }
 
 // config returns a configuration with the routes and the figures of cpq-pier, and a public
 // route.
@@ -86,7 +85,7 @@
 	public["public"] = true
 	var all []any
 	for i := range tenants {
-		all = append(all, map[string]any{"name": "tenant-" + strconv.Itoa(i), "api_keys": []string{keyOf(i)}, "priority": 1, "rate_per_s": 134, "burst": 134})
+		all = append(all, map[string]any{"name": "tenant-" + strconv.Itoa(i), "api_keys": []string{KeyOf(i)}, "priority": 1, "rate_per_s": 134, "burst": 134})
 	}
 	return map[string]any{
 		"version": 7,
@@ -105,11 +104,17 @@
 // maxConns is the number of connections that a server of cpq-pier accepts.
 const maxConns = 22
 
+// MaxText is the size of a text that leaves room for the other words of a message of 1 MiB.
+const MaxText = 1<<20 - 100
+
+// QueryTimeout is how long a client waits for an answer.
+const QueryTimeout = 5 * time.Second
+
 // replicaLags are usual lags of replicas of cpq-pier.
 var replicaLags = [2]time.Duration{20 * time.Millisecond, 20 * time.Millisecond}
 
-// startDeployment starts a store, a service and instances that use them.
-func startDeployment(rec *record, instances int) *deployment {
+// StartDeployment starts a store, a service and instances that use them.
+func StartDeployment(rec *Record, instances int) *Deployment {
 	st := startStore()
 	st.put("op", "config", config(maxConns, 0))
 	g := startGroup("ledger", st, rec, maxConns, 0, replicaLags)
--- a/review/cases-2/record.go
+++ b/review/harness2/record.go
@@ -1,4 +1,4 @@
-package main
+package harness2
 
 import (
 	"bufio"
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// record writes what was sent, answered and run.
-type record struct {
+// Record writes what was sent, answered and run.
+type Record struct {
 	began time.Time
 
 	mu   sync.Mutex
@@ -17,14 +17,14 @@
 	out  *bufio.Writer
 }
 
-func newRecord(path string) *record {
+func newRecord(path string) *Record {
 	file, err := os.Create(path)
 	check(err)
-	return &record{began: time.Now(), file: file, out: bufio.NewWriter(file)}
+	return &Record{began: time.Now(), file: file, out: bufio.NewWriter(file)}
 }
 
-// add writes a line with names and values.
-func (r *record) add(event string, pairs ...string) {
+// Add writes a line with names and values.
+func (r *Record) Add(event string, pairs ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.out, "%8.3f %s", time.Since(r.began).Seconds(), event)
@@ -34,7 +34,7 @@
 	_, _ = fmt.Fprintln(r.out)
 }
 
-func (r *record) close() {
+func (r *Record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = r.out.Flush()
--- a/review/cases-2/store.go
+++ b/review/harness2/store.go
@@ -1,4 +1,4 @@
-package main
+package harness2
 
 import (
 	"encoding/json"
@@ -30,8 +30,8 @@
 
 func (r row) id() string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
 
-// store is a stand-in for the platform's store, without limits on calls.
-type store struct {
+// Store is a stand-in for the platform's store, without limits on calls.
+type Store struct {
 	address string
 	began   time.Time
 
@@ -46,8 +46,8 @@
 }
 
 // startStore starts a store on a free port.
-func startStore() *store {
-	s := &store{began: time.Now(), changed: make(chan struct{}), revision: 100, rows: map[string]row{}}
+func startStore() *Store {
+	s := &Store{began: time.Now(), changed: make(chan struct{}), revision: 100, rows: map[string]row{}}
 	listener, err := net.Listen("tcp", loopback+":0")
 	check(err)
 	s.address = listener.Addr().String()
@@ -59,8 +59,8 @@
 	return s
 }
 
-// setDown begins or ends an outage, in which all calls are refused.
-func (s *store) setDown(down bool) {
+// SetDown begins or ends an outage, in which all calls are refused.
+func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down, s.upSince = down, time.Now()
@@ -68,14 +68,14 @@
 }
 
 // outage reports whether the store is down, and how long ago the last outage ended.
-func (s *store) outage() (down bool, upFor time.Duration) {
+func (s *Store) outage() (down bool, upFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.down, time.Since(s.upSince)
 }
 
 // refused refuses a call during an outage, and reports whether it did. The caller holds mu.
-func (s *store) refused(w http.ResponseWriter) bool {
+func (s *Store) refused(w http.ResponseWriter) bool {
 	if s.down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -83,7 +83,7 @@
 }
 
 // put writes or, with a nil value, removes a row as the operator and the servers do.
-func (s *store) put(table, key string, value any) {
+func (s *Store) put(table, key string, value any) {
 	encoded, err := json.Marshal(value)
 	check(err)
 	s.mu.Lock()
@@ -94,7 +94,7 @@
 }
 
 // apply stores a row. The caller holds mu.
-func (s *store) apply(r row) {
+func (s *Store) apply(r row) {
 	if r.Deleted {
 		r.Value = nil
 		delete(s.rows, r.id())
@@ -105,20 +105,20 @@
 }
 
 // wake wakes the calls that wait for changes. The caller holds mu.
-func (s *store) wake() {
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // answer writes an answer about rows. The caller holds mu.
-func (s *store) answer(w http.ResponseWriter, status int, rows []row, hasMore bool) {
+func (s *Store) answer(w http.ResponseWriter, status int, rows []row, hasMore bool) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": hasMore, "ver": s.revision, "now_ms": time.Since(s.began).Milliseconds()})
 }
 
 // get serves rows-get.
-func (s *store) get(w http.ResponseWriter, r *http.Request) {
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeReadTime)
 	query := r.URL.Query()
 	s.mu.Lock()
@@ -146,7 +146,7 @@
 }
 
 // feed serves rows-feed.
-func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeReadTime)
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -186,7 +186,7 @@
 }
 
 // transact serves rows-tx.
-func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
 	var transaction struct {
 		Conditions []row `json:"expected_rev"`
 		Writes     []row `json:"writes"`
