--- a/review/harness2/instance.go
+++ b/review/harness2/instance.go
@@ -25,6 +25,11 @@
 	memoryMB     = 284
 	descriptors  = 4200
 	graceSeconds = 6
+	// Scripts that run at the same time use different blocks of portBlock ports, from
+	// firstPort on: below the range from which the system takes the ports of connections.
+	firstPort  = 20_000
+	portBlock  = 64
+	portBlocks = 190
 	// memoryInterval is the time between two looks at the memory of a process.
 	memoryInterval = 5 * time.Millisecond
 )
@@ -62,7 +67,7 @@
 	check(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
 	limit.Cur = min(descriptors, limit.Max)
 	check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit))
-	d := &Deployment{cloud: cloud, directory: directory, nextPort: 20_000 + os.Getpid()%8000, record: rec, store: st}
+	d := &Deployment{cloud: cloud, directory: directory, nextPort: firstPort + os.Getpid()%portBlocks*portBlock, record: rec, store: st}
 	cleanUp = d.Stop
 	return d
 }
