fix: a change of primary waits for recorded servers, not for registered ones

Cause: the number of replicas that have to answer was taken from the servers that are registered at that moment, so a crashed one was forgotten once its entry had lapsed. Besides, the returned primary was used only if no other server answered, even if that one might not be promoted.

Ruled out: statuses from before the change (the third server was asked after all instances had left), and a longer grace for entries (it moves the fault to longer crashes).

The group's record now lists the servers that may hold acknowledged commits. A server is added when it answers and leaves when others are known to have its commits. A change needs answers of all but SyncReplicas-1 recorded replicas, or a target with all of the old primary's log.

Records of groups without synchronous replicas do not change.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -64,6 +64,9 @@
 	ServerUnreachable    Number = 410
 	ServerReachable      Number = 411
 	PromotionBlocked     Number = 412
+	PromotionWaits       Number = 413
+	PromotionUnproven    Number = 414
+	GroupServersRecorded Number = 415
 	SessionOpened        Number = 501
 	SessionClosed        Number = 502
 	AuthenticationFailed Number = 503
@@ -140,6 +143,9 @@
 		entry(ServerUnreachable, "ServerUnreachable", LevelWarning, "A backend server does not answer this instance.", "Database", "Server", "Text"),
 		entry(ServerReachable, "ServerReachable", LevelInfo, "An unreachable backend server answers again.", "Database", "Server"),
 		entry(PromotionBlocked, "PromotionBlocked", LevelError, "No backend server that answers has followed the last term, and their logs may contradict what was read in it. The change of primary waits for the recorded primary, or for a server with its log.", "Database", "Server", "Term", "Text"),
+		entry(PromotionWaits, "PromotionWaits", LevelWarning, "The change of primary waits for backend servers that may hold acknowledged commits which no server that answers is known to have. Text names them. If the primary returns, it is used again. If they stay away, a server is promoted without them (414).", "Database", "Server", "Term", "Text"),
+		entry(PromotionUnproven, "PromotionUnproven", LevelError, "A backend server is promoted although backend servers that may hold acknowledged commits are still missing. Text names them. Commits that only these hold are lost.", "Database", "Server", "Term", "Text"),
+		entry(GroupServersRecorded, "GroupServersRecorded", LevelInfo, "The backend servers that may hold acknowledged commits were recorded. Text lists them. GoneAt is the end of the log when a server was gone.", "Database", "Server", "Term", "Text"),
 		entry(SessionOpened, "SessionOpened", LevelDebug, "A caller's session was authenticated and opened. Currently not recorded.", "Database", "Session", "Workspace"),
 		entry(SessionClosed, "SessionClosed", LevelDebug, "The proxy ended a caller's session. Text holds the reason.", "Database", "Session", "Text", "Workspace"),
 		entry(AuthenticationFailed, "AuthenticationFailed", LevelWarning, "A caller's connection failed during authentication, for example because its key was not accepted.", "Database", "Session", "Text", "Workspace"),
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,13 +86,7 @@
 		// Calls that are under way when the instances stop end within this time.
 		t.Cleanup(func() { time.Sleep(time.Minute) })
 		f.publish(update)
-		for _, id := range []fleet.ServerID{"s-1", "s-2"} {
-			value, err := json.Marshal(gateway.BackendServer{Address: string(id), Born: 1, DataCentre: "z1", Group: "g", ID: id, Primary: id == "s-1", Slots: 4})
-			if err != nil {
-				t.Fatal(err)
-			}
-			f.store.put(serverTable, string(id), value)
-		}
+		f.register("s-1", "s-2")
 		for i := range instances {
 			f.start(t.Context(), fmt.Sprintf("i-%d", i))
 		}
@@ -107,6 +102,24 @@
 	f.store.put(sheetTable, "sheet", value)
 }
 
+// register writes the entries of servers, of which s-1 is the primary.
+func (f *testFleet) register(servers ...fleet.ServerID) {
+	for _, id := range servers {
+		value, err := json.Marshal(gateway.BackendServer{Address: string(id), Born: 1, DataCentre: "z1", Group: "g", ID: id, Primary: id == "s-1", Slots: 4})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.store.put(serverTable, string(id), value)
+	}
+}
+
+// deregister removes the entries of servers.
+func (f *testFleet) deregister(servers ...fleet.ServerID) {
+	for _, id := range servers {
+		_, _ = f.store.write([]gateway.Write{{Key: string(id), Remove: true, Table: serverTable}}, false)
+	}
+}
+
 func (f *testFleet) start(ctx context.Context, name string) *testInstance {
 	i := &testInstance{address: name, fleet: f, link: f.store.connect()}
 	i.link.slowTable = f.slowTable
@@ -176,8 +189,9 @@
 	return nil
 }
 
+// find returns the latest run of an instance.
 func (f *testFleet) find(id fleet.InstanceID) *testInstance {
-	for _, i := range f.instances {
+	for _, i := range slices.Backward(f.instances) {
 		if i.address == string(id) {
 			return i
 		}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -33,10 +33,6 @@
 	// recordLongPollWait is the long-poll wait for primary records. Each response
 	// renews the leases on the primaries, which last for primacy.LeaseTime.
 	recordLongPollWait = 3000 * time.Millisecond
-	// missingEntryGrace is how long a server is still used after its entry has
-	// disappeared. Entries that expired during an outage of the store are back
-	// within two seconds.
-	missingEntryGrace = 2500 * time.Millisecond
 )
 
 // followSheet keeps the routing up to date with the latest published sheet.
@@ -112,6 +108,7 @@
 	f := g.newFollower(g.config.Source.ServerTable(), serverLongPollWait, "")
 	unchangedUntil := time.Time{}
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
+		g.markServersRead(now)
 		for _, row := range changed {
 			g.applyServerRow(now, unchangedUntil, row)
 		}
@@ -147,11 +144,12 @@
 		return
 	}
 	if err != nil {
-		g.removeServer(id)
+		g.removeServer(now, id)
 		return
 	}
+	delete(g.unregisteredSince, id)
 	if known == nil || known.Born != server.Born || known.Address != server.Address {
-		g.removeServer(id)
+		g.replaceServer(id)
 		known = &backendServer{}
 		g.servers[id] = known
 		delete(g.health, id)
@@ -172,36 +170,6 @@
 	}
 }
 
-// removeServer removes a server that is gone, or replaced by one with the same ID. The
-// caller holds g.mu.
-func (g *Gateway) removeServer(id fleet.ServerID) {
-	if server := g.servers[id]; server != nil {
-		server.speed.Remove()
-		delete(g.servers, id)
-	}
-}
-
-// removeMissingServers removes the servers whose entry has been missing for
-// missingEntryGrace.
-func (g *Gateway) removeMissingServers(now time.Time) {
-	g.mu.Lock()
-	removed := false
-	for id, server := range g.servers {
-		if !server.entryMissingSince.IsZero() && now.Sub(server.entryMissingSince) >= missingEntryGrace {
-			g.removeServer(id)
-			removed = true
-		}
-	}
-	if removed {
-		g.notifyStateChange()
-	}
-	g.mu.Unlock()
-	if removed {
-		g.updatePoolServers()
-		g.requestHeartbeat()
-	}
-}
-
 // updatePoolServers passes the registered servers to the connection pool, with the
 // number of connections that this instance may hold to each.
 func (g *Gateway) updatePoolServers() {
@@ -275,7 +243,8 @@
 	changed := !known.Equal(state.primaryLease.Record())
 	g.notifyStateChange()
 	g.mu.Unlock()
-	if !changed {
+	onlyServersChanged := record.Phase == primacy.PhaseServing && record.Generation == known.Generation
+	if !changed || onlyServersChanged {
 		return
 	}
 	number := event.PrimaryChanged
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,6 +196,11 @@
 	// servers holds the registered backend servers. It is written by
 	// followServers.
 	servers map[fleet.ServerID]*backendServer
+	// serversReadAt is when the entries of the servers were first read.
+	serversReadAt time.Time
+	// unregisteredSince is since when servers that this instance has known have had no
+	// valid entry.
+	unregisteredSince map[fleet.ServerID]time.Time
 	// speeds compare the servers of each group.
 	speeds map[fleet.GroupID]*pool.GroupSpeed
 	// outOfServiceSince is when this instance learned that a data centre is out of
@@ -319,6 +324,7 @@
 		relayBackoffUntil:  map[fleet.InstanceID]time.Time{},
 		servers:            map[fleet.ServerID]*backendServer{},
 		speeds:             map[fleet.GroupID]*pool.GroupSpeed{},
+		unregisteredSince:  map[fleet.ServerID]time.Time{},
 	}
 	g.members.linkMegabits = config.Settings.LinkMegabits
 	g.members.processorShare = config.Settings.ProcessorShare
--- /dev/null
+++ b/gateway/missingserver_test.go
@@ -0,0 +1,170 @@
+//go:build !race
+
+package gateway_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegpier/nutmegpier/fleet"
+	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/session"
+)
+
+const (
+	// entryLifetime is how long the entry of a server stays after its last heartbeat.
+	entryLifetime = 3600 * time.Millisecond
+	// promotionBound is the time in which a crashed primary is replaced: 360 ms until its
+	// health checks have failed, and some calls to the store and the servers.
+	promotionBound = time.Second
+)
+
+// trioSheet returns a sheet for a group of three servers, each of which accepts enough
+// connections of all instances.
+func trioSheet(syncReplicas int) gateway.SheetUpdate {
+	update := keySheet(1, "k")
+	update.Sheet.Databases[0].Connections, update.Sheet.Databases[0].SyncReplicas = 40, syncReplicas
+	update.Sheet.Routes[0].StatementTimeout = 600
+	return update
+}
+
+// runTrio starts instances on a group of three servers, of which one replica must hold a
+// commit before it is acknowledged, and runs a test.
+func runTrio(t *testing.T, test func(*testFleet)) {
+	t.Helper()
+	startFleet(t, 3, trioSheet(1), "", func(f *testFleet) {
+		f.register("s-3")
+		const startTime = 12 * time.Second
+		time.Sleep(startTime)
+		test(f)
+	})
+}
+
+// setDown makes servers crash or return.
+func (f *testFleet) setDown(down bool, servers ...fleet.ServerID) {
+	f.servers.set(func(s *testServers) {
+		if s.down == nil {
+			s.down = map[fleet.ServerID]bool{}
+		}
+		for _, id := range servers {
+			s.down[id] = down
+		}
+	})
+}
+
+// setDeaf makes a replica receive no more commits, of which 100 follow.
+func (f *testFleet) setDeaf(id fleet.ServerID) {
+	f.servers.set(func(s *testServers) {
+		s.deaf = map[fleet.ServerID]fleet.Position{id: s.position}
+		s.position.Log += 100
+	})
+}
+
+// promoted returns the servers that became primary.
+func (f *testFleet) promoted() (promoted []fleet.ServerID) {
+	f.servers.set(func(s *testServers) { promoted = s.promoted })
+	return promoted
+}
+
+// writeWithin writes through each instance until that succeeds, and fails if it takes too
+// long.
+func (f *testFleet) writeWithin(instances []*testInstance, bound time.Duration, want fleet.ServerID) {
+	f.t.Helper()
+	var writers sync.WaitGroup
+	for _, i := range instances {
+		writers.Go(func() { f.writeThrough(i, bound, want) })
+	}
+	writers.Wait()
+}
+
+func (f *testFleet) writeThrough(i *testInstance, bound time.Duration, want fleet.ServerID) {
+	const pause = 50 * time.Millisecond
+	for start := time.Now(); ; time.Sleep(pause) {
+		id := session.StatementID(i.address + time.Since(start).String())
+		opened := i.open("k")
+		result := opened.Do(write(id))
+		opened.Close()
+		if result.Err == nil {
+			if runs := f.servers.runs(id); len(runs) != 1 || runs[0].server != want {
+				f.t.Errorf("the write through %s ran at %+v, want %s", i.address, runs, want)
+			}
+			return
+		}
+		if time.Since(start) > bound {
+			f.t.Errorf("no write through %s succeeded for %v: %v", i.address, bound, result.Err)
+			return
+		}
+	}
+}
+
+// TestPrimaryAndReplicaCrash guards against the promotion of a replica that lacks
+// acknowledged commits: the primary and the only replica that has them crash, the primary
+// returns, and the entry of that replica has expired. It also guards against a primary
+// that is not used again although it has returned.
+func TestPrimaryAndReplicaCrash(t *testing.T) {
+	runTrio(t, func(f *testFleet) {
+		f.setDeaf("s-3")
+		f.setDown(true, "s-1", "s-2")
+		time.AfterFunc(3*time.Second, func() { f.setDown(false, "s-1") })
+		f.writeWithin(f.instances, 4*time.Second, "s-1")
+		time.Sleep(entryLifetime - 3*time.Second)
+		f.deregister("s-2")
+		time.Sleep(4 * time.Second)
+		f.setDown(false, "s-2")
+		f.register("s-2")
+		f.writeWithin(f.instances, time.Second, "s-1")
+		if diff := cmp.Diff([]fleet.ServerID(nil), f.promoted()); diff != "" {
+			t.Errorf("promoted servers (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestPrimaryCrashes guards against a change of primary that takes longer because of
+// servers that may hold acknowledged commits: the primary crashes alone, after a replica
+// was lost for good, and after one was replaced at another address.
+func TestPrimaryCrashes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before func(*testFleet)
+		want   fleet.ServerID
+	}{
+		{name: "alone", before: func(*testFleet) {}, want: "s-2"},
+		{name: "after a replica was lost", before: func(f *testFleet) {
+			f.setDown(true, "s-2")
+			time.Sleep(entryLifetime)
+			f.deregister("s-2")
+			time.Sleep(6 * time.Second)
+		}, want: "s-3"},
+		{name: "after a replica was replaced", before: func(f *testFleet) {
+			f.setDown(true, "s-2")
+			time.Sleep(entryLifetime)
+			f.deregister("s-2")
+			f.register("s-4")
+			time.Sleep(6 * time.Second)
+		}, want: "s-3"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runTrio(t, func(f *testFleet) {
+				f.writeWithin(f.instances, 0, "s-1")
+				test.before(f)
+				f.setDown(true, "s-1")
+				f.writeWithin(f.instances, promotionBound, test.want)
+			})
+		})
+	}
+}
+
+// TestLostServersDoNotHoldUpAGroup guards against a group without a primary for ever,
+// because its primary and a replica that may hold acknowledged commits are lost for good.
+func TestLostServersDoNotHoldUpAGroup(t *testing.T) {
+	runTrio(t, func(f *testFleet) {
+		f.setDeaf("s-3")
+		f.setDown(true, "s-1", "s-2")
+		time.AfterFunc(entryLifetime, func() { f.deregister("s-1", "s-2") })
+		const bound = 20 * time.Second
+		f.writeWithin(f.instances, bound, "s-3")
+	})
+}
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -49,9 +50,9 @@
 	// unsentOrder is the record that this instance has written and whose latest
 	// promotion order it has not sent yet.
 	unsentOrder primacy.Record
-	// blockedLogged is true once it was logged that no server can be promoted in the
-	// current generation.
-	blockedLogged bool
+	// blockedLogged and missingLogged are true once it was logged that no server can be
+	// promoted in the current generation, and that servers are missing.
+	blockedLogged, missingLogged bool
 	// polledAt is when the servers were last asked for their status.
 	polledAt time.Time
 	record   primacy.Record
@@ -182,10 +183,7 @@
 	now := p.gateway.config.Clock()
 	situation, revision, servers := p.situation(now, group, state)
 	step := primacy.Decide(now, situation)
-	if step.Blocked && !state.blockedLogged {
-		state.blockedLogged = true
-		p.gateway.config.Log.Record(event.PromotionBlocked, event.Fields{Database: group, Server: situation.Record.Primary, Term: situation.Record.Term, Text: "history " + situation.Record.History.String()})
-	}
+	p.logObstacles(group, state, situation.Record, step)
 	steady := situation.Record.Phase != primacy.PhaseChanging
 	if step.Kind == primacy.StepNone {
 		step = p.statusStepForClaimant(situation)
@@ -208,6 +206,23 @@
 	}()
 }
 
+// logObstacles logs what a change of primary waits for, once in each generation, and a
+// promotion that may lose commits. The caller holds p.mu.
+func (p *promotionController) logObstacles(group fleet.GroupID, state *promotionState, record primacy.Record, step primacy.Step) {
+	log := p.gateway.config.Log
+	if step.Blocked && !state.blockedLogged {
+		state.blockedLogged = true
+		log.Record(event.PromotionBlocked, event.Fields{Database: group, Server: record.Primary, Term: record.Term, Text: "history " + record.History.String()})
+	}
+	if step.Kind == primacy.StepStatus && len(step.Missing) > 0 && !state.missingLogged {
+		state.missingLogged = true
+		log.Record(event.PromotionWaits, event.Fields{Database: group, Server: record.Primary, Term: record.Term, Text: fmt.Sprint("missing servers ", step.Missing)})
+	}
+	if step.Unproven {
+		log.Record(event.PromotionUnproven, event.Fields{Database: group, Server: step.Record.Target, Term: record.Term, Text: fmt.Sprint("missing servers ", step.Missing)})
+	}
+}
+
 // statusStepForClaimant returns a status step if a server other than the recorded
 // primary is registered as primary: a promotion order whose response was lost may
 // have taken effect.
@@ -234,7 +249,7 @@
 	record := current.primaryLease.Record()
 	if record.Generation != state.record.Generation {
 		state.generationSeenAt, state.lastOrderAt = now, time.Time{}
-		state.blockedLogged = false
+		state.blockedLogged, state.missingLogged = false, false
 	}
 	state.record = record
 	s := primacy.Situation{
@@ -259,6 +274,8 @@
 		}
 		report := state.statuses[id]
 		s.Servers = append(s.Servers, primacy.Server{
+			Address:    server.Address,
+			Born:       server.Born,
 			Eligible:   !server.Draining && g.routing != nil && g.routing.IsInService(server.DataCentre),
 			ID:         id,
 			Position:   report.status.Position,
@@ -272,6 +289,11 @@
 			servers = append(servers, pool.Server{Address: server.Address, Group: group, ID: id})
 		}
 	}
+	for _, recorded := range record.Servers {
+		if server := g.servers[recorded.ID]; server == nil || server.Group != group {
+			s.Servers = append(s.Servers, primacy.Server{Gone: g.isGone(now, recorded.ID), ID: recorded.ID})
+		}
+	}
 	return s, current.primaryLease.Revision(), servers
 }
 
@@ -390,8 +412,12 @@
 	now := g.config.Clock()
 	if result.Applied {
 		p.mu.Lock()
+		known := state.record
 		state.unsentOrder = record
 		p.mu.Unlock()
+		if record.Generation == known.Generation && record.Phase == primacy.PhaseServing {
+			g.config.Log.Record(event.GroupServersRecorded, event.Fields{Database: group, Server: record.Primary, Term: record.Term, Text: fmt.Sprintf("%+v", record.Servers)})
+		}
 		g.applyRecord(now, record, result.Revision, time.Time{})
 		return
 	}
--- a/gateway/testservers_test.go
+++ b/gateway/testservers_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -14,18 +15,25 @@
 	"github.com/nutmegpier/nutmegpier/session"
 )
 
-// testServers are the servers of one group in memory. Their logs are always equal.
+// testServers are the servers of one group in memory. Their logs are equal, except for
+// those of deaf servers.
 type testServers struct {
 	mu sync.Mutex
+	// deaf holds the servers that receive no commits, with the ends of their logs.
+	deaf map[fleet.ServerID]fleet.Position
 	// dialFailure, if set, is the failure of each new connection.
 	dialFailure *session.RunError
 	// dialTime is the time to open a connection, workTime that of a statement, and
 	// setupTime that of setting the state of a connection.
 	dialTime, setupTime, workTime time.Duration
+	// down holds the servers that have crashed.
+	down map[fleet.ServerID]bool
 	// onStatus, if set, is called at each request for a status.
 	onStatus func()
 	position fleet.Position
 	primary  fleet.ServerID
+	// promoted lists the servers that became primary.
+	promoted []fleet.ServerID
 	// ran lists the statements of callers in the order of their arrival.
 	ran []ranStatement
 }
@@ -72,6 +80,9 @@
 func (s *testServers) Dial(_ time.Time, server pool.Server, _ fleet.WorkspaceID) (pool.Conn, *session.RunError) {
 	s.mu.Lock()
 	dialTime, failure := s.dialTime, s.dialFailure
+	if s.down[server.ID] {
+		failure = &session.RunError{Kind: session.KindUnknown, Text: "connection refused"}
+	}
 	s.mu.Unlock()
 	time.Sleep(dialTime)
 	if failure != nil {
@@ -81,7 +92,11 @@
 }
 
 // Healthy, Status and StepDown implement gateway.Control.
-func (s *testServers) Healthy(context.Context, pool.Server) bool { return true }
+func (s *testServers) Healthy(_ context.Context, server pool.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.down[server.ID]
+}
 
 func (s *testServers) Status(_ time.Time, conn pool.Conn) (gateway.ServerStatus, error) {
 	pooled := conn.(*pool.PooledConn)
@@ -91,9 +106,16 @@
 		s.onStatus()
 	}
 	status := gateway.ServerStatus{Position: s.position, Role: primacy.RoleReplica, Term: s.position.Term}
-	if pooled.Conn.(*testConn).server == s.primary {
+	server := pooled.Conn.(*testConn).server
+	if s.down[server] {
+		return gateway.ServerStatus{}, errors.New("connection reset")
+	}
+	if server == s.primary {
 		status.Role = primacy.RolePrimary
 	}
+	if end, isDeaf := s.deaf[server]; isDeaf {
+		status.Position, status.Term = end, end.Term
+	}
 	return status, nil
 }
 
@@ -103,8 +125,9 @@
 func (s *testServers) Promote(_ context.Context, _ fleet.GroupID, server fleet.ServerID, _ fleet.InstanceID, _ primacy.Token) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.primary != server {
+	if s.primary != server && !s.down[server] {
 		s.primary = server
+		s.promoted = append(s.promoted, server)
 		s.position.Term++
 	}
 	return nil
@@ -117,7 +140,12 @@
 	servers       *testServers
 }
 
-func (c *testConn) Alive() bool    { return true }
+func (c *testConn) Alive() bool {
+	c.servers.mu.Lock()
+	defer c.servers.mu.Unlock()
+	return !c.servers.down[c.server]
+}
+
 func (c *testConn) Close()         {}
 func (c *testConn) Reusable() bool { return !c.inTransaction }
 
@@ -125,6 +153,10 @@
 	s := c.servers
 	for _, command := range commands {
 		s.mu.Lock()
+		if s.down[c.server] {
+			s.mu.Unlock()
+			return session.Reply{}, &session.RunError{Kind: session.KindUnknown, Text: "connection reset"}
+		}
 		duration := s.workTime
 		switch command.Kind {
 		case session.StatementBegin, session.StatementBeginRead:
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -23,6 +23,9 @@
 	// maxOrderDelay is how long after it was given an unanswered order may
 	// still take effect. Calls to the platform's store do so up to 6 s later.
 	maxOrderDelay = 6 * time.Second
+	// handoverRetryInterval is how long after a handover without a target the next one
+	// begins. Each one interrupts writes for about handoverCatchUpTimeout.
+	handoverRetryInterval = 5 * time.Second
 	// targetTimeout is how long a target may stay unresponsive before another
 	// one is chosen. A lost order takes effect within seconds or never.
 	targetTimeout = 8 * time.Second
@@ -42,13 +45,19 @@
 
 // Server is the leader's view of one server of a group.
 type Server struct {
+	Address string
+	// Born is the start time in Unix milliseconds.
+	Born int64
 	// Eligible is false if the server is draining, or if its data centre is out
 	// of service.
 	Eligible bool
-	ID       fleet.ServerID
+	// Gone is true once a server has had no registration for so long that it won't come
+	// back by itself. It is false while that is not known.
+	Gone bool
+	ID   fleet.ServerID
 	// Position is the end of the log that the server has received.
 	Position fleet.Position
-	// Registered is false if the server no longer has a registration entry.
+	// Registered is false if the server has no registration entry.
 	Registered bool
 	Role       Role
 	// StatusAt is when the status was requested that Position, Role and Term
@@ -123,8 +132,14 @@
 	// of the recorded history.
 	Blocked bool
 	Kind    StepKind
+	// Missing lists the servers that the change of primary waits for, because they may
+	// hold acknowledged commits that no server which answers has.
+	Missing []fleet.ServerID
 	Record  Record
 	Target  fleet.ServerID
+	// Unproven is set if the target was chosen although it may lack acknowledged commits:
+	// Missing lists the servers that have been missing for too long.
+	Unproven bool
 }
 
 // Decide returns the leader's next step for one group.
@@ -150,13 +165,24 @@
 	if !found {
 		return Step{Kind: StepStatus}
 	}
-	return Step{Kind: StepWrite, Record: Record{Generation: 1, History: s.historyOf(primary), Phase: PhaseServing, Primary: primary.ID, Term: primary.Term}}
+	return Step{Kind: StepWrite, Record: Record{
+		Generation: 1, History: s.historyOf(primary), Phase: PhaseServing, Primary: primary.ID, Servers: s.initialServers(), Term: primary.Term,
+	}}
 }
 
-// decideServing starts a change if the primary must be replaced.
+// initialServers returns the servers of the first record of a group.
+func (s Situation) initialServers() []GroupServer {
+	if s.SyncReplicas == 0 {
+		return nil
+	}
+	return s.currentServers(time.Time{}, fleet.Position{})
+}
+
+// decideServing starts a change if the primary must be replaced, and otherwise keeps the
+// record's servers up to date.
 func (s Situation) decideServing(now time.Time) Step {
 	primary, known := s.server(s.Record.Primary)
-	next := Record{Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseChanging, Primary: s.Record.Primary, Term: s.Record.Term}
+	next := Record{Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseChanging, Primary: s.Record.Primary, Servers: s.Record.Servers, Term: s.Record.Term}
 	if newer, found := s.currentPrimary(); found && newer.ID != s.Record.Primary && newer.Term > s.Record.Term {
 		next.Reason = ReasonReplaced
 		return Step{Kind: StepWrite, Record: next}
@@ -165,15 +191,16 @@
 	// take effect, and would undo a further change.
 	orderInFlight := s.Record.Orders > 1 && now.Before(s.GenerationSeenAt.Add(maxOrderDelay))
 	if orderInFlight {
-		return Step{Kind: StepNone}
+		return s.decideServers(now)
 	}
+	handoverGivenUp := s.Record.Reason == ReasonHandover && now.Before(s.GenerationSeenAt.Add(handoverRetryInterval))
 	switch {
 	case s.primaryUnreachable() && slices.ContainsFunc(s.Servers, s.promotable):
 		next.Reason = ReasonFailure
-	case known && primary.Registered && !primary.Eligible && slices.ContainsFunc(s.Servers, s.eligibleReplica):
+	case known && primary.Registered && !primary.Eligible && !handoverGivenUp && slices.ContainsFunc(s.Servers, s.eligibleReplica):
 		next.Reason = ReasonHandover
 	default:
-		return Step{Kind: StepNone}
+		return s.decideServers(now)
 	}
 	return Step{Kind: StepWrite, Record: next}
 }
@@ -196,26 +223,42 @@
 	}
 	target, found := s.promotionCandidate(accepted)
 	returned := known && s.returned(old)
+	step := Step{Kind: StepWrite}
 	switch {
-	case found:
-		// The log of the target is checked below.
+	case found && catchingUp && !s.leadsLatestTerm(target) && target.Position.Compare(old.Position) < 0:
+		return Step{Kind: StepStatus}
+	case found && s.hasAllCommits(target):
 	case returned && s.leadsAlone(old):
-		return Step{Kind: StepWrite, Record: Record{
-			Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing, Primary: old.ID, Term: old.Term,
-		}}
+		return s.servingAgain(old)
 	case returned:
 		target = old
+	case found:
+		_, step.Missing = s.missingReplicas(target)
+		if now.Before(s.GenerationSeenAt.Add(missingServerTimeout)) {
+			step.Kind = StepStatus
+			return step
+		}
+		step.Unproven = true
 	default:
 		return Step{Blocked: slices.ContainsFunc(s.Servers, s.diverged), Kind: StepStatus}
 	}
-	hasAllCommits := s.leadsLatestTerm(target) || target.ID == s.Record.Primary
-	mayLackCommits := !s.coversAcknowledgedCommits() || (catchingUp && target.Position.Compare(old.Position) < 0)
-	if mayLackCommits && !hasAllCommits {
-		return Step{Kind: StepStatus}
-	}
 	next := s.Record
 	next.Target = target.ID
 	next.Orders = 1
+	step.Record = next
+	return step
+}
+
+// servingAgain ends a change without a promotion. The reason of a handover is kept, so
+// that the next one does not follow at once.
+func (s Situation) servingAgain(primary Server) Step {
+	next := Record{
+		Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing,
+		Primary: primary.ID, Servers: s.Record.Servers, Term: primary.Term,
+	}
+	if s.Record.Reason == ReasonHandover {
+		next.Reason = ReasonHandover
+	}
 	return Step{Kind: StepWrite, Record: next}
 }
 
@@ -228,7 +271,7 @@
 	if known && target.StatusAt.After(s.GenerationSeenAt) && s.leadsLatestTerm(target) {
 		return Step{Kind: StepWrite, Record: Record{
 			Generation: s.Record.Generation + 1, History: s.historyOf(target), Orders: s.Record.Orders, Phase: PhaseServing,
-			Primary: target.ID, Term: target.Term,
+			Primary: target.ID, Servers: s.Record.Servers, Term: target.Term,
 		}}
 	}
 	removed := !known || !target.Registered
@@ -280,23 +323,6 @@
 	return mostAdvanced(s.Servers, func(server Server) bool { return server.Role == RolePrimary && !server.StatusAt.IsZero() })
 }
 
-// coversAcknowledgedCommits reports whether enough replicas have answered since
-// the change that at least one of them holds the last acknowledged commit.
-// Without synchronous replicas there is no such number, and it returns true.
-func (s Situation) coversAcknowledgedCommits() bool {
-	replicas, answered := 0, 0
-	for _, server := range s.Servers {
-		if server.ID == s.Record.Primary {
-			continue
-		}
-		replicas++
-		if server.StatusAt.After(s.GenerationSeenAt) {
-			answered++
-		}
-	}
-	return s.SyncReplicas == 0 || answered >= replicas-s.SyncReplicas+1
-}
-
 // eligibleReplica reports whether a server other than the recorded primary can be
 // promoted and stay in use, whether or not it answers.
 func (s Situation) eligibleReplica(server Server) bool {
@@ -335,10 +361,10 @@
 	return !server.StatusAt.IsZero() && server.Term < s.Record.Term && !s.Record.History.Contains(server.Position)
 }
 
-// returned reports whether the recorded primary has answered since the change began with
-// the log of its term, and can be used by most instances.
+// returned reports whether the recorded primary has returned, and can be used by most
+// instances.
 func (s Situation) returned(primary Server) bool {
-	return primary.StatusAt.After(s.GenerationSeenAt) && primary.Term == s.Record.Term && !s.primaryUnreachable()
+	return s.hasReturned(primary) && !s.primaryUnreachable()
 }
 
 // leadsAlone reports whether the recorded primary still leads its term, and no server is
--- a/primacy/promotion_test.go
+++ b/primacy/promotion_test.go
@@ -1,6 +1,7 @@
 package primacy_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,15 @@
 	}
 }
 
+// recordServers returns the servers as the record lists them.
+func recordServers(servers ...primacy.Server) []primacy.GroupServer {
+	var recorded []primacy.GroupServer
+	for _, server := range servers {
+		recorded = append(recorded, primacy.GroupServer{Address: server.Address, Born: server.Born, ID: server.ID})
+	}
+	return recorded
+}
+
 // TestPromotionCandidate guards against a promotion target that lacks commits
 // of another server that has answered, that is draining, or whose position was
 // reported before the change. With synchronous replicas, it guards against the loss of
@@ -56,6 +66,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := changingGroup(test.reason)
 			s.Servers, s.SyncReplicas = test.servers, test.sync
+			s.Record.Servers = recordServers(append(slices.Clone(test.servers), primacy.Server{ID: "old"})...)
 			step := primacy.Decide(now, s)
 			if diff := cmp.Diff(test.want, step.Record.Target); diff != "" {
 				t.Errorf("target (-want +got):\n%s", diff)
@@ -113,7 +124,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			step := primacy.Decide(now, primacy.Situation{
 				Members:      []primacy.Member{{Live: true, Unreachable: test.unreachable}},
-				Record:       primacy.Record{Generation: 1, Phase: primacy.PhaseServing, Primary: "old", Term: 1},
+				Record:       primacy.Record{Generation: 1, Phase: primacy.PhaseServing, Primary: "old", Servers: recordServers(draining, primacy.Server{ID: "old"}), Term: 1},
 				Servers:      []primacy.Server{draining, {ID: "old", Registered: true}},
 				SyncReplicas: test.sync,
 			})
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -68,7 +68,12 @@
 	Orders  int `json:",omitempty"`
 	Phase   Phase
 	Primary fleet.ServerID
-	Reason  Reason `json:",omitempty"`
+	// Reason is why the primary is being replaced or, while it serves, that a handover
+	// has ended without a target.
+	Reason Reason `json:",omitempty"`
+	// Servers are the servers that may hold acknowledged commits, in the order of their
+	// IDs. They are recorded for groups with synchronous replicas.
+	Servers []GroupServer `json:",omitempty"`
 	// Target is the server that is being promoted. It is recorded before the
 	// order is given, because an order whose answer was lost may still take
 	// effect later, and would then roll back the promotion of a different
