fix: an instance that has just started doesn't take a missing entry for a lost primary

Cause: an instance counts a server as gone once its entry has been missing for 2.5 s, but that covered only servers which this run of the instance had known. A primary that it had never seen was unavailable at once.

Ruled out: health checks (the primary was never checked), and leases during the outage (writes were acknowledged only while they lasted).

isGone now counts the time from when the entry was last valid, from the first read of the entries, or from when a record first named the primary. An entry that can't be decoded goes the same way: a primary was replaced before its next heartbeat because another writer had overwritten its entry.

TestOddEntryOfPrimary failed before (s-2 promoted).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -241,6 +241,9 @@
 	known := state.primaryLease.Record()
 	state.primaryLease.Observe(now, record, revision, g.presence.LeaseStart(verifiedAt))
 	changed := !known.Equal(state.primaryLease.Record())
+	if known.Primary != state.primaryLease.Record().Primary {
+		state.primaryKnownAt = now
+	}
 	g.notifyStateChange()
 	g.mu.Unlock()
 	onlyServersChanged := record.Phase == primacy.PhaseServing && record.Generation == known.Generation
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -294,6 +294,8 @@
 type groupState struct {
 	// positionSamples are recent log positions of the primary.
 	positionSamples primacy.PositionSamples
+	// primaryKnownAt is when a record first named the primary.
+	primaryKnownAt time.Time
 	// primaryLease holds the primary record and whether this instance may use the
 	// primary.
 	primaryLease primacy.PrimaryLease
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -59,10 +59,13 @@
 	return health != nil && health.unreachable
 }
 
-// isPrimaryUnavailable reports whether this instance can't use a primary because it
-// is unreachable or no longer registered. The caller holds g.mu.
-func (g *Gateway) isPrimaryUnavailable(primary fleet.ServerID) bool {
-	return primary != "" && (g.isUnreachable(primary) || (len(g.servers) > 0 && g.servers[primary] == nil))
+// isPrimaryUnavailable reports whether this instance can't use a group's primary because
+// it is unreachable or gone. The entry of a primary that has become known just now may
+// not be known yet. The caller holds g.mu.
+func (g *Gateway) isPrimaryUnavailable(now time.Time, state *groupState) bool {
+	primary := state.primaryLease.Record().Primary
+	isGone := len(g.servers) > 0 && g.isGone(now, primary) && now.Sub(state.primaryKnownAt) >= missingEntryGrace
+	return primary != "" && (g.isUnreachable(primary) || isGone)
 }
 
 // runHealthChecks periodically checks the servers that are being probed.
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -331,8 +331,8 @@
 		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
 	}
 	for _, state := range g.groups {
-		if primary := state.primaryLease.Record().Primary; g.isPrimaryUnavailable(primary) {
-			row.Unreachable = append(row.Unreachable, primary)
+		if g.isPrimaryUnavailable(now, state) {
+			row.Unreachable = append(row.Unreachable, state.primaryLease.Record().Primary)
 		}
 	}
 	slices.SortFunc(row.Left, func(a, b GroupLeft) int { return cmp.Compare(a.Group, b.Group) })
--- a/gateway/missingserver_test.go
+++ b/gateway/missingserver_test.go
@@ -3,6 +3,7 @@
 package gateway_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -168,3 +169,49 @@
 		f.writeWithin(f.instances, bound, "s-3")
 	})
 }
+
+// TestOddEntryOfPrimary guards against the replacement of a primary that serves, because
+// another writer has overwritten its entry until its next heartbeat.
+func TestOddEntryOfPrimary(t *testing.T) {
+	startFleet(t, 1, trioSheet(0), "", func(f *testFleet) {
+		time.Sleep(12 * time.Second)
+		f.store.put(serverTable, "s-1", []byte("odd"))
+		const heartbeatInterval = 1200 * time.Millisecond
+		time.Sleep(heartbeatInterval)
+		f.register("s-1")
+		f.writeWithin(f.instances, time.Second, "s-1")
+		if diff := cmp.Diff([]fleet.ServerID(nil), f.promoted()); diff != "" {
+			t.Errorf("promoted servers (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestRestartAfterStoreOutage guards against the replacement of a primary that serves: the
+// only instance has restarted after an outage of the store, in which the entries of the
+// servers expired, and the entry of a replica that lacks acknowledged commits is back
+// first.
+func TestRestartAfterStoreOutage(t *testing.T) {
+	for name, syncReplicas := range map[string]int{"without synchronous replicas": 0, "with a synchronous replica": 1} {
+		t.Run(name, func(t *testing.T) {
+			startFleet(t, 0, trioSheet(syncReplicas), "", func(f *testFleet) {
+				f.register("s-3")
+				ctx, kill := context.WithCancel(f.t.Context())
+				f.start(ctx, "i-0")
+				time.Sleep(12 * time.Second)
+				f.setDeaf("s-3")
+				kill()
+				f.deregister("s-1", "s-2")
+				time.Sleep(time.Second)
+				f.start(f.t.Context(), "i-0")
+				const returnTime = 1900 * time.Millisecond
+				time.Sleep(returnTime)
+				f.register("s-1", "s-2")
+				f.writeWithin(f.instances[1:], 2*time.Second, "s-1")
+				time.Sleep(5 * time.Second)
+				if diff := cmp.Diff([]fleet.ServerID(nil), f.promoted()); diff != "" {
+					t.Errorf("promoted servers (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -97,7 +97,7 @@
 		}
 		tick = leaderTick
 		interval := leaderPollInterval
-		if p.needsFastPolling() {
+		if p.needsFastPolling(now) {
 			interval = urgentPollInterval
 		}
 		if now.Sub(p.membersPolledAt) >= interval {
@@ -154,13 +154,13 @@
 
 // needsFastPolling reports whether any primary is being replaced, or can't be used by
 // this or another live instance.
-func (p *promotionController) needsFastPolling() bool {
+func (p *promotionController) needsFastPolling(now time.Time) bool {
 	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, state := range g.groups {
 		record := state.primaryLease.Record()
-		if record.Phase == primacy.PhaseChanging || g.isPrimaryUnavailable(record.Primary) || g.members.reportedUnreachable(record.Primary) {
+		if record.Phase == primacy.PhaseChanging || g.isPrimaryUnavailable(now, state) || g.members.reportedUnreachable(record.Primary) {
 			return true
 		}
 	}
@@ -260,7 +260,7 @@
 		s.SyncReplicas = g.routing.Database(group).SyncReplicas
 	}
 	for id, m := range g.members.members {
-		s.Members = append(s.Members, p.memberStatus(id, m, group, record))
+		s.Members = append(s.Members, p.memberStatus(now, id, m, group, record))
 	}
 	if g.members.verifiedAt.Before(state.generationSeenAt) {
 		// An instance that has started since the rows were read may not be known
@@ -299,13 +299,13 @@
 
 // memberStatus returns whether an instance is live, can't reach the primary, and has
 // stopped using it. The caller holds g.mu.
-func (p *promotionController) memberStatus(id fleet.InstanceID, m *member, group fleet.GroupID, record primacy.Record) primacy.Member {
+func (p *promotionController) memberStatus(now time.Time, id fleet.InstanceID, m *member, group fleet.GroupID, record primacy.Record) primacy.Member {
 	g := p.gateway
 	status := primacy.Member{Bystander: !g.isWitness(group, id), Live: g.members.isLive(m)}
 	if id == g.members.self {
 		status.Live = true
 		status.Left = g.members.left[group]
-		status.Unreachable = g.isPrimaryUnavailable(record.Primary)
+		status.Unreachable = g.isPrimaryUnavailable(now, g.group(group))
 		return status
 	}
 	for _, left := range m.row.Left {
