test: the relay of TestLostHistoryIsReadByRelay is back before any instance may give up

Trace of two such runs: the last response was verified at 0.5 s and the random fraction was 0.90, so that the instance waited until 3.05 s. It asked the relay at 2.88 s, when it was still failing, and next at 3.057 s. mayAwaitRelay is meant to do so: it spreads the instances over 2.5 to 3 s after the last response. The fraction differs between runs, because the followers of the tables share a random source, whose order depends on the goroutines.

The relay fails for 1.7 s now instead of 2 s. Then it is asked at least once between its return at 2.7 s and the earliest end of the wait at 3.0 s, so no read of the store is allowed whatever the fraction.

--- a/gateway/history_test.go
+++ b/gateway/history_test.go
@@ -91,7 +91,9 @@
 		failsFor  time.Duration
 		wantReads bool
 	}{
-		{name: "relay is back in time", failsFor: 2 * time.Second},
+		// An instance waits for 2.5 to 3 s after the last response at 0.5 s, and asks the
+		// relay every 250 ms.
+		{name: "relay is back in time", failsFor: 1700 * time.Millisecond},
 		{name: "relay is gone", failsFor: time.Hour, wantReads: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
