fix: instances report at once that a primary is back, or that one they never saw is gone

A primary that returned after its entry had expired was used again only after the next regular heartbeats: the instances' rows went on listing it as unreachable, and only health checks and removals requested a write. Up to 2.1 s of refused requests. And since missing entries have a grace of 2.5 s also in an instance that has just started, its second regular row, after 4.2 s, would have been the first one that says so of a lost primary.

An instance now requests a write of its row when a primary which its row lists as unreachable is registered again, and when a primary that it has never seen registered begins to count as gone.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/nutmegpier/nutmegpier/event"
@@ -148,6 +149,10 @@
 		return
 	}
 	delete(g.unregisteredSince, id)
+	if known == nil && slices.Contains(g.members.lastWritten.Unreachable, id) {
+		// A primary has returned. Most instances must say so before it is used again.
+		g.requestHeartbeat()
+	}
 	if known == nil || known.Born != server.Born || known.Address != server.Address {
 		g.replaceServer(id)
 		known = &backendServer{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -456,10 +456,13 @@
 // store, and closes connections that have been idle for too long.
 func (g *Gateway) runCleanup(ctx context.Context) error {
 	const interval = 500 * time.Millisecond
+	previous := g.config.Clock()
 	for sleep(ctx, interval) {
 		now := g.config.Clock()
 		g.removeMissingServers(now)
+		g.reportGonePrimaries(previous, now)
 		g.pool.Sweep(now)
+		previous = now
 	}
 	return nil
 }
--- a/gateway/missingserver_test.go
+++ b/gateway/missingserver_test.go
@@ -18,6 +18,8 @@
 const (
 	// entryLifetime is how long the entry of a server stays after its last heartbeat.
 	entryLifetime = 3600 * time.Millisecond
+	// missingEntryGrace is how long an entry is missing until its server counts as gone.
+	missingEntryGrace = 2500 * time.Millisecond
 	// promotionBound is the time in which a crashed primary is replaced: 360 ms until its
 	// health checks have failed, and some calls to the store and the servers.
 	promotionBound = time.Second
@@ -170,6 +172,31 @@
 	})
 }
 
+// TestRestartAfterPrimaryWasLost guards against instances that have all restarted and
+// replace a lost primary only with their second regular heartbeat, because they have never
+// seen its entry.
+func TestRestartAfterPrimaryWasLost(t *testing.T) {
+	startFleet(t, 0, trioSheet(0), "", func(f *testFleet) {
+		names := []string{"i-0", "i-1", "i-2"}
+		ctx, kill := context.WithCancel(f.t.Context())
+		for _, name := range names {
+			f.start(ctx, name)
+		}
+		time.Sleep(12 * time.Second)
+		kill()
+		f.setDown(true, "s-1")
+		f.deregister("s-1")
+		time.Sleep(time.Second)
+		for _, name := range names {
+			f.start(f.t.Context(), name)
+		}
+		const readTime = 500 * time.Millisecond
+		time.Sleep(readTime)
+		const bound = missingEntryGrace - readTime + time.Second
+		f.writeWithin(f.instances[len(names):], bound, "s-2")
+	})
+}
+
 // TestOddEntryOfPrimary guards against the replacement of a primary that serves, because
 // another writer has overwritten its entry until its next heartbeat.
 func TestOddEntryOfPrimary(t *testing.T) {
@@ -215,3 +242,19 @@
 		})
 	}
 }
+
+// TestPrimaryReturnsLate guards against a primary that is used again only with the next
+// regular heartbeats of the instances, because its entry had expired meanwhile.
+func TestPrimaryReturnsLate(t *testing.T) {
+	runTrio(t, func(f *testFleet) {
+		f.setDeaf("s-3")
+		f.setDown(true, "s-1", "s-2")
+		time.AfterFunc(entryLifetime, func() { f.deregister("s-1", "s-2") })
+		const outage = 7 * time.Second
+		time.AfterFunc(outage, func() {
+			f.setDown(false, "s-1")
+			f.register("s-1")
+		})
+		f.writeWithin(f.instances, outage+time.Second, "s-1")
+	})
+}
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -37,6 +37,19 @@
 	return now.Sub(since) >= missingEntryGrace
 }
 
+// reportGonePrimaries requests a write of this instance's row if a primary that it has
+// never seen registered has counted as gone only since an earlier time.
+func (g *Gateway) reportGonePrimaries(since, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.groups {
+		if g.isPrimaryUnavailable(now, state) && !g.isPrimaryUnavailable(since, state) {
+			g.requestHeartbeat()
+			return
+		}
+	}
+}
+
 // removeServer removes a server without a valid entry. The caller holds g.mu.
 func (g *Gateway) removeServer(now time.Time, id fleet.ServerID) {
 	server := g.servers[id]
