fix: no server is asked for its position before all instances have left the primary

A change of primary compares positions that servers report once no instance uses the primary any more. If a second server was registered as primary, the leader also asked before that, and an instance that had not left yet could have commits acknowledged which those positions lack. With synchronous replicas, the replica without them could be promoted.

The request because of a second registered primary is made outside of Decide; it is now made only while no change is under way.

--- a/gateway/missingserver_test.go
+++ b/gateway/missingserver_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -12,7 +13,9 @@
 
 	"github.com/nutmegpier/nutmegpier/fleet"
 	"github.com/nutmegpier/nutmegpier/gateway"
+	"github.com/nutmegpier/nutmegpier/primacy"
 	"github.com/nutmegpier/nutmegpier/session"
+	"github.com/nutmegpier/nutmegpier/workspace"
 )
 
 const (
@@ -258,3 +261,38 @@
 		f.writeWithin(f.instances, outage+time.Second, "s-1")
 	})
 }
+
+// TestNoStatusBeforeInstancesLeft guards against a promotion target that is chosen by
+// positions from a time when an instance could still acknowledge commits: the leader asked
+// for them early because another server was registered as primary.
+func TestNoStatusBeforeInstancesLeft(t *testing.T) {
+	startFleet(t, 1, trioSheet(1), "", func(f *testFleet) {
+		f.register("s-3")
+		time.Sleep(12 * time.Second)
+		claimant, err := json.Marshal(gateway.BackendServer{Address: "s-2", Born: 1, DataCentre: "z1", Group: "g", ID: "s-2", Primary: true, Slots: 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.put(serverTable, "s-2", claimant)
+		other, err := json.Marshal(gateway.MemberRow{At: time.Since(f.store.startedAt), DataCentre: "z1", Epoch: 1, Phase: workspace.PhaseHolding, Unreachable: []fleet.ServerID{"s-1"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.putIn("instances-0", instanceTable, "silent", other)
+		f.setDown(true, "s-1")
+		var writer sync.WaitGroup
+		writer.Go(func() {
+			f.writeThrough(f.instances[0], promotionBound+primacy.LeaseTime+primacy.LeaseMargin, "s-2")
+		})
+		const detectionTime = time.Second
+		time.Sleep(detectionTime)
+		early := 0
+		f.servers.set(func(s *testServers) { s.onStatus = func() { early++ } })
+		time.Sleep(3 * time.Second)
+		f.servers.set(func(s *testServers) { s.onStatus = nil })
+		if early > 0 {
+			t.Errorf("%d requests for a status while an instance may use the primary, want none", early)
+		}
+		writer.Wait()
+	})
+}
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -185,7 +185,9 @@
 	step := primacy.Decide(now, situation)
 	p.logObstacles(group, state, situation.Record, step)
 	steady := situation.Record.Phase != primacy.PhaseChanging
-	if step.Kind == primacy.StepNone {
+	if step.Kind == primacy.StepNone && steady {
+		// In a change, Decide uses each status since its start, so none is requested while
+		// an instance may still have commits acknowledged.
 		step = p.statusStepForClaimant(situation)
 	}
 	interval := statusInterval
