fix: a server that has started again is recorded only once it has shown its log

A server that restarts under its ID may have lost its log. The leader recorded the new start time with a status from before the restart, if the server had not answered since, and would then have counted an empty log as an answer. It now waits for a recent answer with a log.

Besides, without an effect on what is promoted: - Only a handover that found a target without all commits delays the next one.

Test: the case "started again and has not answered since" of TestRecordedServers failed before.

--- a/primacy/groupserver.go
+++ b/primacy/groupserver.go
@@ -21,8 +21,8 @@
 	// Born is the start time in Unix milliseconds. It distinguishes restarts.
 	Born int64
 	// GoneAt is zero while the server is registered. Otherwise it is the end of the
-	// primary's log at a time when the server was gone: the server has received no
-	// commit after it.
+	// primary's log at a time when the server was gone, so that it has received no commit
+	// after it.
 	GoneAt fleet.Position `json:",omitzero"`
 	ID     fleet.ServerID
 }
@@ -71,7 +71,8 @@
 		server, known := s.server(recorded.ID)
 		registered := known && server.Registered
 		switch {
-		case registered && s.lostLog(recorded, server):
+		case registered && server.Born != recorded.Born && (server.Position.Log == 0 || !server.answeredRecently(now)):
+			// It has not shown since it started again that it has its log.
 			recorded.GoneAt = fleet.Position{}
 			servers = append(servers, recorded)
 		case registered:
@@ -147,7 +148,7 @@
 // with the log of its term.
 func (s Situation) hasReturned(primary Server) bool {
 	lostLog := slices.ContainsFunc(s.Record.Servers, func(recorded GroupServer) bool {
-		return recorded.ID == primary.ID && s.lostLog(recorded, primary)
+		return recorded.ID == primary.ID && recorded.lostLog(primary)
 	})
 	return primary.StatusAt.After(s.GenerationSeenAt) && primary.Term == s.Record.Term && !lostLog
 }
@@ -194,7 +195,7 @@
 // it was gone.
 func (s Situation) isAccountedFor(recorded GroupServer, target Server) bool {
 	hasAnswered := slices.ContainsFunc(s.Servers, func(server Server) bool {
-		isReplica := server.ID == recorded.ID && server.Registered && !s.lostLog(recorded, server)
+		isReplica := server.ID == recorded.ID && server.Registered && !recorded.lostLog(server)
 		return (isReplica || server.succeeds(recorded)) && server.StatusAt.After(s.GenerationSeenAt)
 	})
 	replica, known := s.server(recorded.ID)
@@ -213,10 +214,10 @@
 	return s.Registered && s.ID != recorded.ID && s.Address == recorded.Address && s.Address != "" && s.Position.Log > 0
 }
 
-// lostLog reports whether a server has started again since it was recorded, without its
-// log.
-func (s Situation) lostLog(recorded GroupServer, server Server) bool {
-	return server.Born != recorded.Born && server.Position.Log == 0
+// lostLog reports whether a server has lost its log: it has started again since it was
+// recorded, and its log is empty.
+func (r GroupServer) lostLog(server Server) bool {
+	return server.Born != r.Born && server.Position.Log == 0
 }
 
 // answeredRecently reports whether the server has answered within statusTimeout.
--- a/primacy/groupserver_test.go
+++ b/primacy/groupserver_test.go
@@ -41,7 +41,7 @@
 		return servers
 	}
 	serving := primacy.Step{Kind: primacy.StepWrite, Record: primacy.Record{Generation: 3, Phase: primacy.PhaseServing, Primary: "old", Servers: recorded, Term: 1}}
-	waits := primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"a"}}
+	waits := primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"a"}, Unproven: true}
 	promotes := func(id fleet.ServerID) primacy.Step {
 		return primacy.Step{Kind: primacy.StepWrite, Record: primacy.Record{Target: id}}
 	}
@@ -75,13 +75,13 @@
 		{name: "gone replica has returned and does not answer", recorded: goneAt(7), servers: []primacy.Server{silent(a), b, absent("old", true)}, want: waits},
 		{name: "replica replaced at its address", servers: []primacy.Server{absent("a", true), b, at(replica("c", 8, 0), "2", 2), absent("old", true)}, want: promotes("c")},
 		{name: "replica replaced at its address, without its log", servers: []primacy.Server{absent("a", true), b, at(replica("c", 0, 0), "2", 2), absent("old", true)}, want: waits},
-		{name: "replica replaced at another address", servers: []primacy.Server{absent("a", true), b, at(replica("c", 8, 0), "4", 2), absent("old", true)}, want: primacy.Step{Kind: primacy.StepStatus, Missing: waits.Missing}},
+		{name: "replica replaced at another address", servers: []primacy.Server{absent("a", true), b, at(replica("c", 8, 0), "4", 2), absent("old", true)}, want: waits},
 		{name: "replica has started again with its log", servers: []primacy.Server{at(a, "2", 2), b, absent("old", true)}, want: promotes("a")},
 		{name: "replica has started again without its log", servers: []primacy.Server{at(replica("a", 0, 0), "2", 2), b, absent("old", true)}, want: waits},
-		{name: "new replica does not answer", servers: []primacy.Server{a, b, silent(at(replica("c", 8, 0), "4", 1)), absent("old", true)}, want: primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"c"}}},
-		{name: "two new replicas do not answer", servers: []primacy.Server{b, silent(at(replica("c", 8, 0), "4", 1)), absent("a", true), absent("old", true)}, want: primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"a", "c"}}},
+		{name: "new replica does not answer", servers: []primacy.Server{a, b, silent(at(replica("c", 8, 0), "4", 1)), absent("old", true)}, want: primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"c"}, Unproven: true}},
+		{name: "two new replicas do not answer", servers: []primacy.Server{b, silent(at(replica("c", 8, 0), "4", 1)), absent("a", true), absent("old", true)}, want: primacy.Step{Kind: primacy.StepStatus, Missing: []fleet.ServerID{"a", "c"}, Unproven: true}},
 		{name: "entry whose server has never answered", servers: []primacy.Server{a, b, neverAnswered, absent("old", true)}, want: promotes("a")},
-		{name: "servers were never recorded", recorded: []primacy.GroupServer{}, servers: []primacy.Server{a, b}, want: primacy.Step{Kind: primacy.StepStatus}},
+		{name: "servers were never recorded", recorded: []primacy.GroupServer{}, servers: []primacy.Server{a, b}, want: primacy.Step{Kind: primacy.StepStatus, Unproven: true}},
 		{name: "waited for long", waited: 15 * time.Second, servers: []primacy.Server{absent("a", true), b, absent("old", true)}, want: unproven},
 		{name: "waited for long, and the primary has returned", waited: 15 * time.Second, servers: []primacy.Server{absent("a", true), b, asPrimary(old)}, want: serving},
 	} {
@@ -149,6 +149,7 @@
 		{name: "replaced at its address, without its log", recorded: all, servers: []primacy.Server{absent("a", false), b, emptyInPlace, old}, want: writes(recordServers(a, b, emptyInPlace, old))},
 		{name: "replaced at another address", recorded: goneAt(8), servers: []primacy.Server{absent("a", true), b, elsewhere, old}, want: writes(recordServers(b, elsewhere, old))},
 		{name: "started again", recorded: all, servers: []primacy.Server{at(a, "2", 2), b, old}, want: writes(recordServers(at(a, "2", 2), b, old))},
+		{name: "started again and has not answered since", recorded: all, servers: []primacy.Server{at(replica("a", 9, time.Second), "2", 2), b, old}, want: status},
 		{name: "started again without its log", recorded: all, servers: []primacy.Server{at(replica("a", 0, 0), "2", 2), b, old}, want: status},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -132,13 +132,14 @@
 	// of the recorded history.
 	Blocked bool
 	Kind    StepKind
-	// Missing lists the servers that the change of primary waits for, because they may
-	// hold acknowledged commits that no server which answers has.
+	// Missing lists the servers that may hold acknowledged commits which the best target
+	// lacks. It is set if Unproven is.
 	Missing []fleet.ServerID
 	Record  Record
 	Target  fleet.ServerID
-	// Unproven is set if the target was chosen although it may lack acknowledged commits:
-	// Missing lists the servers that have been missing for too long.
+	// Unproven is set if the best target may lack acknowledged commits. The change waits
+	// for other servers with StepStatus, or chooses the target with StepWrite because they
+	// have been missing for too long.
 	Unproven bool
 }
 
@@ -223,40 +224,38 @@
 	}
 	target, found := s.promotionCandidate(accepted)
 	returned := known && s.returned(old)
-	step := Step{Kind: StepWrite}
+	step := Step{Kind: StepWrite, Record: s.Record}
+	step.Record.Orders = 1
 	switch {
 	case found && catchingUp && !s.leadsLatestTerm(target) && target.Position.Compare(old.Position) < 0:
 		return Step{Kind: StepStatus}
 	case found && s.hasAllCommits(target):
 	case returned && s.leadsAlone(old):
-		return s.servingAgain(old)
+		return s.endWithoutPromotion(old, found)
 	case returned:
 		target = old
 	case found:
 		_, step.Missing = s.missingReplicas(target)
+		step.Unproven = true
 		if now.Before(s.GenerationSeenAt.Add(missingServerTimeout)) {
-			step.Kind = StepStatus
-			return step
+			return Step{Kind: StepStatus, Missing: step.Missing, Unproven: true}
 		}
-		step.Unproven = true
 	default:
 		return Step{Blocked: slices.ContainsFunc(s.Servers, s.diverged), Kind: StepStatus}
 	}
-	next := s.Record
-	next.Target = target.ID
-	next.Orders = 1
-	step.Record = next
+	step.Record.Target = target.ID
 	return step
 }
 
-// servingAgain ends a change without a promotion. The reason of a handover is kept, so
-// that the next one does not follow at once.
-func (s Situation) servingAgain(primary Server) Step {
+// endWithoutPromotion ends a change in which the primary stays the same. If a handover has
+// found only targets that may lack commits, its reason is kept so that the next one does
+// not follow at once.
+func (s Situation) endWithoutPromotion(primary Server, targetFound bool) Step {
 	next := Record{
 		Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseServing,
 		Primary: primary.ID, Servers: s.Record.Servers, Term: primary.Term,
 	}
-	if s.Record.Reason == ReasonHandover {
+	if targetFound && s.Record.Reason == ReasonHandover {
 		next.Reason = ReasonHandover
 	}
 	return Step{Kind: StepWrite, Record: next}
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -68,8 +68,8 @@
 	Orders  int `json:",omitempty"`
 	Phase   Phase
 	Primary fleet.ServerID
-	// Reason is why the primary is being replaced or, while it serves, that a handover
-	// has ended without a target.
+	// Reason is why the primary is being replaced. While it serves, ReasonHandover says
+	// that a handover has ended without a target.
 	Reason Reason `json:",omitempty"`
 	// Servers are the servers that may hold acknowledged commits, in the order of their
 	// IDs. They are recorded for groups with synchronous replicas.
