fix: an instance that doesn't know a primary yet has no say in whether it is lost

Cause: a primary is replaced once at least half of the live instances can't use it. The new instances no longer report a primary without an entry as lost at once, and so counted as ones that can use it, until 2.5 s after their first read.

Their rows now list such a primary as undecided, as soon as they have read the entries, and the leader leaves them out of the count as it does instances that use the primary through others. When the entry appears they report that at once.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -109,10 +109,10 @@
 	f := g.newFollower(g.config.Source.ServerTable(), serverLongPollWait, "")
 	unchangedUntil := time.Time{}
 	return f.follow(ctx, func(now time.Time, changed []feed.Row) {
-		g.markServersRead(now)
 		for _, row := range changed {
 			g.applyServerRow(now, unchangedUntil, row)
 		}
+		g.markServersRead(now)
 		unchangedUntil = f.mirror.VerifiedAt()
 		if len(changed) > 0 {
 			g.updatePoolServers()
@@ -149,7 +149,8 @@
 		return
 	}
 	delete(g.unregisteredSince, id)
-	if known == nil && slices.Contains(g.members.lastWritten.Unreachable, id) {
+	lastWritten := &g.members.lastWritten
+	if known == nil && (slices.Contains(lastWritten.Unreachable, id) || slices.Contains(lastWritten.Undecided, id)) {
 		// A primary has returned. Most instances must say so before it is used again.
 		g.requestHeartbeat()
 	}
@@ -248,6 +249,7 @@
 	changed := !known.Equal(state.primaryLease.Record())
 	if known.Primary != state.primaryLease.Record().Primary {
 		state.primaryKnownAt = now
+		g.reportUndecidedPrimaries(now)
 	}
 	g.notifyStateChange()
 	g.mu.Unlock()
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -68,6 +68,13 @@
 	return primary != "" && (g.isUnreachable(primary) || isGone)
 }
 
+// isPrimaryUndecided reports whether this instance can't say yet whether a group's primary
+// is gone: it has no entry, but may get one soon. The caller holds g.mu.
+func (g *Gateway) isPrimaryUndecided(now time.Time, state *groupState) bool {
+	primary := state.primaryLease.Record().Primary
+	return primary != "" && len(g.servers) > 0 && g.servers[primary] == nil && !g.isPrimaryUnavailable(now, state)
+}
+
 // runHealthChecks periodically checks the servers that are being probed.
 func (g *Gateway) runHealthChecks(ctx context.Context) error {
 	for sleep(ctx, probeInterval) {
--- a/gateway/memberrow.go
+++ b/gateway/memberrow.go
@@ -51,6 +51,9 @@
 	// Secret authenticates requests to the instance: only readers of this row
 	// know it.
 	Secret []byte `json:",omitempty"`
+	// Undecided lists the primaries of which the instance can't say yet whether they can be
+	// used, because it hasn't seen them registered.
+	Undecided []fleet.ServerID `json:",omitempty"`
 	// Unreachable lists the primaries that the instance can't use.
 	Unreachable []fleet.ServerID `json:",omitempty"`
 	// WallOffset is the offset of the instance's wall clock from the store's clock. It is
@@ -67,5 +70,5 @@
 // concernsLeader reports whether the row says something new about a primary, compared
 // with an earlier row of the instance.
 func (r MemberRow) concernsLeader(earlier MemberRow) bool {
-	return !slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Unreachable, earlier.Unreachable)
+	return !slices.Equal(r.Left, earlier.Left) || !slices.Equal(r.Undecided, earlier.Undecided) || !slices.Equal(r.Unreachable, earlier.Unreachable)
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -331,11 +331,16 @@
 		row.Left = append(row.Left, GroupLeft{Generation: generation, Group: id})
 	}
 	for _, state := range g.groups {
-		if g.isPrimaryUnavailable(now, state) {
-			row.Unreachable = append(row.Unreachable, state.primaryLease.Record().Primary)
+		primary := state.primaryLease.Record().Primary
+		switch {
+		case g.isPrimaryUnavailable(now, state):
+			row.Unreachable = append(row.Unreachable, primary)
+		case g.isPrimaryUndecided(now, state):
+			row.Undecided = append(row.Undecided, primary)
 		}
 	}
 	slices.SortFunc(row.Left, func(a, b GroupLeft) int { return cmp.Compare(a.Group, b.Group) })
+	slices.Sort(row.Undecided)
 	slices.Sort(row.Unreachable)
 	return row
 }
--- a/gateway/missingserver_test.go
+++ b/gateway/missingserver_test.go
@@ -200,6 +200,25 @@
 	})
 }
 
+// TestNewInstancesDoNotDelayAPromotion guards against a lost primary that is replaced later
+// because instances which have just started, and don't know of it, count as ones that can
+// use it.
+func TestNewInstancesDoNotDelayAPromotion(t *testing.T) {
+	startFleet(t, 3, trioSheet(0), "", func(f *testFleet) {
+		time.Sleep(12 * time.Second)
+		f.deregister("s-1")
+		const startTime = 2 * time.Second
+		time.Sleep(startTime)
+		for _, name := range []string{"j-0", "j-1", "j-2", "j-3"} {
+			f.start(f.t.Context(), name)
+		}
+		time.Sleep(missingEntryGrace - startTime + promotionBound)
+		if diff := cmp.Diff([]fleet.ServerID{"s-2"}, f.promoted()); diff != "" {
+			t.Errorf("promoted servers (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestOddEntryOfPrimary guards against the replacement of a primary that serves, because
 // another writer has overwritten its entry until its next heartbeat.
 func TestOddEntryOfPrimary(t *testing.T) {
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -309,8 +310,10 @@
 		status.Live = true
 		status.Left = g.members.left[group]
 		status.Unreachable = g.isPrimaryUnavailable(now, g.group(group))
+		status.Bystander = status.Bystander || g.isPrimaryUndecided(now, g.group(group))
 		return status
 	}
+	status.Bystander = status.Bystander || slices.Contains(m.row.Undecided, record.Primary)
 	for _, left := range m.row.Left {
 		if left.Group == group {
 			status.Left = left.Generation
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -20,6 +20,18 @@
 	defer g.mu.Unlock()
 	if g.serversReadAt.IsZero() {
 		g.serversReadAt = now
+		g.reportUndecidedPrimaries(now)
+	}
+}
+
+// reportUndecidedPrimaries requests a write of this instance's row if a primary has no
+// entry, so that this instance does not count as one that can use it. The caller holds
+// g.mu.
+func (g *Gateway) reportUndecidedPrimaries(now time.Time) {
+	for _, state := range g.groups {
+		if g.isPrimaryUndecided(now, state) {
+			g.requestHeartbeat()
+		}
 	}
 }
 
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -77,7 +77,7 @@
 // Member is the leader's view of one instance.
 type Member struct {
 	// Bystander says that the instance is not asked whether it can reach the primary,
-	// because it uses the primary through other instances.
+	// because it uses the primary through other instances, or doesn't know yet.
 	Bystander bool
 	// Left is the latest generation for which the instance has confirmed that
 	// it no longer uses the primary.
