fix: a server that was replaced at its address leaves the record once others have its commits

The record dropped a server as soon as another one answered at its address with any log, which may still be incomplete. It is now marked as gone with the end of the primary's log, and dropped when SyncReplicas others have reached that, like a server that is gone for another reason.

--- a/primacy/groupserver.go
+++ b/primacy/groupserver.go
@@ -77,9 +77,7 @@
 			servers = append(servers, recorded)
 		case registered:
 			servers = append(servers, server.groupServer())
-		case s.hasSuccessor(recorded):
-			// The successor is added below.
-		case recorded.ID == s.Record.Primary || !server.Gone:
+		case recorded.ID == s.Record.Primary || !(server.Gone || s.hasSuccessor(recorded)):
 			servers = append(servers, recorded)
 		case recorded.GoneAt.IsZero():
 			recorded.GoneAt = logEnd
