fix: a replica without an entry isn't gone while it responds

A replica that reaches the primary but not the store loses its entry and goes on receiving commits. It was taken for gone, and its commits for those that others have; if the other replica then received nothing and the primary crashed, that replica was promoted without the acknowledged commits of the first one.

The leader now asks recorded servers without an entry for their status at the recorded address, on a new connection that names the expected server, every 0.5 s while it needs statuses. Such a server is gone only after three attempts without a response. In a change its answer counts if the target's log is as long as its own; it can't be promoted before it is registered again. Without synchronous replicas no servers are recorded, and nothing changes.

--- a/gateway/missingserver_test.go
+++ b/gateway/missingserver_test.go
@@ -128,6 +128,23 @@
 	})
 }
 
+// TestReplicaWithoutEntry guards against the loss of commits that only a replica without an
+// entry has received, because it reaches the primary but not the store.
+func TestReplicaWithoutEntry(t *testing.T) {
+	runTrio(t, func(f *testFleet) {
+		f.deregister("s-2")
+		time.Sleep(10 * time.Second)
+		f.setDeaf("s-3")
+		f.setDown(true, "s-1")
+		const cut = 5 * time.Second
+		time.AfterFunc(cut, func() { f.register("s-2") })
+		f.writeWithin(f.instances, cut+time.Second, "s-2")
+		if diff := cmp.Diff([]fleet.ServerID{"s-2"}, f.promoted()); diff != "" {
+			t.Errorf("promoted servers (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestPrimaryCrashes guards against a change of primary that takes longer because of
 // servers that may hold acknowledged commits: the primary crashes alone, after a replica
 // was lost for good, and after one was replaced at another address.
--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -56,8 +56,10 @@
 	blockedLogged, missingLogged bool
 	// polledAt is when the servers were last asked for their status.
 	polledAt time.Time
-	record   primacy.Record
-	statuses map[fleet.ServerID]statusReport
+	// unregistered are the recorded servers without an entry.
+	unregistered unregisteredServers
+	record       primacy.Record
+	statuses     map[fleet.ServerID]statusReport
 }
 
 // statusReport is a server's status and when it was requested.
@@ -182,7 +184,7 @@
 		return
 	}
 	now := p.gateway.config.Clock()
-	situation, revision, servers := p.situation(now, group, state)
+	situation, revision, servers, unregistered := p.situation(now, group, state)
 	step := primacy.Decide(now, situation)
 	p.logObstacles(group, state, situation.Record, step)
 	steady := situation.Record.Phase != primacy.PhaseChanging
@@ -200,6 +202,9 @@
 		return
 	}
 	state.stepRunning = true
+	if step.Kind == primacy.StepStatus {
+		p.pollUnregistered(now, state, unregistered)
+	}
 	p.mu.Unlock()
 	go func() {
 		p.execute(ctx, group, state, step, revision, servers, token)
@@ -244,8 +249,9 @@
 }
 
 // situation returns the input of the decision on a group, the revision of the group's
-// primary record, and the servers to ask for their status. The caller holds p.mu.
-func (p *promotionController) situation(now time.Time, group fleet.GroupID, state *promotionState) (primacy.Situation, feed.Revision, []pool.Server) {
+// primary record, and the servers to ask for their status: those that are registered, and
+// those that are only recorded. The caller holds p.mu.
+func (p *promotionController) situation(now time.Time, group fleet.GroupID, state *promotionState) (s primacy.Situation, revision feed.Revision, servers, unregistered []pool.Server) {
 	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -256,7 +262,7 @@
 		state.blockedLogged, state.missingLogged = false, false
 	}
 	state.record = record
-	s := primacy.Situation{
+	s = primacy.Situation{
 		GenerationSeenAt: state.generationSeenAt, LastOrderAt: state.lastOrderAt,
 		OrderPending: record.Target != "" && record.Equal(state.unsentOrder), Record: record,
 	}
@@ -271,7 +277,6 @@
 		// yet, so a live instance that has not confirmed the change is assumed.
 		s.Members = append(s.Members, primacy.Member{Live: true})
 	}
-	var servers []pool.Server
 	for id, server := range g.servers {
 		if server.Group != group {
 			continue
@@ -294,11 +299,24 @@
 		}
 	}
 	for _, recorded := range record.Servers {
-		if server := g.servers[recorded.ID]; server == nil || server.Group != group {
-			s.Servers = append(s.Servers, primacy.Server{Gone: g.isGone(now, recorded.ID), ID: recorded.ID})
+		if server := g.servers[recorded.ID]; server != nil && server.Group == group {
+			state.unregistered.forget(recorded.ID)
+			continue
 		}
+		report := state.statuses[recorded.ID]
+		s.Servers = append(s.Servers, primacy.Server{
+			Address:  recorded.Address,
+			Born:     recorded.Born,
+			Gone:     g.isGone(now, recorded.ID) && state.unregistered.isSilent(recorded.ID),
+			ID:       recorded.ID,
+			Position: report.status.Position,
+			Role:     report.status.Role,
+			StatusAt: report.requestedAt,
+			Term:     report.status.Term,
+		})
+		unregistered = append(unregistered, pool.Server{Address: recorded.Address, Group: group, ID: recorded.ID})
 	}
-	return s, current.primaryLease.Revision(), servers
+	return s, current.primaryLease.Revision(), servers, unregistered
 }
 
 // memberStatus returns whether an instance is live, can't reach the primary, and has
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -234,8 +234,9 @@
 	return w, s.refuseArrival(now, w)
 }
 
-// controlWorkspace is the workspace of connections that AcquireAny opens.
-const controlWorkspace fleet.WorkspaceID = "nutmegpier"
+// ControlWorkspace is the workspace of connections on which an instance sends queries of
+// its own.
+const ControlWorkspace fleet.WorkspaceID = "nutmegpier"
 
 // AcquireAny returns a connection of any workspace, for queries that the instance
 // itself sends. It goes before all waiting requests, so that the status of a server
@@ -260,7 +261,7 @@
 	if granted.conn != nil {
 		return granted.conn, nil
 	}
-	conn, failure, _ := p.open(deadline, granted, Request{Workspace: controlWorkspace})
+	conn, failure, _ := p.open(deadline, granted, Request{Workspace: ControlWorkspace})
 	return conn, failure
 }
 
@@ -320,13 +321,13 @@
 		s.dispatch(now)
 		s.handshake.add(now.Sub(began))
 		return &PooledConn{
-			Conn: conn, State: session.NewConnState(), inService: request.Workspace != controlWorkspace, owner: s, pool: p,
+			Conn: conn, State: session.NewConnState(), inService: request.Workspace != ControlWorkspace, owner: s, pool: p,
 			grantedAt: began, transaction: request.Transaction, weight: request.Weight, workspace: request.Workspace,
 		}, nil, false
 	}
 	s.open--
 	refused := failure.Kind == session.KindBusy
-	if request.Workspace != controlWorkspace {
+	if request.Workspace != ControlWorkspace {
 		if refused {
 			// The request is charged again when it is granted again.
 			s.queue.refund(request.Workspace, granted.charge)
--- a/pool/server.go
+++ b/pool/server.go
@@ -245,7 +245,7 @@
 // beginService counts a statement on a connection that is not in service: one of a
 // transaction, which doesn't wait in the queue.
 func (s *serverState) beginService(now time.Time, conn *PooledConn) {
-	if conn.inService || conn.workspace == controlWorkspace {
+	if conn.inService || conn.workspace == ControlWorkspace {
 		return
 	}
 	conn.inService = true
--- a/primacy/groupserver.go
+++ b/primacy/groupserver.go
@@ -190,15 +190,20 @@
 
 // isAccountedFor reports whether a recorded replica, or its successor, has answered since
 // the change with its log, or whether the target has all that the replica received before
-// it was gone.
+// it was gone. A replica that is not registered can't be promoted, so the target must have
+// all of its log.
 func (s Situation) isAccountedFor(recorded GroupServer, target Server) bool {
-	hasAnswered := slices.ContainsFunc(s.Servers, func(server Server) bool {
-		isReplica := server.ID == recorded.ID && server.Registered && !recorded.lostLog(server)
-		return (isReplica || server.succeeds(recorded)) && server.StatusAt.After(s.GenerationSeenAt)
-	})
-	replica, known := s.server(recorded.ID)
-	isGone := !recorded.GoneAt.IsZero() && !(known && replica.Registered)
-	return hasAnswered || (isGone && target.Position.Compare(recorded.GoneAt) >= 0)
+	registered := false
+	for _, server := range s.Servers {
+		isReplica := server.ID == recorded.ID
+		registered = registered || (isReplica && server.Registered)
+		hasLog := server.Registered && !recorded.lostLog(server)
+		isCovered := server.Position.Log > 0 && target.Position.Compare(server.Position) >= 0
+		if server.StatusAt.After(s.GenerationSeenAt) && (server.succeeds(recorded) || (isReplica && (hasLog || isCovered))) {
+			return true
+		}
+	}
+	return !registered && !recorded.GoneAt.IsZero() && target.Position.Compare(recorded.GoneAt) >= 0
 }
 
 // hasSuccessor reports whether a server has taken over a recorded server's log.
--- a/primacy/groupserver_test.go
+++ b/primacy/groupserver_test.go
@@ -28,6 +28,12 @@
 	return primacy.Server{Gone: gone, ID: id}
 }
 
+// unregistered returns a server that has answered without being registered.
+func unregistered(server primacy.Server) primacy.Server {
+	server.Registered = false
+	return server
+}
+
 // TestMissingServers guards against the loss of commits that were acknowledged by the
 // primary and one replica when both are missing: a third server was promoted as soon as
 // the registration of that replica had lapsed. It also guards against a group that waits
@@ -73,6 +79,10 @@
 		{name: "commits of a gone replica are on the other one", recorded: goneAt(7), servers: []primacy.Server{absent("a", true), b, absent("old", true)}, want: promotes("b")},
 		{name: "commits of a gone replica are not on the other one", recorded: goneAt(8), servers: []primacy.Server{absent("a", true), b, absent("old", true)}, want: waits},
 		{name: "gone replica has returned and does not answer", recorded: goneAt(7), servers: []primacy.Server{silent(a), b, absent("old", true)}, want: waits},
+		{name: "replica is not registered and has no more commits", servers: []primacy.Server{unregistered(at(replica("a", 7, 0), "2", 1)), b, absent("old", true)}, want: promotes("b")},
+		{name: "replica is not registered and has more commits", servers: []primacy.Server{unregistered(a), b, absent("old", true)}, want: waits},
+		{name: "replica is not registered and has no log", servers: []primacy.Server{unregistered(at(replica("a", 0, 0), "2", 1)), b, absent("old", true)}, want: waits},
+		{name: "primary is not registered and has no more commits", unreachable: true, servers: []primacy.Server{absent("a", true), b, unregistered(asPrimary(at(replica("old", 7, 0), "1", 1)))}, want: promotes("b")},
 		{name: "replica replaced at its address", servers: []primacy.Server{absent("a", true), b, at(replica("c", 8, 0), "2", 2), absent("old", true)}, want: promotes("c")},
 		{name: "replica replaced at its address, without its log", servers: []primacy.Server{absent("a", true), b, at(replica("c", 0, 0), "2", 2), absent("old", true)}, want: waits},
 		{name: "replica replaced at another address", servers: []primacy.Server{absent("a", true), b, at(replica("c", 8, 0), "4", 2), absent("old", true)}, want: waits},
@@ -139,6 +149,7 @@
 		{name: "primary leads another term", servers: []primacy.Server{a, b, replica("old", 9, 0)}, want: status},
 		{name: "new server", recorded: all, servers: []primacy.Server{a, b, elsewhere, old}, want: writes(recordServers(a, b, elsewhere, old))},
 		{name: "entry whose server has never answered", recorded: all, servers: []primacy.Server{a, b, odd, old}, want: status},
+		{name: "not registered, but running", recorded: all, servers: []primacy.Server{unregistered(a), b, old}, want: status},
 		{name: "registration missing", recorded: all, servers: []primacy.Server{absent("a", false), b, old}, want: status},
 		{name: "gone", recorded: all, servers: []primacy.Server{absent("a", true), b, old}, want: writes(goneAt(9))},
 		{name: "gone, the other replica lacks commits", recorded: goneAt(8), servers: []primacy.Server{absent("a", true), b, old}, want: status},
--- a/primacy/promotion.go
+++ b/primacy/promotion.go
@@ -52,7 +52,7 @@
 	// of service.
 	Eligible bool
 	// Gone is true once a server has had no registration for so long that it won't come
-	// back by itself. It is false while that is not known.
+	// back by itself, and doesn't respond. It is false while that is not known.
 	Gone bool
 	ID   fleet.ServerID
 	// Position is the end of the log that the server has received.
@@ -184,7 +184,7 @@
 func (s Situation) decideServing(now time.Time) Step {
 	primary, known := s.server(s.Record.Primary)
 	next := Record{Generation: s.Record.Generation + 1, History: s.Record.History, Phase: PhaseChanging, Primary: s.Record.Primary, Servers: s.Record.Servers, Term: s.Record.Term}
-	if newer, found := s.currentPrimary(); found && newer.ID != s.Record.Primary && newer.Term > s.Record.Term {
+	if newer, found := s.currentPrimary(); found && newer.Registered && newer.ID != s.Record.Primary && newer.Term > s.Record.Term {
 		next.Reason = ReasonReplaced
 		return Step{Kind: StepWrite, Record: next}
 	}
@@ -339,7 +339,7 @@
 // that have answered since the change. A server that leads the latest term already takes
 // precedence.
 func (s Situation) promotionCandidate(accepted func(Server) bool) (Server, bool) {
-	if currentPrimary, found := s.currentPrimary(); found && s.leadsLatestTerm(currentPrimary) && currentPrimary.StatusAt.After(s.GenerationSeenAt) {
+	if currentPrimary, found := s.currentPrimary(); found && currentPrimary.Registered && s.leadsLatestTerm(currentPrimary) && currentPrimary.StatusAt.After(s.GenerationSeenAt) {
 		return currentPrimary, true
 	}
 	return mostAdvanced(s.Servers, func(server Server) bool {
