--- a/gateway/promoter.go
+++ b/gateway/promoter.go
@@ -222,11 +222,14 @@
 		state.blockedLogged = true
 		log.Record(event.PromotionBlocked, event.Fields{Database: group, Server: record.Primary, Term: record.Term, Text: "history " + record.History.String()})
 	}
+	if !step.Unproven {
+		return
+	}
 	missing := fmt.Sprintf("missing servers %v, recorded %+v", step.Missing, record.Servers)
 	switch {
-	case step.Unproven && step.Kind == primacy.StepWrite:
+	case step.Kind == primacy.StepWrite:
 		log.Record(event.PromotionUnproven, event.Fields{Database: group, Server: step.Record.Target, Term: record.Term, Text: missing})
-	case step.Unproven && !state.missingLogged:
+	case !state.missingLogged:
 		state.missingLogged = true
 		log.Record(event.PromotionWaits, event.Fields{Database: group, Server: record.Primary, Term: record.Term, Text: missing})
 	}
